Add the design page, the public headers and the base modules

Cause: first commit of an empty repository. The design has to exist before the parts can be built side by side. Ruled out: one store lease per host (14,000 renewals against several hundred writes a second), a leader per cell (a second election to prove); see docs/design.md section 3. Conclusion: the interfaces are fixed well enough to build the modules.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,110 @@
+# Sources are found by wildcard: a new file in src/, programs/, standins/,
+# tests/ or bench/ is built without a change here.
+CC = gcc
+CXX = g++
+BUILD = build
+OPT ?= -O2 -g
+PACKAGES = ck msgpack log4c libmicrohttpd libcurl glib-2.0 jansson libxxhash \
+    gsl uuid
+WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+    -Wmissing-prototypes -Wpointer-arith -Wvla
+WARNXX = -Wall -Wextra -Werror
+CPPFLAGS = -D_GNU_SOURCE -Iinclude -I. $(shell pkg-config --cflags $(PACKAGES))
+CFLAGS = -std=c11 $(OPT) $(WARN) -pthread
+CXXFLAGS = -std=c++17 $(OPT) $(WARNXX) -pthread
+LDLIBS = $(shell pkg-config --libs $(PACKAGES)) -lstdc++ -lm -pthread
+
+LIB = $(BUILD)/libapricot.a
+LIB_C = $(sort $(wildcard src/*/*.c))
+LIB_CC = $(sort $(wildcard src/*/*.cc))
+LIB_OBJ = $(LIB_C:%.c=$(BUILD)/%.o) $(LIB_CC:%.cc=$(BUILD)/%.o)
+STANDIN_SHARED = $(sort $(wildcard standins/lib/*.c))
+STANDIN_OBJ = $(STANDIN_SHARED:%.c=$(BUILD)/%.o)
+PROGRAMS = $(patsubst programs/%.c,$(BUILD)/%,$(sort $(wildcard programs/*.c)))
+STANDINS = $(patsubst standins/%.c,$(BUILD)/%,$(sort $(wildcard standins/*.c)))
+BENCHES = $(patsubst bench/%.c,$(BUILD)/bench/%,$(sort $(wildcard bench/*.c)))
+TESTS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(sort $(wildcard tests/test_*.c)))
+PROPS = $(patsubst tests/%.cc,$(BUILD)/tests/%,$(sort $(wildcard tests/prop_*.cc)))
+
+C_FILES = $(shell git ls-files -co --exclude-standard '*.c' '*.h')
+CC_FILES = $(shell git ls-files -co --exclude-standard '*.cc')
+
+.PHONY: all packages programs tests unit format format-check lint check demo \
+    bench proof scripted clean
+.SECONDARY:
+
+all: $(PROGRAMS) $(STANDINS)
+
+packages:
+	scripts/install-packages
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	@echo "  CC  $<"; $(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
+
+$(BUILD)/%.o: %.cc
+	@mkdir -p $(@D)
+	@echo "  CXX $<"; $(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -MP -c $< -o $@
+
+$(LIB): $(LIB_OBJ)
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(BUILD)/%: $(BUILD)/programs/%.o $(LIB)
+	@$(CC) $^ $(LDLIBS) -o $@
+
+$(BUILD)/%: $(BUILD)/standins/%.o $(STANDIN_OBJ) $(LIB)
+	@$(CC) $^ $(LDLIBS) -o $@
+
+$(BUILD)/bench/%: $(BUILD)/bench/%.o $(STANDIN_OBJ) $(LIB)
+	@mkdir -p $(@D)
+	@$(CC) $^ $(LDLIBS) -o $@
+
+$(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(STANDIN_OBJ) $(LIB)
+	@$(CC) $^ $(LDLIBS) -lcmocka -o $@
+
+$(BUILD)/tests/prop_%: $(BUILD)/tests/prop_%.o $(STANDIN_OBJ) $(LIB)
+	@$(CXX) $^ -lrapidcheck $(LDLIBS) -o $@
+
+tests: all $(TESTS) $(PROPS)
+
+# scripts/run-tests prints one line per test program and a total.
+unit: tests
+	scripts/run-tests $(TESTS) $(PROPS)
+
+scripted: all
+	scripts/run-scripted
+
+format:
+	clang-format -i $(C_FILES) $(CC_FILES)
+
+format-check:
+	@clang-format --dry-run -Werror $(C_FILES) $(CC_FILES)
+
+lint:
+	@printf '%s\n' $(filter %.c,$(C_FILES)) | xargs -P 8 -n 4 \
+	    scripts/lint $(CPPFLAGS)
+
+check: packages
+	$(MAKE) -j8 tests
+	$(MAKE) format-check
+	$(MAKE) lint
+	$(MAKE) unit
+	$(MAKE) scripted
+
+demo: packages
+	$(MAKE) -j8 all
+	scripts/demo
+
+bench: packages
+	$(MAKE) -j8 $(BENCHES) all
+	scripts/bench
+
+proof: packages
+	$(MAKE) -j8 tests
+	scripts/proof
+
+clean:
+	rm -rf $(BUILD)
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/include/apricot/backend_client.h
@@ -0,0 +1,55 @@
+#ifndef APRICOT_BACKEND_CLIENT_H
+#define APRICOT_BACKEND_CLIENT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "apricot/clock.h"
+#include "apricot/error.h"
+#include "apricot/message.h"
+
+/* HTTP calls to the backend servers of this host, run by one thread with a
+   libcurl multi handle. */
+typedef struct AprBackendClient_t AprBackendClient_t;
+
+typedef struct AprBackendCall_t {
+    uint64_t id;
+    char address[APR_ADDRESS_SIZE]; /* IP:port */
+    char service[APR_NAME_SIZE];
+    char rank[APR_NAME_SIZE];
+    AprMessage_t *request; /* type REQUEST; owned by the call */
+    uint64_t grant_epoch;
+    struct timespec not_after; /* not started after this time: not run */
+    int64_t grant_expiry_ms;   /* calendar time */
+    int timeout_ms;
+} AprBackendCall_t;
+
+typedef struct AprBackendResult_t {
+    uint64_t id;
+    AprOutcomeKind_t outcome; /* APR_ANSWERED, APR_NOT_RUN or APR_UNKNOWN */
+    bool refused;             /* connection refused: the backend is gone */
+    int status;
+    char *content_type; /* malloc */
+    char *body;         /* malloc */
+    size_t body_size;
+    double service_ms;
+    AprError_t error;
+} AprBackendResult_t;
+
+/* Called on the backend thread; the callee owns the result. */
+typedef void (*AprBackendDone_t)(void *context, AprBackendResult_t *result);
+
+AprBackendClient_t *AprBackendClient_Start(const AprClock_t *clock,
+                                           int max_connections,
+                                           size_t max_body_bytes,
+                                           AprBackendDone_t done,
+                                           void *context, AprError_t *error);
+void AprBackendClient_Stop(AprBackendClient_t *client);
+/* Takes ownership of the call on APR_OK; APR_E_FULL: not queued. */
+int AprBackendClient_Submit(AprBackendClient_t *client,
+                            AprBackendCall_t *call);
+void AprBackendClient_Cancel(AprBackendClient_t *client, uint64_t id);
+void AprBackendCall_Free(AprBackendCall_t *call);
+void AprBackendResult_Free(AprBackendResult_t *result);
+
+#endif
--- /dev/null
+++ b/include/apricot/message.h
@@ -0,0 +1,151 @@
+#ifndef APRICOT_MESSAGE_H
+#define APRICOT_MESSAGE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "apricot/error.h"
+#include "apricot/outcomes.h"
+#include "apricot/record.h"
+
+typedef enum AprMessageType_t {
+    APR_MSG_RENEW = 1,
+    APR_MSG_RENEW_ACK,
+    APR_MSG_CONSENT,
+    APR_MSG_CONSENT_ACK,
+    APR_MSG_RECORD_GET,
+    APR_MSG_RECORD,
+    APR_MSG_CONFIG_GET,
+    APR_MSG_CONFIG,
+    APR_MSG_REQUEST,
+    APR_MSG_ANSWER,
+    APR_MSG_CANCEL,
+    APR_MSG_PREPARE,
+    APR_MSG_PREPARE_ACK,
+    APR_MSG_OUTCOMES,
+    APR_MSG_OUTCOMES_ACK,
+    APR_MSG_TYPE_END
+} AprMessageType_t;
+
+/* Bytes that belong to the message they are part of. Text is also NUL
+   terminated. */
+typedef struct AprBytes_t {
+    const char *data;
+    size_t size;
+} AprBytes_t;
+
+typedef struct AprRenewMessage_t {
+    uint64_t incarnation; /* of the sender */
+    uint64_t send_id;
+    uint64_t record_version;
+    uint64_t generation; /* of the configuration */
+} AprRenewMessage_t;     /* also RENEW_ACK */
+
+typedef struct AprConsentMessage_t {
+    AprBytes_t member;
+    uint64_t member_incarnation;
+    uint64_t version;
+    bool granted;                 /* CONSENT_ACK only */
+    uint64_t witness_incarnation; /* CONSENT_ACK only */
+} AprConsentMessage_t;
+
+/* RECORD_GET, RECORD, CONFIG_GET and CONFIG: `text` is JSON, empty in the
+   GET messages. CONFIG carries one service. */
+typedef struct AprTextMessage_t {
+    uint64_t version;       /* of the record, or generation */
+    int64_t store_revision; /* RECORD only */
+    AprBytes_t text;
+} AprTextMessage_t;
+
+typedef struct AprRequestMessage_t {
+    uint64_t id;
+    AprBytes_t service;
+    AprBytes_t operation;
+    AprBytes_t key;
+    uint64_t key_hash;
+    int rank;
+    int64_t remaining_ms;
+    bool idempotent;
+    bool has_idempotency_key;
+    uint8_t idempotency_key[APR_IDEMPOTENCY_KEY_SIZE];
+    bool first_attempt;
+    bool is_get; /* HTTP method GET, else POST */
+    AprBytes_t caller;
+    AprBytes_t content_type;
+    AprBytes_t body;
+} AprRequestMessage_t;
+
+typedef enum AprOutcomeKind_t {
+    APR_ANSWERED,
+    APR_NOT_RUN,
+    APR_UNKNOWN,
+    APR_REJECTED,
+    APR_MOVED /* between processes only: not run, look the owner up again */
+} AprOutcomeKind_t;
+
+typedef struct AprAnswerMessage_t {
+    uint64_t id;
+    AprOutcomeKind_t outcome;
+    int status;        /* HTTP status of the backend server */
+    AprBytes_t reason; /* short token, for instance "queue-full" */
+    AprStep_t step;
+    AprBytes_t peer;
+    AprBytes_t detail;
+    int hint_rank; /* least urgent rank that the owner still takes; -1 none */
+    int hint_ms;   /* how long the hint holds; 0: no hint */
+    uint64_t record_version;
+    AprBytes_t content_type;
+    AprBytes_t body;
+} AprAnswerMessage_t;
+
+typedef struct AprCancelMessage_t {
+    uint64_t id;
+} AprCancelMessage_t;
+
+typedef struct AprPrepareMessage_t {
+    uint64_t move_id;
+    AprBytes_t service;
+    int partition_count;
+    uint16_t partitions[APR_SLOTS];
+    bool agreed; /* PREPARE_ACK only */
+} AprPrepareMessage_t;
+
+typedef struct AprOutcomesMessage_t {
+    uint64_t move_id;
+    AprBytes_t service;
+    int partition;
+    int64_t floor_ms;
+    bool last; /* no further entries of this partition follow */
+    int entry_count;
+    AprOutcomeEntry_t *entries; /* request.service is not transferred */
+    bool accepted;              /* OUTCOMES_ACK only */
+} AprOutcomesMessage_t;
+
+typedef struct AprMessage_t {
+    AprMessageType_t type;
+    union {
+        AprRenewMessage_t renew;
+        AprConsentMessage_t consent;
+        AprTextMessage_t text;
+        AprRequestMessage_t request;
+        AprAnswerMessage_t answer;
+        AprCancelMessage_t cancel;
+        AprPrepareMessage_t prepare;
+        AprOutcomesMessage_t outcomes;
+    };
+    void *storage; /* holds all bytes the message points to; may be NULL */
+} AprMessage_t;
+
+/* Serializes a message; *data is allocated with malloc. */
+int AprMessage_Encode(const AprMessage_t *message, char **data, size_t *size);
+/* Parses untrusted bytes into a new message that owns copies of everything.
+   APR_E_PARSE on any malformed or out-of-range field. */
+int AprMessage_Decode(const char *data, size_t size, AprMessage_t **message);
+/* A deep copy that owns its bytes, for passing between threads. */
+AprMessage_t *AprMessage_Copy(const AprMessage_t *message);
+void AprMessage_Free(AprMessage_t *message);
+const char *AprMessage_TypeName(AprMessageType_t type);
+AprBytes_t AprBytes_FromText(const char *text);
+
+#endif
--- /dev/null
+++ b/include/apricot/metrics.h
@@ -0,0 +1,22 @@
+#ifndef APRICOT_METRICS_H
+#define APRICOT_METRICS_H
+
+#include <stdint.h>
+
+/* Registry of counters and gauges, readable in the text exposition format.
+   Counters may be changed from any thread. */
+typedef struct AprMetrics_t AprMetrics_t;
+typedef struct AprMetric_t AprMetric_t;
+
+AprMetrics_t *AprMetrics_New(void);
+void AprMetrics_Free(AprMetrics_t *metrics);
+AprMetric_t *AprMetrics_Counter(AprMetrics_t *metrics, const char *name,
+                                const char *labels, const char *help);
+AprMetric_t *AprMetrics_Gauge(AprMetrics_t *metrics, const char *name,
+                              const char *labels, const char *help);
+void AprMetric_Add(AprMetric_t *metric, int64_t delta);
+void AprMetric_Set(AprMetric_t *metric, int64_t value);
+int64_t AprMetric_Value(const AprMetric_t *metric);
+char *AprMetrics_Text(AprMetrics_t *metrics);
+
+#endif
--- /dev/null
+++ b/include/apricot/publish.h
@@ -0,0 +1,31 @@
+#ifndef APRICOT_PUBLISH_H
+#define APRICOT_PUBLISH_H
+
+#include <stdint.h>
+
+#include "apricot/service_config.h"
+#include "apricot/store.h"
+
+/* Result of publishing one service. */
+typedef struct AprPublishResult_t {
+    uint64_t generation; /* at which it is in force */
+    bool unchanged;      /* the store already had the same content */
+    bool conflict;       /* another publisher changed the service meanwhile */
+    char winner[APR_NAME_SIZE * 2]; /* user@host of that publisher */
+    int64_t winner_at_ms;
+    uint64_t winner_generation;
+} AprPublishResult_t;
+
+/* Puts one service's configuration into force with a compare-and-swap on its
+   key and on the generation. `based_on` is the generation that the operator
+   last saw, or 0 to take what is there when the call starts. */
+int AprPublish_Service(AprStore_t *store, const char *prefix,
+                       const AprServiceConfig_t *config, uint64_t based_on,
+                       AprPublishResult_t *result, AprError_t *error);
+/* Reads all published services; *configs is allocated with malloc. Returns
+   their number or an error. */
+int AprPublish_List(AprStore_t *store, const char *prefix,
+                    AprServiceConfig_t **configs, uint64_t *generation,
+                    AprError_t *error);
+
+#endif
--- /dev/null
+++ b/include/apricot/record.h
@@ -0,0 +1,118 @@
+#ifndef APRICOT_RECORD_H
+#define APRICOT_RECORD_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "apricot/error.h"
+
+#define APR_NAME_SIZE 64
+#define APR_ADDRESS_SIZE 64
+#define APR_MAX_MEMBERS 64
+#define APR_MAX_SERVICES 16
+#define APR_MAX_WITNESSES 3
+#define APR_MAX_REMOVED 128
+#define APR_PARTITIONS 256
+#define APR_HOT_SLOTS 64
+#define APR_SLOTS (APR_PARTITIONS + APR_HOT_SLOTS)
+#define APR_NO_MEMBER UINT16_MAX
+
+/* Handle: index into AprRecord_t.members. Valid for one record version. */
+typedef uint16_t AprMember_t;
+
+typedef enum AprMemberState_t {
+    APR_MEMBER_FREE, /* the slot is unused */
+    APR_MEMBER_ACTIVE,
+    APR_MEMBER_DRAINING
+} AprMemberState_t;
+
+typedef struct AprMemberEntry_t {
+    AprMemberState_t state;
+    char host[APR_NAME_SIZE];
+    uint64_t incarnation;
+    char peer_address[APR_ADDRESS_SIZE];
+    char admin_address[APR_ADDRESS_SIZE];
+    char caller_address[APR_ADDRESS_SIZE];
+    char failure_domain[APR_NAME_SIZE];
+    char region[APR_NAME_SIZE];
+    uint32_t services; /* bit i: offers AprRecord_t.services[i] */
+    int witness_count;
+    char witnesses[APR_MAX_WITNESSES][APR_NAME_SIZE];
+    int64_t joined_at_ms; /* calendar time */
+} AprMemberEntry_t;
+
+typedef struct AprPartitionEntry_t {
+    AprMember_t owner; /* APR_NO_MEMBER: unowned */
+    uint64_t epoch;    /* record version at which the owner changed last */
+    uint64_t handover; /* id of the planned move that set it; 0: none */
+} AprPartitionEntry_t;
+
+typedef struct AprServiceTable_t {
+    char name[APR_NAME_SIZE];
+    AprPartitionEntry_t partitions[APR_SLOTS];
+    bool hot_used[APR_HOT_SLOTS];
+    uint64_t hot_hash[APR_HOT_SLOTS];
+} AprServiceTable_t;
+
+typedef struct AprRemovedHost_t {
+    char host[APR_NAME_SIZE];
+    uint64_t incarnation;
+} AprRemovedHost_t;
+
+/* The record of one cell. `version` rises by one with each change and is part
+   of the value; `store_revision` is the store's modification revision of the
+   value that was read, 0 when the store has none yet. */
+typedef struct AprRecord_t {
+    uint64_t version;
+    int64_t store_revision;
+    char cell[APR_NAME_SIZE];
+    AprMemberEntry_t members[APR_MAX_MEMBERS];
+    int removed_count;
+    AprRemovedHost_t removed[APR_MAX_REMOVED];
+    int service_count;
+    AprServiceTable_t services[APR_MAX_SERVICES];
+} AprRecord_t;
+
+uint64_t AprKey_Hash(const char *service, const char *key, size_t key_size);
+
+void AprRecord_Init(AprRecord_t *record, const char *cell);
+
+/* Lookups. */
+AprMember_t AprRecord_FindHost(const AprRecord_t *record, const char *host);
+int AprRecord_FindService(const AprRecord_t *record, const char *name);
+int AprRecord_Lookup(const AprRecord_t *record, int service,
+                     uint64_t key_hash);
+uint64_t AprRecord_RemovedIncarnation(const AprRecord_t *record,
+                                      const char *host);
+int AprRecord_MemberCount(const AprRecord_t *record);
+int AprRecord_OwnedCount(const AprRecord_t *record, int service,
+                         AprMember_t member);
+int AprRecord_ChooseWitnesses(const AprRecord_t *record, AprMember_t member,
+                              char witnesses[][APR_NAME_SIZE]);
+
+/* Checked changes. Each works on a copy that the caller swaps into the store.
+   AprRecord_BeginChange comes first; it raises `version`. */
+void AprRecord_BeginChange(AprRecord_t *record);
+int AprRecord_Join(AprRecord_t *record, const AprMemberEntry_t *entry,
+                   AprMember_t *member, AprError_t *error);
+int AprRecord_Remove(AprRecord_t *record, AprMember_t member);
+int AprRecord_SetWitnesses(AprRecord_t *record, AprMember_t member,
+                           char witnesses[][APR_NAME_SIZE], int count);
+int AprRecord_SetState(AprRecord_t *record, AprMember_t member,
+                       AprMemberState_t state);
+int AprRecord_AddService(AprRecord_t *record, const char *name);
+int AprRecord_SetOffered(AprRecord_t *record, AprMember_t member, int service,
+                         bool offered);
+int AprRecord_Assign(AprRecord_t *record, int service, int partition,
+                     AprMember_t owner, uint64_t handover);
+int AprRecord_BindHotSlot(AprRecord_t *record, int service, uint64_t key_hash,
+                          int *partition);
+int AprRecord_FreeHotSlot(AprRecord_t *record, int service, int partition);
+
+/* JSON form. The text is allocated with malloc. */
+char *AprRecord_ToJson(const AprRecord_t *record);
+int AprRecord_FromJson(const char *text, size_t size, AprRecord_t *record,
+                       AprError_t *error);
+
+#endif
--- /dev/null
+++ b/src/base/log.c
@@ -0,0 +1,126 @@
+#include "apricot/log.h"
+
+#include <log4c.h>
+#include <log4c/appender_type_stream.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#include "apricot/error.h"
+
+#define LOG_LINE_SIZE 2048
+#define LOG_MESSAGE_SIZE 1536
+#define LOG_HOST_SIZE 64
+
+static log4c_category_t *category;
+static char log_host[LOG_HOST_SIZE];
+
+static const int priorities[] = {
+    [APR_LOG_ERROR] = LOG4C_PRIORITY_ERROR,
+    [APR_LOG_WARN] = LOG4C_PRIORITY_WARN,
+    [APR_LOG_INFO] = LOG4C_PRIORITY_INFO,
+    [APR_LOG_DEBUG] = LOG4C_PRIORITY_DEBUG,
+};
+
+static const char *const level_names[] = {"error", "warn", "info", "debug"};
+
+static const char *
+level_of_priority(int priority)
+{
+    for (int level = APR_LOG_ERROR; level <= APR_LOG_DEBUG; level++) {
+        if (priorities[level] == priority) {
+            return level_names[level];
+        }
+    }
+    return "info";
+}
+
+static const char *
+format_line(const log4c_layout_t *layout, const log4c_logging_event_t *event)
+{
+    /* log4c calls this on the thread that logs. */
+    static _Thread_local char line[LOG_LINE_SIZE];
+    struct tm calendar;
+    char stamp[32];
+
+    (void)layout;
+    gmtime_r(&event->evt_timestamp.tv_sec, &calendar);
+    strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &calendar);
+    snprintf(line, sizeof(line), "time=%s.%03ldZ level=%s host=%s %s\n", stamp,
+             (long)(event->evt_timestamp.tv_usec / 1000),
+             level_of_priority(event->evt_priority), log_host, event->evt_msg);
+    return line;
+}
+
+static const log4c_layout_type_t key_value_layout = {"key_value", format_line};
+
+/* Starts logging to a file, or to standard error when `file` is NULL or
+   empty. log4c's own configuration files are not read, so that the process
+   settings are the only source. Returns APR_E_IO when the file cannot be
+   opened. */
+int
+AprLog_Init(AprLogLevel_t level, const char *file, const char *host)
+{
+    log4c_appender_t *appender;
+    log4c_layout_t *layout = log4c_layout_get("apricot");
+
+    snprintf(log_host, sizeof(log_host), "%s", host);
+    if (file == NULL || file[0] == '\0') {
+        file = "stderr";
+    }
+    appender = log4c_appender_get(file);
+    category = log4c_category_get("apricot");
+    log4c_layout_set_type(layout, &key_value_layout);
+    log4c_appender_set_type(appender, &log4c_appender_type_stream);
+    log4c_appender_set_layout(appender, layout);
+    if (log4c_appender_open(appender) != 0) {
+        category = NULL;
+        return APR_E_IO;
+    }
+    log4c_category_set_appender(category, appender);
+    log4c_category_set_additivity(category, 0);
+    log4c_category_set_priority(category, priorities[level]);
+    return APR_OK;
+}
+
+/* Flushes and closes the log. */
+void
+AprLog_Close(void)
+{
+    category = NULL;
+    log4c_fini();
+}
+
+/* Writes one line with the event name and the formatted key=value pairs. Does
+   nothing before AprLog_Init or below the set level. Safe from any thread. */
+void
+AprLog_Write(AprLogLevel_t level, const char *event, const char *format, ...)
+{
+    char pairs[LOG_MESSAGE_SIZE];
+    va_list arguments;
+
+    if (category == NULL ||
+        !log4c_category_is_priority_enabled(category, priorities[level])) {
+        return;
+    }
+    va_start(arguments, format);
+    vsnprintf(pairs, sizeof(pairs), format, arguments);
+    va_end(arguments);
+    log4c_category_log(category, priorities[level], "event=%s %s", event,
+                       pairs);
+}
+
+/* Translates "error", "warn", "info" or "debug". Returns APR_E_INVALID for
+   anything else. */
+int
+AprLog_LevelFromName(const char *name, AprLogLevel_t *level)
+{
+    for (int i = APR_LOG_ERROR; i <= APR_LOG_DEBUG; i++) {
+        if (strcmp(name, level_names[i]) == 0) {
+            *level = (AprLogLevel_t)i;
+            return APR_OK;
+        }
+    }
+    return APR_E_INVALID;
+}
