--- a/include/apricot/message.h
+++ b/include/apricot/message.h
@@ -39,8 +39,8 @@
     uint64_t incarnation; /* of the sender */
     uint64_t send_id;
     uint64_t record_version;
-    uint64_t generation; /* of the configuration */
-} AprRenewMessage_t;     /* also RENEW_ACK */
+    uint64_t config_digest; /* of all services and their generations */
+} AprRenewMessage_t;        /* also RENEW_ACK */
 
 typedef struct AprConsentMessage_t {
     AprBytes_t member;
--- /dev/null
+++ b/internal/core.h
@@ -0,0 +1,327 @@
+#ifndef APRICOT_INTERNAL_CORE_H
+#define APRICOT_INTERNAL_CORE_H
+
+#include <glib.h>
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+
+#include "apricot/backend_client.h"
+#include "apricot/clock.h"
+#include "apricot/hot_keys.h"
+#include "apricot/lease.h"
+#include "apricot/log.h"
+#include "apricot/metrics.h"
+#include "apricot/outcomes.h"
+#include "apricot/peer_net.h"
+#include "apricot/placement.h"
+#include "apricot/rank_queue.h"
+#include "apricot/rate_limit.h"
+#include "apricot/record.h"
+#include "apricot/retry_budget.h"
+#include "apricot/ring.h"
+#include "apricot/service_config.h"
+#include "apricot/settings.h"
+#include "internal/entry.h"
+#include "internal/event.h"
+#include "internal/store_worker.h"
+
+#define APR_CORE_TICK_MS 10
+
+/* Where the answer to a request at its owner goes. */
+typedef struct AprReplyTo_t {
+    bool local;     /* to the entry request `id` of this process */
+    AprLink_t link; /* else to this link */
+    uint64_t id;
+} AprReplyTo_t;
+
+typedef enum AprOwnedState_t {
+    APR_OWNED_FREE,
+    APR_OWNED_QUEUED,
+    APR_OWNED_RUNNING, /* at the backend server */
+    APR_OWNED_HELD,    /* its partition is being moved */
+    APR_OWNED_WAITING  /* for the answer of a request with the same key */
+} AprOwnedState_t;
+
+/* One request at the owner of its key. The handle is its index in
+   AprCore_t.owned. */
+typedef struct AprOwnedRequest_t {
+    AprOwnedState_t state;
+    uint32_t turn; /* changes each time the slot is used again */
+    AprReplyTo_t reply;
+    AprMessage_t *message;
+    int service; /* index in AprCore_t.services */
+    int partition;
+    int rank;
+    bool idempotent;
+    uint64_t key_hash;
+    struct timespec deadline;
+    AprOutcome_t outcome;             /* APR_NO_OUTCOME for idempotent work */
+    struct AprDispatchQueue_t *queue; /* while queued or running */
+} AprOwnedRequest_t;
+
+/* The rank queue of a backend server. A changed configuration replaces it;
+   the old one lives until its running requests have ended. */
+typedef struct AprDispatchQueue_t {
+    AprRankQueue_t *ranks;
+    int running;
+    bool retired;
+} AprDispatchQueue_t;
+
+typedef struct AprLocalBackend_t {
+    bool alive;
+    char address[APR_ADDRESS_SIZE];
+    int slots;
+    int connections;
+    bool checks_grants;
+    struct timespec announced_at;
+} AprLocalBackend_t;
+
+typedef struct AprRankCounters_t {
+    AprMetric_t *answered;
+    AprMetric_t *not_run;
+    AprMetric_t *unknown;
+    AprMetric_t *rejected;
+} AprRankCounters_t;
+
+/* What this process keeps of one service. */
+typedef struct AprServiceState_t {
+    AprServiceConfig_t config; /* generation 0: announced, not published */
+    AprLocalBackend_t backend;
+    AprDispatchQueue_t *queue;
+    int retired_running; /* requests of replaced queues at the backend */
+    AprRateLimit_t *rate_limit;
+    AprRetryBudget_t retry_budget;
+    AprHotKeys_t *hot_keys;
+    AprRankCounters_t counters[APR_MAX_RANKS];
+    int in_flight[APR_SLOTS];        /* at the backend server, per partition */
+    uint64_t held_by[APR_SLOTS];     /* id of the move, 0: not held */
+    uint64_t owned_epoch[APR_SLOTS]; /* epoch under which it is owned here */
+    struct timespec owned_since[APR_SLOTS];
+} AprServiceState_t;
+
+typedef struct AprHostLink_t {
+    char host[APR_NAME_SIZE];
+    char address[APR_ADDRESS_SIZE];
+    AprLink_t link;
+    bool up;
+    /* Back-pressure hints of this owner: the least urgent rank it takes. */
+    int open_rank;
+    struct timespec hint_until;
+} AprHostLink_t;
+
+/* A queued change of the cell record. `apply` edits the copy and returns
+   APR_OK, APR_E_EXISTS when the change is already in the record, or another
+   error when it cannot be made any more. `done` gets the result. */
+typedef struct AprCore_t AprCore_t;
+typedef struct AprChange_t {
+    int (*apply)(AprCore_t *core, AprRecord_t *record, void *argument);
+    void (*done)(AprCore_t *core, int result, void *argument);
+    void *argument;
+    bool applied;   /* part of the swap under way */
+    bool uncertain; /* was part of a swap whose answer was lost */
+} AprChange_t;
+
+typedef enum AprMembership_t {
+    APR_MEMBERSHIP_STARTING, /* the record was not read yet */
+    APR_MEMBERSHIP_JOINING,
+    APR_MEMBERSHIP_MEMBER,
+    APR_MEMBERSHIP_LEFT
+} AprMembership_t;
+
+struct AprCore_t {
+    AprSettings_t settings;
+    AprClock_t clock;
+    AprMetrics_t *metrics;
+    AprRing_t *inbox;
+    AprPeerNet_t *net;
+    AprBackendClient_t *backends;
+    AprStoreWorker_t *store;
+    pthread_t thread;
+    atomic_bool stop;
+    atomic_bool draining; /* gives everything away */
+    atomic_bool leaving;  /* a planned stop: drains, leaves and exits */
+    atomic_bool finished; /* the drain is over; the process may exit */
+
+    uint64_t incarnation;
+    AprMembership_t membership;
+    AprRecord_t *record; /* newest known; version 0: none */
+    AprLease_t *lease;
+    AprOutcomes_t *outcomes;
+    int service_count;
+    AprServiceState_t *services[APR_MAX_SERVICES];
+    uint64_t generation;    /* highest of all services */
+    uint64_t config_digest; /* of all services and their generations */
+
+    GHashTable *links;       /* host -> AprHostLink_t */
+    GHashTable *links_by_id; /* AprLink_t -> AprHostLink_t */
+    GHashTable *inbound;     /* AprLink_t -> host, of links opened by peers */
+    GHashTable *entries;     /* id -> AprEntryRequest_t */
+    uint64_t next_entry_id;
+    GPtrArray *owned; /* AprOwnedRequest_t; index is the handle */
+    GArray *owned_free;
+    uint64_t tick_count;
+    int parked; /* owned requests that are held or waiting */
+
+    GQueue changes;             /* AprChange_t */
+    AprRecord_t *change_record; /* the copy in the swap under way */
+    bool change_busy;
+    struct timespec change_retry_at;
+    bool witness_change; /* the queued changes of this kind, one at a time */
+    bool join_change;
+    bool claim_change;
+    bool hot_change;
+    bool state_change;
+    uint32_t offer_changes; /* bit per index in AprCore_t.services */
+    bool seeds_opened;
+    struct timespec draining_since;
+    bool drain_seen;
+
+    GHashTable *moves;    /* id -> AprHandover_t */
+    GHashTable *staged;   /* "move/partition" -> AprStaged_t */
+    GHashTable *removals; /* host -> AprRemovalAttempt_t */
+
+    bool store_ok;
+    bool record_known; /* from the store or a peer; version 0: none exists */
+    bool record_read_pending;
+    bool change_needs_read; /* no swap before the record was read afresh */
+    bool config_read;       /* the store's configuration was read once */
+    struct timespec next_tick;
+    struct timespec next_plan;
+    struct timespec next_hot_check;
+    struct timespec next_hot_decay;
+    struct timespec next_record_read;
+    struct timespec next_config_read;
+    struct timespec next_record_pull;
+    struct timespec next_config_pull;
+    struct timespec joined_at;
+    struct timespec started_at;
+
+    AprMetric_t *late_answers;
+    AprMetric_t *lease_refusals;
+    AprMetric_t *moves_done;
+    AprMetric_t *moves_failed;
+    AprMetric_t *removals_done;
+    AprMetric_t *record_version_gauge;
+    AprMetric_t *generation_gauge;
+    AprMetric_t *lease_gauge;
+    AprMetric_t *retries;
+};
+
+/* core.c */
+struct timespec AprCore_Now(const AprCore_t *core);
+bool AprCore_IsMember(const AprCore_t *core);
+AprMember_t AprCore_Self(const AprCore_t *core);
+int AprCore_FindService(const AprCore_t *core, const char *name);
+int AprCore_AddService(AprCore_t *core, const char *name);
+
+/* links.c */
+AprHostLink_t *AprLinks_ForHost(AprCore_t *core, const char *host);
+AprHostLink_t *AprLinks_ById(AprCore_t *core, AprLink_t link);
+void AprLinks_OnUp(AprCore_t *core, AprLink_t link, const char *host);
+void AprLinks_OnDown(AprCore_t *core, AprLink_t link);
+void AprLinks_Update(AprCore_t *core);
+void AprLinks_OpenSeeds(AprCore_t *core);
+/* Host at the other end of a link, or NULL. */
+const char *AprLinks_HostOf(AprCore_t *core, AprLink_t link);
+int AprLinks_SendToHost(AprCore_t *core, const char *host,
+                        const AprMessage_t *message);
+int AprLinks_Send(AprCore_t *core, AprLink_t link,
+                  const AprMessage_t *message);
+void AprLinks_Broadcast(AprCore_t *core, const AprMessage_t *message);
+
+/* record_sync.c */
+void AprRecordSync_Change(AprCore_t *core,
+                          int (*apply)(AprCore_t *, AprRecord_t *, void *),
+                          void (*done)(AprCore_t *, int, void *),
+                          void *argument);
+/* Takes a queued change back. False when it may still take effect. */
+bool AprRecordSync_Cancel(AprCore_t *core, const void *argument);
+void AprRecordSync_Tick(AprCore_t *core);
+void AprRecordSync_OnStoreResult(AprCore_t *core, AprStoreResult_t *result);
+void AprRecordSync_OnMessage(AprCore_t *core, AprLink_t link,
+                             const AprMessage_t *message);
+void AprRecordSync_OnWatch(AprCore_t *core, const char *data, size_t size,
+                           int64_t revision);
+void AprRecordSync_Read(AprCore_t *core);
+void AprRecordSync_Compare(AprCore_t *core, AprLink_t link, uint64_t version);
+void AprRecordSync_Push(AprCore_t *core);
+
+/* config_sync.c */
+void AprConfigSync_Tick(AprCore_t *core);
+void AprConfigSync_OnStoreResult(AprCore_t *core, AprStoreResult_t *result);
+void AprConfigSync_OnMessage(AprCore_t *core, AprLink_t link,
+                             const AprMessage_t *message);
+void AprConfigSync_OnWatch(AprCore_t *core, const char *data, size_t size);
+void AprConfigSync_Compare(AprCore_t *core, AprLink_t link, uint64_t digest);
+uint64_t AprConfigSync_Digest(const AprCore_t *core);
+
+/* membership.c */
+void AprMembership_Tick(AprCore_t *core);
+void AprMembership_OnMessage(AprCore_t *core, AprLink_t link,
+                             const AprMessage_t *message);
+/* After a newer record was adopted. */
+void AprMembership_OnRecord(AprCore_t *core);
+/* The policy of a service of the record, from its configuration. */
+AprPlacementPolicy_t AprMembership_Policy(const AprCore_t *core,
+                                          const char *service);
+/* Assigns everything that has no owner in a record that is being changed. */
+void AprMembership_AssignUnowned(AprCore_t *core, AprRecord_t *record);
+/* Whether new work is refused because the planned stop is due. */
+bool AprMembership_RefusesWork(const AprCore_t *core);
+
+/* removal_task.c */
+void AprRemovalTask_Tick(AprCore_t *core);
+void AprRemovalTask_OnRecord(AprCore_t *core);
+/* After a read of the store: the record is as new as the store. */
+void AprRemovalTask_OnFreshRead(AprCore_t *core);
+void AprRemovalTask_OnMessage(AprCore_t *core, AprLink_t link,
+                              const AprMessage_t *message);
+
+/* router.c: the entry side */
+void AprRouter_OnEntryRequest(AprCore_t *core, AprEntryRequest_t *request);
+void AprRouter_OnAnswer(AprCore_t *core, uint64_t id,
+                        const AprAnswerMessage_t *answer);
+void AprRouter_OnUndelivered(AprCore_t *core, const AprMessage_t *message);
+void AprRouter_OnLinkDown(AprCore_t *core, AprLink_t link);
+void AprRouter_Tick(AprCore_t *core);
+
+/* owner.c: the owner side */
+void AprOwner_OnRequest(AprCore_t *core, AprReplyTo_t reply,
+                        AprMessage_t *message);
+void AprOwner_OnCancel(AprCore_t *core, AprReplyTo_t reply);
+void AprOwner_OnBackendResult(AprCore_t *core, AprBackendResult_t *result);
+void AprOwner_Dispatch(AprCore_t *core, int service);
+void AprOwner_Tick(AprCore_t *core);
+void AprOwner_SetQueue(AprCore_t *core, int service);
+void AprOwner_OnRecord(AprCore_t *core, const AprRecord_t *previous);
+void AprOwner_Release(AprCore_t *core, int service, int partition);
+bool AprOwner_Owns(const AprCore_t *core, int service, int partition);
+/* For owner_record.c. */
+void AprOwner_EndAsMoved(AprCore_t *core, uint32_t handle, const char *reason);
+bool AprOwner_InPartition(const AprOwnedRequest_t *owned, int service,
+                          int partition);
+uint32_t AprOwner_Queued(const AprCore_t *core, int service);
+
+/* handover.c: planned moves */
+void AprHandover_Init(AprCore_t *core);
+void AprHandover_Tick(AprCore_t *core);
+void AprHandover_OnMessage(AprCore_t *core, AprLink_t link,
+                           AprMessage_t *message);
+void AprHandover_OnIdle(AprCore_t *core, int service, int partition);
+int AprHandover_Start(AprCore_t *core, int service, AprMember_t to,
+                      const uint16_t *partitions, int count);
+/* Takes the outcomes staged for a partition that this process now owns.
+   Returns false when there are none for this handover id. */
+bool AprHandover_TakeStaged(AprCore_t *core, int service, int partition,
+                            uint64_t handover);
+int AprHandover_Active(const AprCore_t *core);
+
+/* hot_key_task.c */
+void AprHotKeyTask_Tick(AprCore_t *core);
+
+/* admin.c */
+void AprAdmin_Handle(AprCore_t *core, struct AprAdminRequest_t *request);
+
+#endif
--- /dev/null
+++ b/internal/http_util.h
@@ -0,0 +1,14 @@
+#ifndef APRICOT_INTERNAL_HTTP_UTIL_H
+#define APRICOT_INTERNAL_HTTP_UTIL_H
+
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <stdbool.h>
+
+int AprHttp_ParseAddress(const char *text, struct sockaddr_in *address);
+/* Whether the request carries the bearer token; an empty token admits all. */
+bool AprHttp_TokenMatches(struct MHD_Connection *connection,
+                          const char *token);
+bool AprHttp_FromLoopback(struct MHD_Connection *connection);
+
+#endif
--- /dev/null
+++ b/internal/store_worker.h
@@ -0,0 +1,59 @@
+#ifndef APRICOT_INTERNAL_STORE_WORKER_H
+#define APRICOT_INTERNAL_STORE_WORKER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "apricot/ring.h"
+#include "apricot/settings.h"
+#include "apricot/store.h"
+
+typedef enum AprStoreJobType_t {
+    APR_JOB_READ_RECORD,
+    APR_JOB_SWAP_RECORD,
+    APR_JOB_READ_CONFIG
+} AprStoreJobType_t;
+
+typedef struct AprConfigText_t {
+    char *data;
+    size_t size;
+} AprConfigText_t;
+
+/* Result of one store call. Owned by the receiver. */
+typedef struct AprStoreResult_t {
+    AprStoreJobType_t type;
+    int code;
+    char *data; /* READ_RECORD: JSON, NULL when there is no record */
+    size_t size;
+    int64_t revision;
+    int config_count;
+    AprConfigText_t *configs; /* READ_CONFIG */
+    AprError_t error;
+} AprStoreResult_t;
+
+typedef struct AprWatchEvent_t {
+    bool is_record;
+    char *data;
+    size_t size;
+    int64_t revision;
+} AprWatchEvent_t;
+
+/* Threads that make the blocking calls of the store: one for reads and
+   swaps, one watch for the record and one for the configuration. */
+typedef struct AprStoreWorker_t AprStoreWorker_t;
+
+AprStoreWorker_t *AprStoreWorker_Start(const AprSettings_t *settings,
+                                       AprRing_t *inbox, AprError_t *error);
+void AprStoreWorker_Stop(AprStoreWorker_t *worker);
+int AprStoreWorker_ReadRecord(AprStoreWorker_t *worker);
+int AprStoreWorker_ReadConfig(AprStoreWorker_t *worker);
+/* Takes ownership of `text`. */
+int AprStoreWorker_SwapRecord(AprStoreWorker_t *worker, char *text,
+                              int64_t revision);
+/* Turns both watches on or off. */
+void AprStoreWorker_SetWatch(AprStoreWorker_t *worker, bool wanted);
+bool AprStoreWorker_Watching(const AprStoreWorker_t *worker);
+void AprStoreResult_Free(AprStoreResult_t *result);
+void AprWatchEvent_Free(AprWatchEvent_t *event);
+
+#endif
--- /dev/null
+++ b/src/coordination/handover.c
@@ -0,0 +1,491 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "internal/core.h"
+
+#define PREPARE_TIMEOUT_MS 500
+#define IDLE_TIMEOUT_MS 2000 /* in-flight work of a planned move */
+#define SEND_TIMEOUT_MS 1000
+#define SWAP_TIMEOUT_MS 500
+#define STAGED_LIFETIME_MS 30000
+#define CHUNK_BYTES (96 * 1024)
+#define CHUNK_ENTRIES 512
+#define ENTRY_OVERHEAD_BYTES 96
+
+typedef enum MovePhase_t {
+    MOVE_PREPARING, /* waits for the receiver to agree */
+    MOVE_WAITING,   /* for requests at the backend server to end */
+    MOVE_SENDING,   /* outcomes on their way */
+    MOVE_SWAPPING   /* the record is being changed */
+} MovePhase_t;
+
+/* A planned move of which this process is the source. */
+typedef struct AprHandover_t {
+    uint64_t id;
+    MovePhase_t phase;
+    int service;
+    char to[APR_NAME_SIZE];
+    int count;
+    uint16_t partitions[APR_SLOTS];
+    int unacknowledged;
+    struct timespec give_up_at;
+    struct timespec held_at;
+} Move_t;
+
+/* Outcomes that a source has sent and whose record change is awaited. */
+typedef struct AprStaged_t {
+    uint64_t move_id;
+    int service;
+    int partition;
+    int64_t floor_ms;
+    bool complete;
+    GPtrArray *messages; /* AprMessage_t that hold the entries */
+    struct timespec received_at;
+} Staged_t;
+
+static void
+free_staged(gpointer value)
+{
+    Staged_t *staged = value;
+
+    g_ptr_array_free(staged->messages, TRUE);
+    free(staged);
+}
+
+static void
+free_message(gpointer value)
+{
+    AprMessage_Free(value);
+}
+
+static char *
+staged_key(uint64_t move_id, int partition)
+{
+    return g_strdup_printf("%" PRIu64 "/%d", move_id, partition);
+}
+
+/* Creates the tables of moves and staged outcomes. */
+void
+AprHandover_Init(AprCore_t *core)
+{
+    core->moves =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free);
+    core->staged =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_staged);
+}
+
+/* Number of moves under way from this process. */
+int
+AprHandover_Active(const AprCore_t *core)
+{
+    return (int)g_hash_table_size(core->moves);
+}
+
+static void
+release_all(AprCore_t *core, const Move_t *move)
+{
+    for (int i = 0; i < move->count; i++) {
+        int partition = move->partitions[i];
+
+        if (core->services[move->service]->held_by[partition] == move->id) {
+            AprOwner_Release(core, move->service, partition);
+        }
+    }
+}
+
+static void
+end_move(AprCore_t *core, Move_t *move, int result)
+{
+    int64_t held_ms = 0;
+
+    if (move->phase != MOVE_PREPARING) {
+        held_ms = AprTime_DiffMs(AprCore_Now(core), move->held_at);
+    }
+    AprMetric_Add(result == APR_OK ? core->moves_done : core->moves_failed, 1);
+    AprLog_Write(result == APR_OK ? APR_LOG_INFO : APR_LOG_WARN, "move-ended",
+                 "service=%s to=%s partitions=%d phase=%d held_ms=%" PRId64
+                 " result=%s",
+                 core->services[move->service]->config.service, move->to,
+                 move->count, move->phase, held_ms, AprError_Name(result));
+    g_hash_table_steal(core->moves, &move->id);
+    release_all(core, move);
+    free(move);
+    core->next_plan = AprCore_Now(core);
+}
+
+static void
+fill_prepare(const AprCore_t *core, const Move_t *move, AprMessage_t *message)
+{
+    message->type = APR_MSG_PREPARE;
+    message->prepare.move_id = move->id;
+    message->prepare.service =
+        AprBytes_FromText(core->services[move->service]->config.service);
+    message->prepare.partition_count = move->count;
+    memcpy(message->prepare.partitions, move->partitions,
+           sizeof(uint16_t) * (size_t)move->count);
+}
+
+static bool
+may_move(const AprCore_t *core, int service, int partition)
+{
+    return AprOwner_Owns(core, service, partition) &&
+           core->services[service]->held_by[partition] == 0;
+}
+
+/* Starts to move partitions to a member. Partitions that are not owned here
+   or already on the move are left out. Returns APR_E_NOT_FOUND when none is
+   left or the member is unknown. */
+int
+AprHandover_Start(AprCore_t *core, int service, AprMember_t to,
+                  const uint16_t *partitions, int count)
+{
+    Move_t *move = calloc(1, sizeof(*move));
+    AprMessage_t message = {0};
+
+    if (move == NULL) {
+        return APR_E_NOMEM;
+    }
+    for (int i = 0; i < count; i++) {
+        if (may_move(core, service, partitions[i])) {
+            move->partitions[move->count++] = partitions[i];
+        }
+    }
+    if (move->count == 0 || to >= APR_MAX_MEMBERS ||
+        core->record->members[to].state == APR_MEMBER_FREE) {
+        free(move);
+        return APR_E_NOT_FOUND;
+    }
+    /* Random, because ids of several sources must differ; 0 means none. */
+    move->id = ((uint64_t)g_random_int() << 32 | g_random_int()) | 1u;
+    move->service = service;
+    move->give_up_at = AprTime_AddMs(AprCore_Now(core), PREPARE_TIMEOUT_MS);
+    g_strlcpy(move->to, core->record->members[to].host, sizeof(move->to));
+    g_hash_table_insert(core->moves, &move->id, move);
+    fill_prepare(core, move, &message);
+    if (AprLinks_SendToHost(core, move->to, &message) != APR_OK) {
+        end_move(core, move, APR_E_UNAVAILABLE);
+        return APR_E_UNAVAILABLE;
+    }
+    return APR_OK;
+}
+
+typedef struct Export_t {
+    AprCore_t *core;
+    Move_t *move;
+    int partition;
+    GArray *entries; /* AprOutcomeEntry_t that point into the table */
+    size_t bytes;
+} Export_t;
+
+static void
+send_chunk(Export_t *export, bool last)
+{
+    AprCore_t *core = export->core;
+    AprMessage_t message = {0};
+
+    message.type = APR_MSG_OUTCOMES;
+    message.outcomes.move_id = export->move->id;
+    message.outcomes.service = AprBytes_FromText(
+        core->services[export->move->service]->config.service);
+    message.outcomes.partition = export->partition;
+    message.outcomes.floor_ms = AprOutcomes_Floor(
+        core->outcomes, export->move->service, export->partition);
+    message.outcomes.last = last;
+    message.outcomes.entry_count = (int)export->entries->len;
+    message.outcomes.entries = (AprOutcomeEntry_t *)export->entries->data;
+    AprLinks_SendToHost(core, export->move->to, &message);
+    g_array_set_size(export->entries, 0);
+    export->bytes = 0;
+}
+
+static void
+export_entry(void *context, const AprOutcomeEntry_t *entry)
+{
+    Export_t *export = context;
+
+    if (export->bytes > CHUNK_BYTES || export->entries->len >= CHUNK_ENTRIES) {
+        send_chunk(export, false);
+    }
+    g_array_append_val(export->entries, *entry);
+    export->bytes += entry->answer.body_size + ENTRY_OVERHEAD_BYTES;
+}
+
+static void
+send_outcomes(AprCore_t *core, Move_t *move)
+{
+    Export_t export = {core, move, 0, NULL, 0};
+
+    export.entries = g_array_new(FALSE, FALSE, sizeof(AprOutcomeEntry_t));
+    move->phase = MOVE_SENDING;
+    move->unacknowledged = move->count;
+    move->give_up_at = AprTime_AddMs(AprCore_Now(core), SEND_TIMEOUT_MS);
+    for (int i = 0; i < move->count; i++) {
+        export.partition = move->partitions[i];
+        AprOutcomes_Export(core->outcomes, move->service, export.partition,
+                           export_entry, &export);
+        send_chunk(&export, true);
+    }
+    g_array_free(export.entries, TRUE);
+}
+
+static void
+send_when_idle(AprCore_t *core, Move_t *move)
+{
+    const AprServiceState_t *service = core->services[move->service];
+
+    for (int i = 0; i < move->count; i++) {
+        if (service->in_flight[move->partitions[i]] > 0) {
+            return;
+        }
+    }
+    send_outcomes(core, move);
+}
+
+/* The last request of a held partition at the backend server has ended. */
+void
+AprHandover_OnIdle(AprCore_t *core, int service, int partition)
+{
+    uint64_t id = core->services[service]->held_by[partition];
+    Move_t *move = g_hash_table_lookup(core->moves, &id);
+
+    if (move != NULL && move->phase == MOVE_WAITING) {
+        send_when_idle(core, move);
+    }
+}
+
+static void
+on_prepared(AprCore_t *core, const AprPrepareMessage_t *answer)
+{
+    Move_t *move = g_hash_table_lookup(core->moves, &answer->move_id);
+
+    if (move == NULL || move->phase != MOVE_PREPARING) {
+        return;
+    }
+    if (!answer->agreed) {
+        end_move(core, move, APR_E_UNAVAILABLE);
+        return;
+    }
+    move->phase = MOVE_WAITING;
+    move->held_at = AprCore_Now(core);
+    move->give_up_at = AprTime_AddMs(move->held_at, IDLE_TIMEOUT_MS);
+    for (int i = 0; i < move->count; i++) {
+        core->services[move->service]->held_by[move->partitions[i]] = move->id;
+    }
+    send_when_idle(core, move);
+}
+
+/* Agrees to receive partitions when they could be served here at once. */
+static void
+on_prepare(AprCore_t *core, AprLink_t link, const AprPrepareMessage_t *request)
+{
+    AprMessage_t answer = {0};
+    AprMember_t self = AprCore_Self(core);
+    int service = AprCore_FindService(core, request->service.data);
+
+    answer.type = APR_MSG_PREPARE_ACK;
+    answer.prepare = *request;
+    answer.prepare.agreed =
+        service >= 0 && core->services[service]->backend.alive &&
+        core->services[service]->queue != NULL && self != APR_NO_MEMBER &&
+        core->record->members[self].state == APR_MEMBER_ACTIVE &&
+        AprLease_Valid(core->lease, AprCore_Now(core));
+    AprLinks_Send(core, link, &answer);
+}
+
+/* Keeps the outcomes of a partition until the record names this process as
+   its owner under the same move id. */
+static void
+on_outcomes(AprCore_t *core, AprLink_t link, const AprMessage_t *message)
+{
+    const AprOutcomesMessage_t *outcomes = &message->outcomes;
+    int service = AprCore_FindService(core, outcomes->service.data);
+    char *key = staged_key(outcomes->move_id, outcomes->partition);
+    Staged_t *staged = g_hash_table_lookup(core->staged, key);
+    AprMessage_t answer = {0};
+
+    if (service < 0) {
+        g_free(key);
+        return;
+    }
+    if (staged == NULL) {
+        staged = calloc(1, sizeof(*staged));
+        staged->move_id = outcomes->move_id;
+        staged->service = service;
+        staged->partition = outcomes->partition;
+        staged->messages = g_ptr_array_new_with_free_func(free_message);
+        g_hash_table_insert(core->staged, key, staged);
+    }
+    else {
+        g_free(key);
+    }
+    staged->floor_ms = outcomes->floor_ms;
+    staged->complete = outcomes->last;
+    staged->received_at = AprCore_Now(core);
+    g_ptr_array_add(staged->messages, AprMessage_Copy(message));
+    if (!outcomes->last) {
+        return;
+    }
+    answer.type = APR_MSG_OUTCOMES_ACK;
+    answer.outcomes.move_id = outcomes->move_id;
+    answer.outcomes.service = outcomes->service;
+    answer.outcomes.partition = outcomes->partition;
+    answer.outcomes.accepted = true;
+    AprLinks_Send(core, link, &answer);
+}
+
+static bool
+import_messages(AprCore_t *core, const Staged_t *staged)
+{
+    for (guint i = 0; i < staged->messages->len; i++) {
+        const AprMessage_t *message = g_ptr_array_index(staged->messages, i);
+
+        for (int j = 0; j < message->outcomes.entry_count; j++) {
+            AprOutcomeEntry_t entry = message->outcomes.entries[j];
+
+            entry.request.service = staged->service;
+            entry.request.partition = staged->partition;
+            if (AprOutcomes_Import(core->outcomes, &entry) != APR_OK) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+/* Takes the outcomes staged for a partition that this process now owns.
+   Returns false when they are not complete; the caller then sets a floor
+   itself. */
+bool
+AprHandover_TakeStaged(AprCore_t *core, int service, int partition,
+                       uint64_t handover)
+{
+    char *key = staged_key(handover, partition);
+    const Staged_t *staged = g_hash_table_lookup(core->staged, key);
+    bool taken = staged != NULL && staged->complete &&
+                 staged->service == service && import_messages(core, staged);
+
+    if (taken) {
+        AprOutcomes_SetFloor(core->outcomes, service, partition,
+                             staged->floor_ms);
+    }
+    g_hash_table_remove(core->staged, key);
+    g_free(key);
+    return taken;
+}
+
+static int
+apply_move(AprCore_t *core, AprRecord_t *record, void *argument)
+{
+    const Move_t *move = argument;
+    const AprServiceState_t *state = core->services[move->service];
+    int service = AprRecord_FindService(record, state->config.service);
+    AprMember_t self = AprRecord_FindHost(record, core->settings.host);
+    AprMember_t to = AprRecord_FindHost(record, move->to);
+    const AprPartitionEntry_t *first;
+
+    if (service < 0 || to == APR_NO_MEMBER) {
+        return APR_E_STALE;
+    }
+    first = &record->services[service].partitions[move->partitions[0]];
+    if (first->owner == to && first->handover == move->id) {
+        return APR_E_EXISTS;
+    }
+    for (int i = 0; i < move->count; i++) {
+        const AprPartitionEntry_t *entry =
+            &record->services[service].partitions[move->partitions[i]];
+
+        if (self == APR_NO_MEMBER || entry->owner != self ||
+            entry->epoch != state->owned_epoch[move->partitions[i]]) {
+            return APR_E_STALE;
+        }
+    }
+    for (int i = 0; i < move->count; i++) {
+        AprRecord_Assign(record, service, move->partitions[i], to, move->id);
+    }
+    return APR_OK;
+}
+
+static void
+move_done(AprCore_t *core, int result, void *argument)
+{
+    end_move(core, argument, result);
+}
+
+static void
+on_outcomes_acked(AprCore_t *core, const AprOutcomesMessage_t *answer)
+{
+    Move_t *move = g_hash_table_lookup(core->moves, &answer->move_id);
+
+    if (move == NULL || move->phase != MOVE_SENDING || !answer->accepted) {
+        return;
+    }
+    if (--move->unacknowledged > 0) {
+        return;
+    }
+    move->phase = MOVE_SWAPPING;
+    move->give_up_at = AprTime_AddMs(AprCore_Now(core), SWAP_TIMEOUT_MS);
+    AprRecordSync_Change(core, apply_move, move_done, move);
+}
+
+/* Takes the messages of planned moves. */
+void
+AprHandover_OnMessage(AprCore_t *core, AprLink_t link, AprMessage_t *message)
+{
+    switch (message->type) {
+    case APR_MSG_PREPARE:
+        on_prepare(core, link, &message->prepare);
+        break;
+    case APR_MSG_PREPARE_ACK:
+        on_prepared(core, &message->prepare);
+        break;
+    case APR_MSG_OUTCOMES:
+        on_outcomes(core, link, message);
+        break;
+    case APR_MSG_OUTCOMES_ACK:
+        on_outcomes_acked(core, &message->outcomes);
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+expire_moves(AprCore_t *core, struct timespec now)
+{
+    GList *moves = g_hash_table_get_values(core->moves);
+
+    for (GList *item = moves; item != NULL; item = item->next) {
+        Move_t *move = item->data;
+
+        if (!AprTime_Before(move->give_up_at, now)) {
+            continue;
+        }
+        if (move->phase != MOVE_SWAPPING) {
+            end_move(core, move, APR_E_TIMEOUT);
+        }
+        else if (AprRecordSync_Cancel(core, move)) {
+            end_move(core, move, APR_E_UNAVAILABLE);
+        }
+    }
+    g_list_free(moves);
+}
+
+/* Ends moves that take too long, so that their partitions are served again,
+   and forgets staged outcomes whose move was aborted. */
+void
+AprHandover_Tick(AprCore_t *core)
+{
+    struct timespec now = AprCore_Now(core);
+    GHashTableIter iterator;
+    gpointer value;
+
+    expire_moves(core, now);
+    g_hash_table_iter_init(&iterator, core->staged);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const Staged_t *staged = value;
+
+        if (AprTime_DiffMs(now, staged->received_at) > STAGED_LIFETIME_MS) {
+            g_hash_table_iter_remove(&iterator);
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/hot_key_task.c
@@ -0,0 +1,253 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "internal/core.h"
+
+#define CHECK_INTERVAL_MS 1000
+#define DECAY_INTERVAL_MS 5000
+#define MIN_SAMPLE 200.0 /* requests below which a share says nothing */
+#define COOL_FACTOR 0.25 /* of the hot share; the gap prevents flapping */
+#define MAX_CANDIDATES 4
+
+/* A change of one hot slot. */
+typedef struct HotChange_t {
+    int service; /* index in AprCore_t.services */
+    uint64_t key_hash;
+    int partition; /* of the slot to free */
+} HotChange_t;
+
+static int
+apply_bind(AprCore_t *core, AprRecord_t *record, void *argument)
+{
+    const HotChange_t *change = argument;
+    const AprServiceState_t *state = core->services[change->service];
+    int service = AprRecord_FindService(record, state->config.service);
+    int base = (int)(change->key_hash % APR_PARTITIONS);
+    int slot;
+
+    if (service < 0) {
+        return APR_E_STALE;
+    }
+    if (AprRecord_Lookup(record, service, change->key_hash) != base) {
+        return APR_E_EXISTS;
+    }
+    if (record->services[service].partitions[base].epoch !=
+            state->owned_epoch[base] ||
+        state->held_by[base] != 0) {
+        return APR_E_STALE;
+    }
+    return AprRecord_BindHotSlot(record, service, change->key_hash, &slot);
+}
+
+static void
+bind_done(AprCore_t *core, int result, void *argument)
+{
+    HotChange_t *change = argument;
+
+    AprLog_Write(APR_LOG_INFO, "hot-key-split",
+                 "service=%s key_hash=%016" PRIx64 " result=%s",
+                 core->services[change->service]->config.service,
+                 change->key_hash, AprError_Name(result));
+    core->hot_change = false;
+    free(change);
+}
+
+static int
+apply_free(AprCore_t *core, AprRecord_t *record, void *argument)
+{
+    const HotChange_t *change = argument;
+    const AprServiceState_t *state = core->services[change->service];
+    int service = AprRecord_FindService(record, state->config.service);
+    int slot = change->partition - APR_PARTITIONS;
+    int base = (int)(change->key_hash % APR_PARTITIONS);
+
+    if (service < 0) {
+        return APR_E_STALE;
+    }
+    if (!record->services[service].hot_used[slot] ||
+        record->services[service].hot_hash[slot] != change->key_hash) {
+        return APR_E_EXISTS;
+    }
+    if (record->services[service].partitions[base].epoch !=
+            state->owned_epoch[base] ||
+        record->services[service].partitions[change->partition].epoch !=
+            state->owned_epoch[change->partition]) {
+        return APR_E_STALE;
+    }
+    return AprRecord_FreeHotSlot(record, service, change->partition);
+}
+
+static void
+free_done(AprCore_t *core, int result, void *argument)
+{
+    HotChange_t *change = argument;
+
+    AprLog_Write(APR_LOG_INFO, "hot-key-merged",
+                 "service=%s key_hash=%016" PRIx64 " result=%s",
+                 core->services[change->service]->config.service,
+                 change->key_hash, AprError_Name(result));
+    core->hot_change = false;
+    free(change);
+}
+
+static void
+queue_change(AprCore_t *core, int index, uint64_t key_hash, int partition)
+{
+    HotChange_t *change = calloc(1, sizeof(*change));
+
+    if (change == NULL || core->hot_change) {
+        free(change);
+        return;
+    }
+    change->service = index;
+    change->key_hash = key_hash;
+    change->partition = partition;
+    core->hot_change = true;
+    if (partition == 0) {
+        AprRecordSync_Change(core, apply_bind, bind_done, change);
+    }
+    else {
+        AprRecordSync_Change(core, apply_free, free_done, change);
+    }
+}
+
+/* Gives a hot key that has its own slot an owner of its own. */
+static void
+move_hot_slot(AprCore_t *core, int index, int record_service, int partition)
+{
+    AprMember_t self = AprCore_Self(core);
+    AprMember_t to =
+        AprPlacement_ChooseForHotKey(core->record, record_service, self);
+    uint16_t moved = (uint16_t)partition;
+
+    if (to != APR_NO_MEMBER && to != self) {
+        AprHandover_Start(core, index, to, &moved, 1);
+    }
+}
+
+static void
+split_hot_keys(AprCore_t *core, int index, int record_service)
+{
+    AprServiceState_t *service = core->services[index];
+    AprHotKey_t keys[MAX_CANDIDATES];
+    int count;
+
+    if (AprHotKeys_Total(service->hot_keys) < MIN_SAMPLE) {
+        return;
+    }
+    count = AprHotKeys_Above(service->hot_keys, service->config.hot_share,
+                             keys, MAX_CANDIDATES);
+    for (int i = 0; i < count; i++) {
+        int partition =
+            AprRecord_Lookup(core->record, record_service, keys[i].key_hash);
+
+        if (partition < APR_PARTITIONS &&
+            AprOwner_Owns(core, index, partition)) {
+            queue_change(core, index, keys[i].key_hash, 0);
+        }
+    }
+}
+
+static double
+count_of(const AprServiceState_t *service, uint64_t key_hash)
+{
+    AprHotKey_t keys[APR_HOT_KEY_ENTRIES];
+    int count =
+        AprHotKeys_Above(service->hot_keys, 0.0, keys, APR_HOT_KEY_ENTRIES);
+
+    for (int i = 0; i < count; i++) {
+        if (keys[i].key_hash == key_hash) {
+            return keys[i].count;
+        }
+    }
+    return 0.0;
+}
+
+/* A key that is no longer hot goes back: its slot returns to the owner of the
+   base partition, who then frees it. */
+static void
+return_slot(AprCore_t *core, int index, int record_service, int partition)
+{
+    const AprServiceTable_t *table = &core->record->services[record_service];
+    uint64_t hash = table->hot_hash[partition - APR_PARTITIONS];
+    int base = (int)(hash % APR_PARTITIONS);
+    uint16_t moved = (uint16_t)partition;
+
+    if (table->partitions[base].owner == table->partitions[partition].owner) {
+        queue_change(core, index, hash, partition);
+    }
+    else if (table->partitions[base].owner != APR_NO_MEMBER) {
+        AprHandover_Start(core, index, table->partitions[base].owner, &moved,
+                          1);
+    }
+}
+
+static void
+check_slots(AprCore_t *core, int index, int record_service)
+{
+    const AprServiceTable_t *table = &core->record->services[record_service];
+    const AprServiceState_t *service = core->services[index];
+    double total = AprHotKeys_Total(service->hot_keys);
+
+    for (int slot = 0; slot < APR_HOT_SLOTS; slot++) {
+        int partition = APR_PARTITIONS + slot;
+        double share;
+        int64_t age_ms;
+
+        if (!table->hot_used[slot] || !AprOwner_Owns(core, index, partition) ||
+            service->held_by[partition] != 0) {
+            continue;
+        }
+        share = total < MIN_SAMPLE
+                    ? 0.0
+                    : count_of(service, table->hot_hash[slot]) / total;
+        age_ms =
+            AprTime_DiffMs(AprCore_Now(core), service->owned_since[partition]);
+        if (share >= service->config.hot_share &&
+            AprOwner_Owns(core, index,
+                          (int)(table->hot_hash[slot] % APR_PARTITIONS))) {
+            move_hot_slot(core, index, record_service, partition);
+        }
+        /* The sketch of a new owner needs time before it knows the key. */
+        else if (share < service->config.hot_share * COOL_FACTOR &&
+                 age_ms > 2 * DECAY_INTERVAL_MS) {
+            return_slot(core, index, record_service, partition);
+        }
+    }
+}
+
+static void
+decay(AprCore_t *core)
+{
+    for (int i = 0; i < core->service_count; i++) {
+        AprHotKeys_Decay(core->services[i]->hot_keys);
+    }
+}
+
+/* Splits off hot keys of this process's partitions and returns those that
+   have cooled. */
+void
+AprHotKeyTask_Tick(AprCore_t *core)
+{
+    struct timespec now = AprCore_Now(core);
+
+    if (!AprTime_Before(now, core->next_hot_decay)) {
+        core->next_hot_decay = AprTime_AddMs(now, DECAY_INTERVAL_MS);
+        decay(core);
+    }
+    if (AprTime_Before(now, core->next_hot_check) || !core->store_ok ||
+        core->hot_change || atomic_load(&core->draining) ||
+        !AprLease_Valid(core->lease, now)) {
+        return;
+    }
+    core->next_hot_check = AprTime_AddMs(now, CHECK_INTERVAL_MS);
+    for (int i = 0; i < core->service_count; i++) {
+        int service = AprRecord_FindService(core->record,
+                                            core->services[i]->config.service);
+
+        if (service >= 0 && core->services[i]->config.generation > 0) {
+            split_hot_keys(core, i, service);
+            check_slots(core, i, service);
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/owned_table.c
@@ -0,0 +1,53 @@
+#include "internal/owned_table.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Takes a free slot. Returns APR_NO_OWNED when `limit` slots are in use or
+   memory runs out. */
+uint32_t
+AprOwnedTable_New(AprCore_t *core, uint32_t limit)
+{
+    AprOwnedRequest_t *owned;
+    uint32_t handle;
+
+    if (core->owned_free->len > 0) {
+        guint last = core->owned_free->len - 1;
+
+        handle = g_array_index(core->owned_free, uint32_t, last);
+        g_array_set_size(core->owned_free, last);
+        owned = AprOwnedTable_Get(core, handle);
+        owned->turn++;
+        return handle;
+    }
+    if (core->owned->len >= limit) {
+        return APR_NO_OWNED;
+    }
+    owned = calloc(1, sizeof(*owned));
+    if (owned == NULL) {
+        return APR_NO_OWNED;
+    }
+    g_ptr_array_add(core->owned, owned);
+    return core->owned->len - 1;
+}
+
+/* The request with this handle; its state is APR_OWNED_FREE when the slot is
+   not in use. */
+AprOwnedRequest_t *
+AprOwnedTable_Get(const AprCore_t *core, uint32_t handle)
+{
+    return g_ptr_array_index(core->owned, handle);
+}
+
+/* Frees a slot and the message in it. */
+void
+AprOwnedTable_Free(AprCore_t *core, uint32_t handle)
+{
+    AprOwnedRequest_t *owned = AprOwnedTable_Get(core, handle);
+    uint32_t turn = owned->turn;
+
+    AprMessage_Free(owned->message);
+    memset(owned, 0, sizeof(*owned));
+    owned->turn = turn;
+    g_array_append_val(core->owned_free, handle);
+}
--- /dev/null
+++ b/src/coordination/owner_record.c
@@ -0,0 +1,181 @@
+#include "internal/core.h"
+#include "internal/owned_table.h"
+
+static void
+lose_partition(AprCore_t *core, int index, int partition)
+{
+    AprServiceState_t *service = core->services[index];
+
+    service->owned_epoch[partition] = 0;
+    for (uint32_t handle = 0; handle < core->owned->len; handle++) {
+        AprOwnedRequest_t *owned = AprOwnedTable_Get(core, handle);
+
+        if (!AprOwner_InPartition(owned, index, partition) ||
+            owned->state == APR_OWNED_RUNNING) {
+            continue;
+        }
+        if (owned->state == APR_OWNED_QUEUED) {
+            AprRankQueue_Remove(owned->queue->ranks, owned->rank, handle);
+        }
+        AprOwner_EndAsMoved(core, handle, "moved");
+    }
+    AprOutcomes_Drop(core->outcomes, index, partition);
+}
+
+/* The key of a hot slot leaves its base partition: requests and outcomes that
+   are already here follow it. */
+static void
+split_hot_key(AprCore_t *core, int index, int base, int slot, uint64_t hash)
+{
+    AprServiceState_t *service = core->services[index];
+
+    AprOutcomes_Rebind(core->outcomes, index, hash, base, slot);
+    AprOutcomes_SetFloor(core->outcomes, index, slot,
+                         AprOutcomes_Floor(core->outcomes, index, base));
+    for (uint32_t handle = 0; handle < core->owned->len; handle++) {
+        AprOwnedRequest_t *owned = AprOwnedTable_Get(core, handle);
+
+        if (!AprOwner_InPartition(owned, index, base) ||
+            owned->key_hash != hash) {
+            continue;
+        }
+        if (owned->state == APR_OWNED_RUNNING) {
+            service->in_flight[base]--;
+            service->in_flight[slot]++;
+        }
+        owned->partition = slot;
+    }
+}
+
+/* Takes over a partition. Without the outcomes of the previous owner, any key
+   minted up to now may have run there, so the floor is the present time and
+   the clock skew. */
+static void
+gain_partition(AprCore_t *core, int index, const AprServiceTable_t *table,
+               int partition)
+{
+    AprServiceState_t *service = core->services[index];
+    const AprPartitionEntry_t *entry = &table->partitions[partition];
+    int slot = partition - APR_PARTITIONS;
+
+    if (entry->handover != 0 &&
+        AprHandover_TakeStaged(core, index, partition, entry->handover)) {
+        service->owned_epoch[partition] = entry->epoch;
+        return;
+    }
+    if (slot >= 0 && table->hot_used[slot]) {
+        uint64_t hash = table->hot_hash[slot];
+        int base = (int)(hash % APR_PARTITIONS);
+
+        if (service->owned_epoch[partition] == 0 &&
+            service->owned_epoch[base] != 0 &&
+            table->partitions[base].epoch == service->owned_epoch[base]) {
+            split_hot_key(core, index, base, slot + APR_PARTITIONS, hash);
+            service->owned_epoch[partition] = entry->epoch;
+            return;
+        }
+    }
+    AprOutcomes_SetFloor(core->outcomes, index, partition,
+                         AprClock_WallMs(&core->clock) + APR_CLOCK_SKEW_MS);
+    service->owned_epoch[partition] = entry->epoch;
+}
+
+/* A hot slot was freed by its owner, who also owns the base partition: its
+   requests and outcomes go back there. */
+static void
+merge_hot_key(AprCore_t *core, int index, int partition, uint64_t hash)
+{
+    AprServiceState_t *service = core->services[index];
+    int base = (int)(hash % APR_PARTITIONS);
+
+    AprOutcomes_Rebind(core->outcomes, index, hash, partition, base);
+    AprOutcomes_SetFloor(
+        core->outcomes, index, base,
+        MAX(AprOutcomes_Floor(core->outcomes, index, base),
+            AprOutcomes_Floor(core->outcomes, index, partition)));
+    for (uint32_t handle = 0; handle < core->owned->len; handle++) {
+        AprOwnedRequest_t *owned = AprOwnedTable_Get(core, handle);
+
+        if (AprOwner_InPartition(owned, index, partition)) {
+            if (owned->state == APR_OWNED_RUNNING) {
+                service->in_flight[partition]--;
+                service->in_flight[base]++;
+            }
+            owned->partition = base;
+        }
+    }
+    service->owned_epoch[partition] = 0;
+}
+
+static bool
+was_merged(const AprCore_t *core, const AprRecord_t *previous, int index,
+           const AprServiceTable_t *table, int partition, uint64_t *hash)
+{
+    int slot = partition - APR_PARTITIONS;
+    int old = AprRecord_FindService(previous, table->name);
+
+    if (slot < 0 || old < 0 || table->hot_used[slot] ||
+        !previous->services[old].hot_used[slot]) {
+        return false;
+    }
+    *hash = previous->services[old].hot_hash[slot];
+    return core->services[index]->owned_epoch[*hash % APR_PARTITIONS] != 0;
+}
+
+static void
+compare_partition(AprCore_t *core, const AprRecord_t *previous, int index,
+                  const AprServiceTable_t *table, int partition,
+                  AprMember_t self)
+{
+    const AprPartitionEntry_t *entry = &table->partitions[partition];
+    uint64_t *owned_epoch = &core->services[index]->owned_epoch[partition];
+    uint64_t hash;
+    bool mine = self != APR_NO_MEMBER && entry->owner == self;
+
+    if (mine && *owned_epoch != entry->epoch) {
+        core->services[index]->owned_since[partition] = AprCore_Now(core);
+        gain_partition(core, index, table, partition);
+    }
+    else if (!mine && *owned_epoch != 0) {
+        if (was_merged(core, previous, index, table, partition, &hash)) {
+            merge_hot_key(core, index, partition, hash);
+        }
+        else {
+            lose_partition(core, index, partition);
+        }
+    }
+}
+
+static void
+lose_service(AprCore_t *core, int index)
+{
+    for (int p = 0; p < APR_SLOTS; p++) {
+        if (core->services[index]->owned_epoch[p] != 0) {
+            lose_partition(core, index, p);
+        }
+    }
+}
+
+/* Compares what this process owns with a newer record. */
+void
+AprOwner_OnRecord(AprCore_t *core, const AprRecord_t *previous)
+{
+    AprMember_t self = AprCore_Self(core);
+
+    for (int i = 0; i < core->record->service_count; i++) {
+        AprCore_AddService(core, core->record->services[i].name);
+    }
+    for (int i = 0; i < core->service_count; i++) {
+        int index = AprRecord_FindService(core->record,
+                                          core->services[i]->config.service);
+
+        if (index < 0) {
+            lose_service(core, i);
+            continue;
+        }
+        for (int p = 0; p < APR_SLOTS; p++) {
+            compare_partition(core, previous, i,
+                              &core->record->services[index], p, self);
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/record_sync.c
@@ -0,0 +1,354 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "internal/core.h"
+
+#define READ_RETRY_MS 250
+#define PULL_INTERVAL_MS 20
+#define CONFLICT_RETRY_MS 5
+#define UNKNOWN_RETRY_MS 20
+#define UNAVAILABLE_RETRY_MS 200
+
+/* Tells every module that a newer record is in force. */
+static void
+adopt(AprCore_t *core, AprRecord_t *fresh)
+{
+    AprRecord_t *previous = core->record;
+
+    core->record_known = true;
+    core->record = fresh;
+    AprLease_OnRecord(core->lease, fresh, AprCore_Now(core));
+    AprMembership_OnRecord(core);
+    AprOwner_OnRecord(core, previous);
+    AprRemovalTask_OnRecord(core);
+    AprLinks_Update(core);
+    AprLog_Write(APR_LOG_DEBUG, "record-adopted",
+                 "version=%" PRIu64 " members=%d", fresh->version,
+                 AprRecord_MemberCount(fresh));
+    free(previous);
+}
+
+/* Takes a record text if it is newer than the known one. */
+static int
+offer_record(AprCore_t *core, const char *text, size_t size, int64_t revision)
+{
+    AprRecord_t *fresh = calloc(1, sizeof(*fresh));
+    AprError_t error = {0};
+    int code;
+
+    if (fresh == NULL) {
+        return APR_E_NOMEM;
+    }
+    code = AprRecord_FromJson(text, size, fresh, &error);
+    if (code != APR_OK) {
+        AprLog_Write(APR_LOG_ERROR, "record-invalid", "detail=\"%s\"",
+                     error.detail);
+        free(fresh);
+        return code;
+    }
+    fresh->store_revision = revision;
+    if (fresh->version > core->record->version) {
+        adopt(core, fresh);
+        return APR_OK;
+    }
+    if (fresh->version == core->record->version) {
+        core->record->store_revision = revision;
+        core->record_known = true;
+    }
+    free(fresh);
+    return APR_OK;
+}
+
+/* Queues a change of the cell record. `done` is called once, on the core
+   thread, when the change is in the store or cannot be made any more. Changes
+   that wait together share one swap. */
+void
+AprRecordSync_Change(AprCore_t *core,
+                     int (*apply)(AprCore_t *, AprRecord_t *, void *),
+                     void (*done)(AprCore_t *, int, void *), void *argument)
+{
+    AprChange_t *change = calloc(1, sizeof(*change));
+
+    if (change == NULL) {
+        done(core, APR_E_NOMEM, argument);
+        return;
+    }
+    change->apply = apply;
+    change->done = done;
+    change->argument = argument;
+    g_queue_push_tail(&core->changes, change);
+    AprRecordSync_Tick(core);
+}
+
+/* Takes a queued change back without calling its `done`. Returns false when
+   it is part of a swap under way or of one whose answer was lost, because it
+   may still take effect then. */
+bool
+AprRecordSync_Cancel(AprCore_t *core, const void *argument)
+{
+    for (GList *item = core->changes.head; item != NULL; item = item->next) {
+        AprChange_t *change = item->data;
+
+        if (change->argument != argument) {
+            continue;
+        }
+        if (change->uncertain || (change->applied && core->change_busy)) {
+            return false;
+        }
+        g_queue_delete_link(&core->changes, item);
+        free(change);
+        return true;
+    }
+    return false;
+}
+
+static void
+end_change(AprCore_t *core, AprChange_t *change, int result)
+{
+    change->done(core, result, change->argument);
+    free(change);
+}
+
+/* Applies every queued change to the copy. Returns how many are part of it;
+   changes that are already in effect or no longer possible end here. */
+static int
+apply_changes(AprCore_t *core)
+{
+    GQueue ended = G_QUEUE_INIT;
+    GQueue kept = G_QUEUE_INIT;
+    AprChange_t *change;
+    int applied = 0;
+
+    while ((change = g_queue_pop_head(&core->changes)) != NULL) {
+        int code = change->apply(core, core->change_record, change->argument);
+
+        change->applied = code == APR_OK;
+        if (change->applied) {
+            applied++;
+            g_queue_push_tail(&kept, change);
+        }
+        else {
+            g_queue_push_tail(&ended, change);
+            change->applied = code == APR_E_EXISTS;
+        }
+    }
+    core->changes = kept;
+    while ((change = g_queue_pop_head(&ended)) != NULL) {
+        end_change(core, change, change->applied ? APR_OK : APR_E_STALE);
+    }
+    return applied;
+}
+
+static void
+start_swap(AprCore_t *core)
+{
+    char *text;
+
+    *core->change_record = *core->record;
+    AprRecord_BeginChange(core->change_record);
+    core->change_busy = true; /* a `done` may queue further changes */
+    if (apply_changes(core) == 0) {
+        core->change_busy = false;
+        return;
+    }
+    text = AprRecord_ToJson(core->change_record);
+    if (text == NULL ||
+        AprStoreWorker_SwapRecord(core->store, text,
+                                  core->record->store_revision) != APR_OK) {
+        core->change_busy = false;
+        core->change_retry_at =
+            AprTime_AddMs(AprCore_Now(core), UNAVAILABLE_RETRY_MS);
+    }
+}
+
+/* Starts a fresh read of the record from the store. */
+void
+AprRecordSync_Read(AprCore_t *core)
+{
+    if (core->record_read_pending) {
+        return;
+    }
+    if (AprStoreWorker_ReadRecord(core->store) == APR_OK) {
+        core->record_read_pending = true;
+    }
+}
+
+/* Starts the next swap when one is due, and the first read of the record. */
+void
+AprRecordSync_Tick(AprCore_t *core)
+{
+    struct timespec now = AprCore_Now(core);
+    bool need_read = core->change_needs_read || !core->record_known;
+
+    if (need_read && !AprTime_Before(now, core->next_record_read)) {
+        core->next_record_read = AprTime_AddMs(now, READ_RETRY_MS);
+        AprRecordSync_Read(core);
+    }
+    if (!need_read && !core->change_busy &&
+        !g_queue_is_empty(&core->changes) &&
+        !AprTime_Before(now, core->change_retry_at)) {
+        start_swap(core);
+    }
+}
+
+static void
+swap_succeeded(AprCore_t *core, int64_t revision)
+{
+    GQueue ended = core->changes;
+    AprRecord_t *fresh = core->change_record;
+    AprChange_t *change;
+
+    g_queue_init(&core->changes);
+    fresh->store_revision = revision;
+    core->change_record = calloc(1, sizeof(*core->change_record));
+    if (core->change_record == NULL) {
+        abort(); /* no record change would be possible any more */
+    }
+    if (fresh->version > core->record->version) {
+        adopt(core, fresh);
+    }
+    else {
+        free(fresh); /* the watch was faster */
+    }
+    AprRecordSync_Push(core);
+    while ((change = g_queue_pop_head(&ended)) != NULL) {
+        if (change->applied) {
+            end_change(core, change, APR_OK);
+        }
+        else {
+            g_queue_push_tail(&core->changes, change);
+        }
+    }
+}
+
+/* The result of a swap that failed or whose answer was lost is settled by a
+   fresh read: the changes are applied again, and those found in effect end. A
+   write that takes effect late then fails on the revision, or makes ours
+   fail. */
+static void
+swap_failed(AprCore_t *core, int code)
+{
+    struct timespec now = AprCore_Now(core);
+    int delay = code == APR_E_CONFLICT  ? CONFLICT_RETRY_MS
+                : code == APR_E_UNKNOWN ? UNKNOWN_RETRY_MS
+                                        : UNAVAILABLE_RETRY_MS;
+
+    for (GList *item = core->changes.head; item != NULL; item = item->next) {
+        AprChange_t *change = item->data;
+
+        change->uncertain |= change->applied && code == APR_E_UNKNOWN;
+        change->applied = false;
+    }
+    core->change_needs_read = true;
+    core->next_record_read = now;
+    core->change_retry_at = AprTime_AddMs(
+        now, delay + g_random_int_range(0, CONFLICT_RETRY_MS + 1));
+}
+
+/* Takes the result of a read or swap of the record. */
+void
+AprRecordSync_OnStoreResult(AprCore_t *core, AprStoreResult_t *result)
+{
+    if (result->type == APR_JOB_SWAP_RECORD) {
+        core->change_busy = false;
+        if (result->code == APR_OK) {
+            swap_succeeded(core, result->revision);
+        }
+        else {
+            swap_failed(core, result->code);
+        }
+        AprRecordSync_Tick(core);
+        return;
+    }
+    core->record_read_pending = false;
+    if (result->code != APR_OK) {
+        AprRemovalTask_OnRecord(core);
+        return;
+    }
+    if (result->data != NULL) {
+        offer_record(core, result->data, result->size, result->revision);
+    }
+    core->record_known = true;
+    core->change_needs_read = false;
+    AprRemovalTask_OnFreshRead(core);
+    AprRecordSync_Tick(core);
+}
+
+/* Takes a change of the record that the watch reported. */
+void
+AprRecordSync_OnWatch(AprCore_t *core, const char *data, size_t size,
+                      int64_t revision)
+{
+    uint64_t before = core->record->version;
+
+    if (offer_record(core, data, size, revision) == APR_OK &&
+        core->record->version > before) {
+        AprRecordSync_Push(core);
+    }
+}
+
+static void
+fill_record(const AprCore_t *core, AprMessage_t *message, char *text)
+{
+    message->type = APR_MSG_RECORD;
+    message->text.version = core->record->version;
+    message->text.store_revision = core->record->store_revision;
+    message->text.text = AprBytes_FromText(text);
+}
+
+/* Sends the record to all members. */
+void
+AprRecordSync_Push(AprCore_t *core)
+{
+    AprMessage_t message = {0};
+    char *text = AprRecord_ToJson(core->record);
+
+    if (text == NULL) {
+        return;
+    }
+    fill_record(core, &message, text);
+    AprLinks_Broadcast(core, &message);
+    free(text);
+}
+
+/* Answers RECORD_GET when the asking process is behind, and takes RECORD. */
+void
+AprRecordSync_OnMessage(AprCore_t *core, AprLink_t link,
+                        const AprMessage_t *message)
+{
+    AprMessage_t answer = {0};
+    char *text;
+
+    if (message->type == APR_MSG_RECORD) {
+        offer_record(core, message->text.text.data, message->text.text.size,
+                     message->text.store_revision);
+        return;
+    }
+    if (message->text.version >= core->record->version) {
+        return;
+    }
+    text = AprRecord_ToJson(core->record);
+    if (text == NULL) {
+        return;
+    }
+    fill_record(core, &answer, text);
+    AprLinks_Send(core, link, &answer);
+    free(text);
+}
+
+/* Pulls the record from a peer that has a newer version. */
+void
+AprRecordSync_Compare(AprCore_t *core, AprLink_t link, uint64_t version)
+{
+    AprMessage_t message = {0};
+    struct timespec now = AprCore_Now(core);
+
+    if (version <= core->record->version ||
+        AprTime_Before(now, core->next_record_pull)) {
+        return;
+    }
+    core->next_record_pull = AprTime_AddMs(now, PULL_INTERVAL_MS);
+    message.type = APR_MSG_RECORD_GET;
+    message.text.version = core->record->version;
+    AprLinks_Send(core, link, &message);
+}
--- /dev/null
+++ b/src/coordination/router.c
@@ -0,0 +1,580 @@
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "internal/core.h"
+
+#define DEFAULT_TIMEOUT_FACTOR 4
+#define MAX_TIMEOUT_MS 60000
+#define ROUTE_RETRY_MS 10
+#define ROUTE_RETRY_MAX_MS 80
+/* An owner answers by the deadline; the rest is the way back. */
+#define ANSWER_GRACE_MS 200
+#define CALLER_CHECK_TICKS 10
+#define MAX_KEY_AHEAD_MS 1000 /* clock skew allowed to callers */
+
+static void
+set_body(AprEntryRequest_t *request, const char *type, const char *body,
+         size_t size)
+{
+    request->answer_type = g_strdup(type);
+    request->answer_body = g_memdup2(body, size);
+    request->answer_size = size;
+}
+
+static void
+count_outcome(AprCore_t *core, const AprEntryRequest_t *request)
+{
+    const AprRankCounters_t *counters;
+
+    if (request->service_index < 0) {
+        return;
+    }
+    counters =
+        &core->services[request->service_index]->counters[request->rank];
+    switch (request->outcome) {
+    case APR_ANSWERED:
+        AprMetric_Add(counters->answered, 1);
+        break;
+    case APR_UNKNOWN:
+        AprMetric_Add(counters->unknown, 1);
+        break;
+    case APR_REJECTED:
+        AprMetric_Add(counters->rejected, 1);
+        break;
+    default:
+        AprMetric_Add(counters->not_run, 1);
+        break;
+    }
+}
+
+static void
+complete(AprCore_t *core, AprEntryRequest_t *request)
+{
+    g_hash_table_remove(core->entries, &request->id);
+    count_outcome(core, request);
+    AprEntryRequest_Complete(request);
+}
+
+static const char *
+outcome_name(AprOutcomeKind_t outcome)
+{
+    switch (outcome) {
+    case APR_ANSWERED:
+        return "answered";
+    case APR_UNKNOWN:
+        return "unknown";
+    case APR_REJECTED:
+        return "rejected";
+    default:
+        return "not-run";
+    }
+}
+
+/* Ends a request with the JSON body that names outcome, reason, step and
+   peer. */
+static void
+complete_with_error(AprCore_t *core, AprEntryRequest_t *request,
+                    AprOutcomeKind_t outcome, int status, AprStep_t step,
+                    const char *reason, const char *peer, const char *detail)
+{
+    char *body = AprEntry_ErrorBody(outcome_name(outcome), reason,
+                                    AprStep_Name(step), peer, detail);
+
+    request->outcome = outcome;
+    request->status = status;
+    set_body(request, "application/json", body, strlen(body));
+    free(body);
+    complete(core, request);
+}
+
+static void
+complete_not_run(AprCore_t *core, AprEntryRequest_t *request, AprStep_t step,
+                 const char *reason, const char *peer)
+{
+    complete_with_error(core, request, APR_NOT_RUN, 503, step, reason, peer,
+                        "");
+}
+
+static void
+complete_unknown(AprCore_t *core, AprEntryRequest_t *request, AprStep_t step,
+                 const char *reason, const char *peer)
+{
+    complete_with_error(core, request, APR_UNKNOWN, 504, step, reason, peer,
+                        "");
+}
+
+/* Keeps the request and tries another time after a short, growing pause. */
+static void
+route_later(AprCore_t *core, AprEntryRequest_t *request, const char *reason)
+{
+    int pause =
+        MIN(ROUTE_RETRY_MS << MIN(request->tries, 4), ROUTE_RETRY_MAX_MS);
+
+    request->state = APR_ENTRY_ROUTING;
+    g_strlcpy(request->last_reason, reason, sizeof(request->last_reason));
+    request->retry_at = AprTime_AddMs(AprCore_Now(core), pause);
+}
+
+static void
+fill_request(const AprCore_t *core, const AprEntryRequest_t *entry,
+             AprMessage_t *message)
+{
+    AprRequestMessage_t *request = &message->request;
+
+    message->type = APR_MSG_REQUEST;
+    request->id = entry->id;
+    request->service = AprBytes_FromText(entry->service);
+    request->operation = AprBytes_FromText(entry->operation);
+    request->key = AprBytes_FromText(entry->key);
+    request->key_hash = entry->key_hash;
+    request->rank = entry->rank;
+    request->remaining_ms = AprTime_DiffMs(entry->deadline, AprCore_Now(core));
+    request->idempotent = entry->idempotent;
+    request->has_idempotency_key = entry->has_idempotency_key;
+    memcpy(request->idempotency_key, entry->idempotency_key,
+           sizeof(request->idempotency_key));
+    request->first_attempt = entry->first_attempt;
+    request->is_get = entry->is_get;
+    request->caller = AprBytes_FromText(entry->caller);
+    request->content_type = AprBytes_FromText(entry->content_type);
+    request->body.data = entry->body;
+    request->body.size = entry->body_size;
+}
+
+static bool
+owner_is_overloaded(const AprCore_t *core, const AprHostLink_t *link, int rank)
+{
+    return rank > link->open_rank &&
+           AprTime_Before(AprCore_Now(core), link->hint_until);
+}
+
+static void
+forward(AprCore_t *core, AprEntryRequest_t *request,
+        const AprMemberEntry_t *owner)
+{
+    AprHostLink_t *link = AprLinks_ForHost(core, owner->host);
+    AprMessage_t message = {0};
+
+    g_strlcpy(request->peer, owner->host, sizeof(request->peer));
+    if (link == NULL) {
+        route_later(core, request, "owner-unreachable");
+        return;
+    }
+    if (owner_is_overloaded(core, link, request->rank)) {
+        complete_not_run(core, request, APR_STEP_ENTRY, "owner-overloaded",
+                         owner->host);
+        return;
+    }
+    fill_request(core, request, &message);
+    if (AprLinks_Send(core, link->link, &message) != APR_OK) {
+        complete_not_run(core, request, APR_STEP_FORWARD, "link-queue-full",
+                         owner->host);
+        return;
+    }
+    request->state = APR_ENTRY_FORWARDED;
+    request->link = link->link;
+}
+
+static void
+hand_to_owner_side(AprCore_t *core, AprEntryRequest_t *request)
+{
+    AprReplyTo_t reply = {true, APR_NO_LINK, request->id};
+    AprMessage_t borrowed = {0};
+    AprMessage_t *message;
+
+    fill_request(core, request, &borrowed);
+    message = AprMessage_Copy(&borrowed);
+    if (message == NULL) {
+        complete_not_run(core, request, APR_STEP_ENTRY, "out-of-memory", "");
+        return;
+    }
+    g_strlcpy(request->peer, core->settings.host, sizeof(request->peer));
+    request->state = APR_ENTRY_LOCAL;
+    AprOwner_OnRequest(core, reply, message);
+}
+
+/* Gives each try an id of its own, so that a late answer to an earlier try
+   cannot be taken for the answer to this one. */
+static void
+renew_id(AprCore_t *core, AprEntryRequest_t *request)
+{
+    g_hash_table_remove(core->entries, &request->id);
+    request->id = core->next_entry_id++;
+    g_hash_table_insert(core->entries, &request->id, request);
+}
+
+static const AprMemberEntry_t *
+find_owner(const AprCore_t *core, const AprEntryRequest_t *request)
+{
+    int service = AprRecord_FindService(core->record, request->service);
+    AprMember_t owner;
+    int partition;
+
+    if (service < 0) {
+        return NULL;
+    }
+    partition = AprRecord_Lookup(core->record, service, request->key_hash);
+    owner = core->record->services[service].partitions[partition].owner;
+    return owner == APR_NO_MEMBER ? NULL : &core->record->members[owner];
+}
+
+/* Sends a request to the owner of its key. */
+static void
+route(AprCore_t *core, AprEntryRequest_t *request)
+{
+    const AprMemberEntry_t *owner = find_owner(core, request);
+
+    if (request->tries++ > 0) {
+        renew_id(core, request);
+        AprMetric_Add(core->retries, 1);
+    }
+    if (owner == NULL) {
+        request->peer[0] = '\0';
+        route_later(core, request, "no-owner");
+    }
+    else if (strcmp(owner->host, core->settings.host) == 0) {
+        hand_to_owner_side(core, request);
+    }
+    else {
+        forward(core, request, owner);
+    }
+}
+
+static void
+reject(AprCore_t *core, AprEntryRequest_t *request, int status,
+       const char *reason, const char *detail)
+{
+    complete_with_error(core, request, APR_REJECTED, status, APR_STEP_ENTRY,
+                        reason, core->settings.host, detail);
+}
+
+/* Finds service and rank. Returns false after rejecting the request. */
+static bool
+resolve(AprCore_t *core, AprEntryRequest_t *request)
+{
+    int index = AprCore_FindService(core, request->service);
+    const AprServiceConfig_t *config;
+    int rank;
+
+    request->service_index = -1;
+    if (index < 0 || core->services[index]->config.generation == 0) {
+        if (!core->config_read && core->generation == 0) {
+            complete_not_run(core, request, APR_STEP_CONFIG,
+                             "no-configuration-yet", core->settings.host);
+            return false;
+        }
+        reject(core, request, 404, "unknown-service", request->service);
+        return false;
+    }
+    config = &core->services[index]->config;
+    rank = AprServiceConfig_FindRank(config, request->rank_name);
+    if (rank < 0) {
+        reject(core, request, 400, "unknown-rank", request->rank_name);
+        return false;
+    }
+    request->service_index = index;
+    request->rank = rank;
+    if (!AprServiceConfig_OwnsKey(config, request->key)) {
+        reject(core, request, 404, "key-not-of-service", request->key);
+        return false;
+    }
+    if (request->body_size > (size_t)config->body_bytes) {
+        reject(core, request, 413, "body-too-large", "");
+        return false;
+    }
+    return true;
+}
+
+/* Checks the idempotency key of non-idempotent work. A key from the future
+   would pass the floor of a new owner, so callers with a wrong clock are
+   refused. */
+static bool
+check_idempotency(AprCore_t *core, AprEntryRequest_t *request)
+{
+    const AprServiceConfig_t *config =
+        &core->services[request->service_index]->config;
+
+    request->idempotent =
+        AprServiceConfig_IsIdempotent(config, request->operation);
+    if (request->idempotent) {
+        return true;
+    }
+    if (!request->has_idempotency_key) {
+        reject(core, request, 400, "idempotency-key-required",
+               "this operation is not idempotent; send Idempotency-Key with "
+               "a version 7 UUID");
+        return false;
+    }
+    if (AprIdempotencyKey_MintedMs(request->idempotency_key) >
+        AprClock_WallMs(&core->clock) + MAX_KEY_AHEAD_MS) {
+        reject(core, request, 400, "idempotency-key-from-the-future",
+               "the clock of the caller is ahead");
+        return false;
+    }
+    return true;
+}
+
+static bool
+check_rate(AprCore_t *core, AprEntryRequest_t *request)
+{
+    AprServiceState_t *service = core->services[request->service_index];
+
+    switch (AprRateLimit_Take(service->rate_limit, request->caller,
+                              AprCore_Now(core))) {
+    case APR_RATE_CALLER:
+        complete_not_run(core, request, APR_STEP_ENTRY, "caller-rate",
+                         core->settings.host);
+        return false;
+    case APR_RATE_SERVICE:
+        complete_not_run(core, request, APR_STEP_ENTRY, "service-rate",
+                         core->settings.host);
+        return false;
+    default:
+        return true;
+    }
+}
+
+static void
+set_deadline(AprCore_t *core, AprEntryRequest_t *request)
+{
+    const AprServiceConfig_t *config =
+        &core->services[request->service_index]->config;
+    int64_t timeout = request->timeout_ms;
+
+    if (timeout == 0) {
+        timeout = (int64_t)config->ranks[request->rank].spec.target_ms *
+                  DEFAULT_TIMEOUT_FACTOR;
+    }
+    request->deadline =
+        AprTime_AddMs(AprCore_Now(core), MIN(timeout, MAX_TIMEOUT_MS));
+}
+
+/* Takes a caller's request from the HTTP thread. */
+void
+AprRouter_OnEntryRequest(AprCore_t *core, AprEntryRequest_t *request)
+{
+    request->id = core->next_entry_id++;
+    g_hash_table_insert(core->entries, &request->id, request);
+    if (!resolve(core, request) || !check_idempotency(core, request) ||
+        !check_rate(core, request)) {
+        return;
+    }
+    set_deadline(core, request);
+    request->key_hash =
+        AprKey_Hash(request->service, request->key, strlen(request->key));
+    AprRetryBudget_Earn(&core->services[request->service_index]->retry_budget);
+    route(core, request);
+}
+
+static void
+remember_hint(AprCore_t *core, const AprEntryRequest_t *request,
+              const AprAnswerMessage_t *answer)
+{
+    AprHostLink_t *link = AprLinks_ById(core, request->link);
+
+    if (link == NULL || request->state != APR_ENTRY_FORWARDED ||
+        answer->hint_ms <= 0) {
+        return;
+    }
+    link->open_rank = answer->hint_rank;
+    link->hint_until = AprTime_AddMs(AprCore_Now(core), answer->hint_ms);
+}
+
+static void
+complete_answered(AprCore_t *core, AprEntryRequest_t *request,
+                  const AprAnswerMessage_t *answer)
+{
+    request->outcome = APR_ANSWERED;
+    request->status = answer->status;
+    set_body(request, answer->content_type.data, answer->body.data,
+             answer->body.size);
+    complete(core, request);
+}
+
+/* Repeats idempotent work whose fate is unknown, inside its deadline and the
+   retry budget. Returns false when the caller has to be told. */
+static bool
+retry_idempotent(AprCore_t *core, AprEntryRequest_t *request,
+                 const char *reason)
+{
+    AprServiceState_t *service = core->services[request->service_index];
+
+    if (!request->idempotent ||
+        !AprTime_Before(AprCore_Now(core), request->deadline) ||
+        !AprRetryBudget_Spend(&service->retry_budget)) {
+        return false;
+    }
+    route_later(core, request, reason);
+    return true;
+}
+
+/* Takes the answer to a try. An answer whose try has ended is counted and
+   dropped. */
+void
+AprRouter_OnAnswer(AprCore_t *core, uint64_t id,
+                   const AprAnswerMessage_t *answer)
+{
+    AprEntryRequest_t *request = g_hash_table_lookup(core->entries, &id);
+
+    if (request == NULL || request->state == APR_ENTRY_ROUTING) {
+        AprMetric_Add(core->late_answers, 1);
+        return;
+    }
+    remember_hint(core, request, answer);
+    switch (answer->outcome) {
+    case APR_ANSWERED:
+        complete_answered(core, request, answer);
+        break;
+    case APR_MOVED:
+        if (request->state == APR_ENTRY_FORWARDED) {
+            AprRecordSync_Compare(core, request->link, answer->record_version);
+        }
+        route_later(core, request, answer->reason.data);
+        break;
+    case APR_UNKNOWN:
+        if (!retry_idempotent(core, request, answer->reason.data)) {
+            complete_with_error(core, request, APR_UNKNOWN, 504, answer->step,
+                                answer->reason.data, answer->peer.data,
+                                answer->detail.data);
+        }
+        break;
+    default:
+        complete_with_error(core, request, APR_NOT_RUN, 503, answer->step,
+                            answer->reason.data, answer->peer.data,
+                            answer->detail.data);
+        break;
+    }
+}
+
+/* No byte of a message was written: a request in it has not run. */
+void
+AprRouter_OnUndelivered(AprCore_t *core, const AprMessage_t *message)
+{
+    AprEntryRequest_t *request;
+
+    if (message->type != APR_MSG_REQUEST) {
+        return;
+    }
+    request = g_hash_table_lookup(core->entries, &message->request.id);
+    if (request != NULL && request->state == APR_ENTRY_FORWARDED) {
+        route_later(core, request, "owner-unreachable");
+    }
+}
+
+/* The ids of all requests. Ending one request can end others, so that a list
+   of pointers would go stale while it is walked. */
+static GArray *
+entry_ids(const AprCore_t *core)
+{
+    GArray *ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    GHashTableIter iterator;
+    gpointer key;
+
+    g_hash_table_iter_init(&iterator, core->entries);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        g_array_append_vals(ids, key, 1);
+    }
+    return ids;
+}
+
+static AprEntryRequest_t *
+entry_at(const AprCore_t *core, const GArray *ids, guint index)
+{
+    return g_hash_table_lookup(core->entries,
+                               &g_array_index(ids, uint64_t, index));
+}
+
+/* A link is down: what was sent on it and not answered may have run. */
+void
+AprRouter_OnLinkDown(AprCore_t *core, AprLink_t link)
+{
+    GArray *ids = entry_ids(core);
+
+    for (guint i = 0; i < ids->len; i++) {
+        AprEntryRequest_t *request = entry_at(core, ids, i);
+
+        if (request != NULL && request->state == APR_ENTRY_FORWARDED &&
+            request->link == link &&
+            !retry_idempotent(core, request, "link-lost")) {
+            complete_unknown(core, request, APR_STEP_FORWARD, "link-lost",
+                             request->peer);
+        }
+    }
+    g_array_free(ids, TRUE);
+}
+
+static void
+cancel(AprCore_t *core, const AprEntryRequest_t *request)
+{
+    AprReplyTo_t reply = {true, APR_NO_LINK, request->id};
+    AprMessage_t message = {0};
+
+    if (request->state == APR_ENTRY_LOCAL) {
+        AprOwner_OnCancel(core, reply);
+    }
+    else if (request->state == APR_ENTRY_FORWARDED) {
+        message.type = APR_MSG_CANCEL;
+        message.cancel.id = request->id;
+        AprLinks_Send(core, request->link, &message);
+    }
+}
+
+/* Whether the caller has closed its connection. */
+static bool
+caller_is_gone(const AprEntryRequest_t *request)
+{
+    char byte;
+
+    return recv(request->socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+static void
+check_request(AprCore_t *core, AprEntryRequest_t *request, struct timespec now,
+              bool check_caller)
+{
+    if (check_caller && caller_is_gone(request)) {
+        bool sent = request->state != APR_ENTRY_ROUTING;
+
+        cancel(core, request);
+        complete_with_error(core, request, sent ? APR_UNKNOWN : APR_NOT_RUN,
+                            sent ? 504 : 503, APR_STEP_ENTRY, "caller-gone",
+                            "", "");
+        return;
+    }
+    if (request->state == APR_ENTRY_ROUTING) {
+        if (!AprTime_Before(now, request->deadline)) {
+            complete_not_run(core, request, APR_STEP_ROUTE,
+                             request->last_reason, request->peer);
+        }
+        else if (!AprTime_Before(now, request->retry_at)) {
+            route(core, request);
+        }
+        return;
+    }
+    if (!AprTime_Before(now,
+                        AprTime_AddMs(request->deadline, ANSWER_GRACE_MS))) {
+        cancel(core, request);
+        complete_unknown(core, request, APR_STEP_FORWARD, "timeout",
+                         request->peer);
+    }
+}
+
+/* Tries waiting requests again and ends those whose deadline has passed. */
+void
+AprRouter_Tick(AprCore_t *core)
+{
+    struct timespec now = AprCore_Now(core);
+    GArray *ids = entry_ids(core);
+    bool check_callers = ++core->tick_count % CALLER_CHECK_TICKS == 0;
+
+    for (guint i = 0; i < ids->len; i++) {
+        AprEntryRequest_t *request = entry_at(core, ids, i);
+
+        if (request != NULL) {
+            check_request(core, request, now, check_callers);
+        }
+    }
+    g_array_free(ids, TRUE);
+}
--- /dev/null
+++ b/src/transport/http_admin.c
@@ -0,0 +1,300 @@
+#include <errno.h>
+#include <glib.h>
+#include <microhttpd.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "internal/entry.h"
+#include "internal/event.h"
+#include "internal/http_util.h"
+
+#define ADMIN_CONNECTIONS 64
+#define ADMIN_MAX_BODY 16384
+#define ADMIN_IDLE_TIMEOUT_S 30
+#define ADMIN_WAIT_S 5
+#define ANNOUNCE_PATH "/announce"
+#define METRICS_PATH "/metrics"
+
+/* Shared by the HTTP thread that waits and the core thread that answers; the
+   last of the two frees the request. */
+typedef struct AprAdminWait_t {
+    pthread_mutex_t mutex;
+    pthread_cond_t done;
+    bool answered;
+    bool abandoned;
+} AprAdminWait_t;
+
+struct AprAdminServer_t {
+    struct MHD_Daemon *daemon;
+    AprRing_t *inbox;
+    AprMetrics_t *metrics;
+    char token[APR_SECRET_SIZE];
+};
+
+static void
+free_admin_request(AprAdminRequest_t *request)
+{
+    pthread_mutex_destroy(&request->wait->mutex);
+    pthread_cond_destroy(&request->wait->done);
+    free(request->wait);
+    g_free(request->body);
+    free(request->answer);
+    free(request);
+}
+
+/* Tells the waiting HTTP thread that the answer is there. */
+void
+AprAdminRequest_Complete(AprAdminRequest_t *request)
+{
+    AprAdminWait_t *wait = request->wait;
+    bool abandoned;
+
+    pthread_mutex_lock(&wait->mutex);
+    wait->answered = true;
+    abandoned = wait->abandoned;
+    pthread_cond_signal(&wait->done);
+    pthread_mutex_unlock(&wait->mutex);
+    if (abandoned) {
+        free_admin_request(request);
+    }
+}
+
+static enum MHD_Result
+respond(struct MHD_Connection *connection, int status, const char *type,
+        const char *body)
+{
+    struct MHD_Response *response = MHD_create_response_from_buffer(
+        strlen(body), (void *)body, MHD_RESPMEM_MUST_COPY);
+    enum MHD_Result result;
+
+    if (response == NULL) {
+        return MHD_NO;
+    }
+    MHD_add_response_header(response, "Content-Type", type);
+    result = MHD_queue_response(connection, (unsigned)status, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+static enum MHD_Result
+respond_failure(struct MHD_Connection *connection, int status,
+                const char *detail)
+{
+    char *body = g_strdup_printf("{\"ok\":false,\"detail\":\"%s\"}", detail);
+    enum MHD_Result result =
+        respond(connection, status, "application/json", body);
+
+    g_free(body);
+    return result;
+}
+
+static void
+copy_argument(struct MHD_Connection *connection, const char *name,
+              char *target, size_t size)
+{
+    const char *value =
+        MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND, name);
+
+    g_strlcpy(target, value == NULL ? "" : value, size);
+}
+
+static AprAdminRequest_t *
+new_admin_request(struct MHD_Connection *connection, const char *url,
+                  GByteArray *body)
+{
+    AprAdminRequest_t *request = calloc(1, sizeof(*request));
+    char confirm[APR_NAME_SIZE];
+
+    if (request == NULL) {
+        return NULL;
+    }
+    request->wait = calloc(1, sizeof(*request->wait));
+    if (request->wait == NULL) {
+        free(request);
+        return NULL;
+    }
+    pthread_mutex_init(&request->wait->mutex, NULL);
+    pthread_cond_init(&request->wait->done, NULL);
+    g_strlcpy(request->path, url, sizeof(request->path));
+    copy_argument(connection, "service", request->service,
+                  sizeof(request->service));
+    copy_argument(connection, "key", request->key, sizeof(request->key));
+    copy_argument(connection, "to", request->to, sizeof(request->to));
+    copy_argument(connection, "host", request->host, sizeof(request->host));
+    copy_argument(connection, "confirm", confirm, sizeof(confirm));
+    request->confirmed = strcmp(confirm, "dead") == 0;
+    request->body_size = body->len;
+    request->body = g_memdup2(body->data, body->len);
+    return request;
+}
+
+/* Waits for the core thread. Returns false when it took too long; the request
+   is then the core thread's to free. */
+static bool
+wait_for_answer(AprAdminRequest_t *request)
+{
+    AprAdminWait_t *wait = request->wait;
+    struct timespec limit;
+    bool answered;
+
+    clock_gettime(CLOCK_REALTIME, &limit);
+    limit.tv_sec += ADMIN_WAIT_S;
+    pthread_mutex_lock(&wait->mutex);
+    while (!wait->answered && pthread_cond_timedwait(&wait->done, &wait->mutex,
+                                                     &limit) != ETIMEDOUT) {
+    }
+    answered = wait->answered;
+    wait->abandoned = !answered;
+    pthread_mutex_unlock(&wait->mutex);
+    return answered;
+}
+
+static enum MHD_Result
+ask_core(AprAdminServer_t *server, struct MHD_Connection *connection,
+         const char *url, GByteArray *body)
+{
+    AprAdminRequest_t *request = new_admin_request(connection, url, body);
+    AprEvent_t *event = AprEvent_New(APR_EVENT_ADMIN);
+    enum MHD_Result result;
+
+    if (request == NULL || event == NULL) {
+        free(event);
+        return MHD_NO;
+    }
+    event->admin = request;
+    if (AprEvent_Post(server->inbox, event) != APR_OK) {
+        free(event);
+        free_admin_request(request);
+        return respond_failure(connection, 503, "the process is overloaded");
+    }
+    if (!wait_for_answer(request)) {
+        return respond_failure(connection, 504, "the process did not answer");
+    }
+    result = respond(connection, request->status, "application/json",
+                     request->answer == NULL ? "{}" : request->answer);
+    free_admin_request(request);
+    return result;
+}
+
+static bool
+is_read(const char *url)
+{
+    return strcmp(url, "/status") == 0 || strcmp(url, "/dump") == 0 ||
+           strcmp(url, "/where") == 0 || strcmp(url, METRICS_PATH) == 0;
+}
+
+static enum MHD_Result
+answer(AprAdminServer_t *server, struct MHD_Connection *connection,
+       const char *url, const char *method, GByteArray *body)
+{
+    bool is_get = strcmp(method, "GET") == 0;
+    char *text;
+    enum MHD_Result result;
+
+    if (strcmp(url, ANNOUNCE_PATH) == 0) {
+        if (!AprHttp_FromLoopback(connection)) {
+            return respond_failure(connection, 403,
+                                   "only this host may announce a backend");
+        }
+    }
+    else if (!AprHttp_TokenMatches(connection, server->token)) {
+        return respond_failure(connection, 401, "the bearer token is wrong");
+    }
+    if (is_get != is_read(url)) {
+        return respond_failure(connection, 405, "use GET to read, else POST");
+    }
+    if (strcmp(url, METRICS_PATH) != 0) {
+        return ask_core(server, connection, url, body);
+    }
+    text = AprMetrics_Text(server->metrics);
+    result = respond(connection, 200, "text/plain; version=0.0.4",
+                     text == NULL ? "" : text);
+    free(text);
+    return result;
+}
+
+static enum MHD_Result
+handle(void *cls, struct MHD_Connection *connection, const char *url,
+       const char *method, const char *version, const char *upload_data,
+       size_t *upload_data_size, void **connection_context)
+{
+    GByteArray *body = *connection_context;
+
+    (void)version;
+    if (body == NULL) {
+        *connection_context = g_byte_array_new();
+        return MHD_YES;
+    }
+    if (*upload_data_size > 0) {
+        if (body->len + *upload_data_size > ADMIN_MAX_BODY) {
+            return MHD_NO;
+        }
+        g_byte_array_append(body, (const guint8 *)upload_data,
+                            (guint)*upload_data_size);
+        *upload_data_size = 0;
+        return MHD_YES;
+    }
+    return answer(cls, connection, url, method, body);
+}
+
+static void
+request_ended(void *cls, struct MHD_Connection *connection,
+              void **connection_context, enum MHD_RequestTerminationCode code)
+{
+    (void)cls;
+    (void)connection;
+    (void)code;
+    if (*connection_context != NULL) {
+        g_byte_array_free(*connection_context, TRUE);
+        *connection_context = NULL;
+    }
+}
+
+/* Starts the admin interface on the address of the settings. Each connection
+   has a thread, because its requests wait for the core thread. NULL on
+   failure, with the error set. */
+AprAdminServer_t *
+AprAdminServer_Start(const AprSettings_t *settings, AprRing_t *inbox,
+                     AprMetrics_t *metrics, AprError_t *error)
+{
+    AprAdminServer_t *server = calloc(1, sizeof(*server));
+    struct sockaddr_in address;
+
+    if (server == NULL ||
+        AprHttp_ParseAddress(settings->listen_admin, &address) != APR_OK) {
+        AprError_Set(error, APR_E_INVALID, APR_STEP_ENTRY,
+                     settings->listen_admin, "not an IP:port address");
+        free(server);
+        return NULL;
+    }
+    server->inbox = inbox;
+    server->metrics = metrics;
+    g_strlcpy(server->token, settings->admin_token, sizeof(server->token));
+    server->daemon = MHD_start_daemon(
+        MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD |
+            MHD_USE_ITC,
+        0, NULL, NULL, handle, server, MHD_OPTION_SOCK_ADDR, &address,
+        MHD_OPTION_CONNECTION_LIMIT, (unsigned)ADMIN_CONNECTIONS,
+        MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)ADMIN_IDLE_TIMEOUT_S,
+        MHD_OPTION_NOTIFY_COMPLETED, request_ended, NULL, MHD_OPTION_END);
+    if (server->daemon == NULL) {
+        AprError_Set(error, APR_E_IO, APR_STEP_ENTRY, settings->listen_admin,
+                     "cannot listen: %s", strerror(errno));
+        free(server);
+        return NULL;
+    }
+    return server;
+}
+
+/* Stops the admin interface. The core thread must still run, because open
+   requests wait for it. */
+void
+AprAdminServer_Stop(AprAdminServer_t *server)
+{
+    if (server != NULL) {
+        MHD_stop_daemon(server->daemon);
+        free(server);
+    }
+}
