Add the etcd adapter and the stand-in store

Cause: record, membership and publishing need the platform's key-value service; no part that writes to it could be run or tested without a client and something that answers it. Ruled out: reusing connections for swaps. libcurl sends a request again when a reused connection closes early; in a trial with reuse the lost-answer test got a conflict with its own write instead of an unknown result. Also ruled out: treating a 503 answer to a swap as no effect, because the service may still apply a write that it answered with an error; and repeating a swap on another endpoint once anything was sent. Change: AprStore_t adapter for range, txn, lease grant and keepalive, and watch over HTTP/JSON; apricot-standin-store with revisions, transactions, leases, a bounded watch history and injected outages, delays and lost answers. Renewing an expired lease returns APR_E_NOT_FOUND.

--- /dev/null
+++ b/standins/lib/store_server.c
@@ -0,0 +1,329 @@
+#include "standins/lib/store_server_private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "apricot/clock.h"
+#include "apricot/error.h"
+
+typedef enum CallKind_t {
+    CALL_READ,
+    CALL_WRITE,
+    CALL_LEASE,
+    CALL_WATCH
+} CallKind_t;
+
+typedef json_t *(*Operation_t)(AprStoreServer_t *server,
+                               const json_t *request);
+
+typedef struct Route_t {
+    const char *path;
+    CallKind_t kind;
+    Operation_t run;
+} Route_t;
+
+static json_t *
+run_range(AprStoreServer_t *server, const json_t *request)
+{
+    return AprStoreData_Range(server->data, request);
+}
+
+static json_t *
+run_txn(AprStoreServer_t *server, const json_t *request)
+{
+    return AprStoreData_Txn(server->data, request);
+}
+
+static json_t *
+run_put(AprStoreServer_t *server, const json_t *request)
+{
+    return AprStoreData_Put(server->data, request);
+}
+
+static json_t *
+run_delete(AprStoreServer_t *server, const json_t *request)
+{
+    return AprStoreData_Delete(server->data, request);
+}
+
+static json_t *
+run_grant(AprStoreServer_t *server, const json_t *request)
+{
+    return AprStoreData_Grant(server->data, request, AprStoreServer_NowMs());
+}
+
+static json_t *
+run_keepalive(AprStoreServer_t *server, const json_t *request)
+{
+    return AprStoreData_KeepAlive(server->data, request,
+                                  AprStoreServer_NowMs());
+}
+
+static const Route_t routes[] = {
+    {"/v3/kv/range", CALL_READ, run_range},
+    {"/v3/kv/txn", CALL_WRITE, run_txn},
+    {"/v3/kv/put", CALL_WRITE, run_put},
+    {"/v3/kv/deleterange", CALL_WRITE, run_delete},
+    {"/v3/lease/grant", CALL_LEASE, run_grant},
+    {"/v3/lease/keepalive", CALL_LEASE, run_keepalive},
+    {"/v3/watch", CALL_WATCH, NULL},
+};
+
+static const Route_t *
+find_route(const char *path)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(routes); i++) {
+        if (strcmp(routes[i].path, path) == 0) {
+            return &routes[i];
+        }
+    }
+    return NULL;
+}
+
+static json_t *
+error_object(int code, const char *message)
+{
+    json_t *object = json_object();
+
+    json_object_set_new(object, "error", json_string(message));
+    json_object_set_new(object, "code", json_integer(code));
+    json_object_set_new(object, "message", json_string(message));
+    return object;
+}
+
+/* Monotonic time in milliseconds. */
+int64_t
+AprStoreServer_NowMs(void)
+{
+    AprClock_t clock = AprClock_System();
+
+    return AprTime_ToMs(AprClock_Now(&clock));
+}
+
+/* Waits on `changed` for at most the given time. The mutex is held. */
+void
+AprStoreServer_Wait(AprStoreServer_t *server, int64_t ms)
+{
+    struct timespec limit;
+
+    clock_gettime(CLOCK_MONOTONIC, &limit);
+    limit = AprTime_AddMs(limit, ms);
+    pthread_cond_timedwait(&server->changed, &server->mutex, &limit);
+}
+
+static void
+delay(AprStoreServer_t *server, int64_t ms)
+{
+    int64_t end = AprStoreServer_NowMs() + ms;
+
+    while (!server->stopping && AprStoreServer_NowMs() < end) {
+        AprStoreServer_Wait(server, end - AprStoreServer_NowMs());
+    }
+}
+
+static void
+count_call(AprStoreServer_t *server, CallKind_t kind)
+{
+    switch (kind) {
+    case CALL_READ:
+        server->counts.reads++;
+        break;
+    case CALL_WRITE:
+        server->counts.writes++;
+        break;
+    case CALL_LEASE:
+        server->counts.lease_calls++;
+        break;
+    case CALL_WATCH:
+        server->counts.watches++;
+        break;
+    }
+}
+
+/* Whether the answer of this write is to be lost. The mutex is held. */
+static bool
+lose_answer(AprStoreServer_t *server, const Route_t *route)
+{
+    if (server->mode != APR_STORE_LOSE_ANSWER || route->kind != CALL_WRITE) {
+        return false;
+    }
+    if (server->times > 0 && --server->times == 0) {
+        server->mode = APR_STORE_OK;
+    }
+    return true;
+}
+
+/* Runs one call of the API. The mutex is held. */
+static enum MHD_Result
+run_call(AprStoreServer_t *server, struct MHD_Connection *client,
+         const Route_t *route, const json_t *request)
+{
+    json_t *answer;
+
+    count_call(server, route->kind);
+    if (server->mode == APR_STORE_SLOW) {
+        delay(server, server->delay_ms);
+    }
+    if (server->mode == APR_STORE_DOWN) {
+        server->cut_next = !server->cut_next;
+        return server->cut_next
+                   ? AprStandinHttp_Json(client, MHD_HTTP_SERVICE_UNAVAILABLE,
+                                         error_object(14, "store is down"))
+                   : MHD_NO;
+    }
+    if (route->kind == CALL_WATCH) {
+        return AprStoreServer_Watch(server, client, request);
+    }
+    AprStoreData_Expire(server->data, AprStoreServer_NowMs());
+    answer = route->run(server, request);
+    pthread_cond_broadcast(&server->changed);
+    if (answer == NULL) {
+        return AprStandinHttp_Json(client, MHD_HTTP_BAD_REQUEST,
+                                   error_object(3, "invalid request"));
+    }
+    if (lose_answer(server, route)) {
+        json_decref(answer);
+        return MHD_NO;
+    }
+    return AprStandinHttp_Json(client, MHD_HTTP_OK, answer);
+}
+
+static enum MHD_Result
+answer_counts(AprStoreServer_t *server, struct MHD_Connection *client)
+{
+    AprStoreCounts_t counts;
+
+    AprStoreServer_Counts(server, &counts);
+    return AprStandinHttp_Json(
+        client, MHD_HTTP_OK,
+        json_pack("{s:I,s:I,s:I,s:I,s:I,s:I}", "reads",
+                  (json_int_t)counts.reads, "writes",
+                  (json_int_t)counts.writes, "watches",
+                  (json_int_t)counts.watches, "watches_open",
+                  (json_int_t)counts.watches_open, "lease_calls",
+                  (json_int_t)counts.lease_calls, "leases",
+                  (json_int_t)counts.leases));
+}
+
+static enum MHD_Result
+control(AprStoreServer_t *server, struct MHD_Connection *client)
+{
+    static const char *const names[] = {"ok", "down", "slow", "lose_answer"};
+    const char *mode =
+        MHD_lookup_connection_value(client, MHD_GET_ARGUMENT_KIND, "mode");
+
+    for (size_t i = 0; mode != NULL && i < G_N_ELEMENTS(names); i++) {
+        if (strcmp(mode, names[i]) == 0) {
+            AprStoreServer_SetMode(
+                server, (AprStoreMode_t)i,
+                (int)AprStandinHttp_Number(client, "delay_ms", 0),
+                (int)AprStandinHttp_Number(client, "times", 0));
+            return AprStandinHttp_Text(client, MHD_HTTP_OK, "text/plain",
+                                       "ok\n");
+        }
+    }
+    return AprStandinHttp_Text(client, MHD_HTTP_BAD_REQUEST, "text/plain",
+                               "mode is ok, down, slow or lose_answer\n");
+}
+
+static enum MHD_Result
+handle(void *context, struct MHD_Connection *client, const char *url,
+       const char *method, const GString *body)
+{
+    AprStoreServer_t *server = context;
+    const Route_t *route = find_route(url);
+    enum MHD_Result result;
+    json_t *request;
+
+    if (strcmp(url, "/control") == 0 && strcmp(method, "POST") == 0) {
+        return control(server, client);
+    }
+    if (strcmp(url, "/control/counts") == 0) {
+        return answer_counts(server, client);
+    }
+    if (route == NULL || strcmp(method, "POST") != 0) {
+        return AprStandinHttp_Json(client, MHD_HTTP_NOT_FOUND,
+                                   error_object(5, "Not Found"));
+    }
+    request = json_loadb(body->str, body->len, 0, NULL);
+    if (!json_is_object(request)) {
+        json_decref(request);
+        return AprStandinHttp_Json(client, MHD_HTTP_BAD_REQUEST,
+                                   error_object(3, "invalid JSON"));
+    }
+    pthread_mutex_lock(&server->mutex);
+    result = run_call(server, client, route, request);
+    pthread_mutex_unlock(&server->mutex);
+    json_decref(request);
+    return result;
+}
+
+/* Starts the stand-in store on IP:port with the given number of changes kept
+   for watches. Returns NULL when the address is malformed or taken. */
+AprStoreServer_t *
+AprStoreServer_Start(const char *listen, int history_limit)
+{
+    AprStoreServer_t *server = calloc(1, sizeof(*server));
+    pthread_condattr_t attributes;
+
+    pthread_mutex_init(&server->mutex, NULL);
+    pthread_condattr_init(&attributes);
+    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+    pthread_cond_init(&server->changed, &attributes);
+    pthread_condattr_destroy(&attributes);
+    server->data = AprStoreData_New(history_limit);
+    if (AprStandinHttp_Start(&server->http, listen, 0, handle, server) !=
+        APR_OK) {
+        AprStoreServer_Stop(server);
+        return NULL;
+    }
+    return server;
+}
+
+/* Cuts all watches and stops the server. */
+void
+AprStoreServer_Stop(AprStoreServer_t *server)
+{
+    pthread_mutex_lock(&server->mutex);
+    server->stopping = true;
+    pthread_cond_broadcast(&server->changed);
+    pthread_mutex_unlock(&server->mutex);
+    AprStandinHttp_Stop(&server->http);
+    AprStoreData_Free(server->data);
+    pthread_cond_destroy(&server->changed);
+    pthread_mutex_destroy(&server->mutex);
+    free(server);
+}
+
+/* IP:port of the listener. */
+const char *
+AprStoreServer_Address(const AprStoreServer_t *server)
+{
+    return server->http.address;
+}
+
+/* Sets how the server behaves from now on; the mode down also cuts the
+   watches that are open. `delay_ms` applies to the mode slow, `times` to the
+   mode lose-answer. */
+void
+AprStoreServer_SetMode(AprStoreServer_t *server, AprStoreMode_t mode,
+                       int delay_ms, int times)
+{
+    pthread_mutex_lock(&server->mutex);
+    server->mode = mode;
+    server->delay_ms = delay_ms;
+    server->times = times;
+    pthread_cond_broadcast(&server->changed);
+    pthread_mutex_unlock(&server->mutex);
+}
+
+/* Copies the call counts. */
+void
+AprStoreServer_Counts(AprStoreServer_t *server, AprStoreCounts_t *counts)
+{
+    pthread_mutex_lock(&server->mutex);
+    AprStoreData_Expire(server->data, AprStoreServer_NowMs());
+    *counts = server->counts;
+    counts->leases = AprStoreData_LeaseCount(server->data);
+    pthread_mutex_unlock(&server->mutex);
+}
--- /dev/null
+++ b/tests/test_etcd.c
@@ -0,0 +1,529 @@
+#include <pthread.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdatomic.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <unistd.h>
+
+#include "apricot/clock.h"
+#include "apricot/store.h"
+#include "standins/lib/store_server.h"
+
+#define TIMEOUT_MS 400
+#define NOBODY "http://127.0.0.1:1" /* refuses connections */
+#define WRITERS 4
+#define INCREMENTS 25
+
+typedef struct Fixture_t {
+    AprStoreServer_t *server;
+    AprStore_t store;
+    AprError_t error;
+} Fixture_t;
+
+static void
+open_store(const AprStoreServer_t *first, const char *second,
+           AprStore_t *store)
+{
+    char url[128];
+    const char *endpoints[2] = {url, second};
+
+    snprintf(url, sizeof(url), "http://%s", AprStoreServer_Address(first));
+    assert_int_equal(AprEtcd_Open(endpoints, second == NULL ? 1 : 2,
+                                  TIMEOUT_MS, store, NULL),
+                     APR_OK);
+}
+
+static int
+set_up(void **state)
+{
+    Fixture_t *fixture = calloc(1, sizeof(*fixture));
+
+    fixture->server = AprStoreServer_Start("127.0.0.1:0", 8);
+    assert_non_null(fixture->server);
+    open_store(fixture->server, NULL, &fixture->store);
+    *state = fixture;
+    return 0;
+}
+
+static int
+tear_down(void **state)
+{
+    Fixture_t *fixture = *state;
+
+    AprStore_Close(&fixture->store);
+    AprStoreServer_Stop(fixture->server);
+    free(fixture);
+    return 0;
+}
+
+/* Writes a key if its revision is as given. */
+static int
+swap_one(AprStore_t *store, const char *key, int64_t expected,
+         const char *data, int64_t lease, int64_t *revision)
+{
+    AprStoreCompare_t compare = {key, expected};
+    AprStorePut_t put = {key, data, strlen(data), lease};
+
+    return store->swap(store->context, &compare, 1, &put, 1, revision, NULL);
+}
+
+static int64_t
+read_revision(AprStore_t *store, const char *key)
+{
+    AprStoreValue_t value;
+    int64_t revision;
+
+    assert_int_equal(store->get(store->context, key, &value, NULL), APR_OK);
+    revision = value.revision;
+    AprStoreValue_Clear(&value);
+    return revision;
+}
+
+static AprStoreCounts_t
+counts_of(AprStoreServer_t *server)
+{
+    AprStoreCounts_t counts;
+
+    AprStoreServer_Counts(server, &counts);
+    return counts;
+}
+
+/* Guards against swaps that ignore the revision, and against values that are
+   damaged on the way. */
+static void
+test_swap_compares_revisions(void **state)
+{
+    Fixture_t *fixture = *state;
+    AprStore_t *store = &fixture->store;
+    AprStoreValue_t value;
+    int64_t first = 0;
+    int64_t second = 0;
+
+    assert_int_equal(store->get(store->context, "/a", &value, NULL), APR_OK);
+    assert_int_equal(value.revision, 0);
+    assert_null(value.data);
+    assert_int_equal(
+        swap_one(store, "/a", 0, "{\"x\":\"\xc3\xa9\"}", 0, &first), APR_OK);
+    assert_int_equal(swap_one(store, "/a", 0, "two", 0, &second),
+                     APR_E_CONFLICT);
+    assert_int_equal(store->get(store->context, "/a", &value, NULL), APR_OK);
+    assert_int_equal(value.revision, first);
+    assert_string_equal(value.data, "{\"x\":\"\xc3\xa9\"}");
+    AprStoreValue_Clear(&value);
+    assert_int_equal(swap_one(store, "/a", first, "two", 0, &second), APR_OK);
+    assert_true(second > first);
+}
+
+/* Guards against a transaction that applies some puts although one of its
+   comparisons failed. */
+static void
+test_swap_is_all_or_nothing(void **state)
+{
+    Fixture_t *fixture = *state;
+    AprStore_t *store = &fixture->store;
+    int64_t revision = 0;
+    AprStorePut_t puts[2] = {{"/a", "1", 1, 0}, {"/b", "2", 1, 0}};
+    AprStoreCompare_t compares[2] = {{"/a", 0}, {"/b", 0}};
+
+    assert_int_equal(swap_one(store, "/b", 0, "old", 0, &revision), APR_OK);
+    assert_int_equal(
+        store->swap(store->context, compares, 2, puts, 2, &revision, NULL),
+        APR_E_CONFLICT);
+    assert_int_equal(read_revision(store, "/a"), 0);
+    compares[1].revision = read_revision(store, "/b");
+    assert_int_equal(
+        store->swap(store->context, compares, 2, puts, 2, &revision, NULL),
+        APR_OK);
+    assert_int_equal(read_revision(store, "/a"), revision);
+    assert_int_equal(read_revision(store, "/b"), revision);
+}
+
+static void
+join_keys(void *context, const AprStoreEvent_t *event)
+{
+    strcat(context, event->key);
+    strcat(context, event->data == NULL ? "-" : event->data);
+}
+
+/* Guards against a listing that misses keys or returns neighbours of the
+   prefix. */
+static void
+test_list_returns_the_prefix(void **state)
+{
+    Fixture_t *fixture = *state;
+    AprStore_t *store = &fixture->store;
+    char seen[128] = "";
+    int64_t revision = 0;
+    int64_t last = 0;
+
+    assert_int_equal(swap_one(store, "/c/b", 0, "2", 0, &last), APR_OK);
+    assert_int_equal(swap_one(store, "/c/a", 0, "1", 0, &last), APR_OK);
+    assert_int_equal(swap_one(store, "/c", 0, "x", 0, &last), APR_OK);
+    assert_int_equal(swap_one(store, "/c0", 0, "y", 0, &last), APR_OK);
+    assert_int_equal(
+        store->list(store->context, "/c/", join_keys, seen, &revision, NULL),
+        APR_OK);
+    assert_string_equal(seen, "/c/a1/c/b2");
+    assert_int_equal(revision, last);
+}
+
+/* Guards against a swap that is sent twice when its answer is lost: the
+   second one would report a conflict with the first. The read before it
+   leaves a connection on which libcurl would send again. */
+static void
+test_lost_answer_is_unknown(void **state)
+{
+    Fixture_t *fixture = *state;
+    AprStoreServer_t *other = AprStoreServer_Start("127.0.0.1:0", 8);
+    AprStore_t store;
+    char second[128];
+    int64_t revision;
+
+    snprintf(second, sizeof(second), "http://%s",
+             AprStoreServer_Address(other));
+    open_store(fixture->server, second, &store);
+    assert_int_equal(read_revision(&store, "/a"), 0);
+    AprStoreServer_SetMode(fixture->server, APR_STORE_LOSE_ANSWER, 0, 1);
+    assert_int_equal(swap_one(&store, "/a", 0, "one", 0, &revision),
+                     APR_E_UNKNOWN);
+    assert_int_equal(counts_of(fixture->server).writes, 1);
+    assert_int_equal(counts_of(other).writes, 0);
+    assert_true(read_revision(&fixture->store, "/a") > 0);
+    AprStore_Close(&store);
+    AprStoreServer_Stop(other);
+}
+
+/* Guards against a write that lands after its caller gave up and is taken for
+   one that had no effect. */
+static void
+test_slow_write_is_unknown_and_lands_late(void **state)
+{
+    Fixture_t *fixture = *state;
+    AprStore_t *store = &fixture->store;
+    int64_t revision;
+
+    AprStoreServer_SetMode(fixture->server, APR_STORE_SLOW, TIMEOUT_MS * 2, 0);
+    assert_int_equal(swap_one(store, "/a", 0, "late", 0, &revision),
+                     APR_E_UNKNOWN);
+    AprStoreServer_SetMode(fixture->server, APR_STORE_OK, 0, 0);
+    assert_int_equal(read_revision(store, "/a"), 0);
+    usleep(TIMEOUT_MS * 2 * 1000);
+    assert_true(read_revision(store, "/a") > 0);
+    assert_int_equal(swap_one(store, "/a", 0, "new", 0, &revision),
+                     APR_E_CONFLICT);
+}
+
+/* Guards against an unreachable endpoint that fails a call which another
+   endpoint would serve, and against unknown results where nothing was sent. */
+static void
+test_endpoints_are_tried_in_turn(void **state)
+{
+    Fixture_t *fixture = *state;
+    const char *nobody[2] = {NOBODY, NOBODY};
+    const char *both[2] = {NOBODY, NULL};
+    char url[128];
+    AprStore_t store;
+    AprError_t error;
+    AprStoreValue_t value;
+    int64_t revision;
+
+    snprintf(url, sizeof(url), "http://%s/",
+             AprStoreServer_Address(fixture->server));
+    both[1] = url;
+    assert_int_equal(AprEtcd_Open(both, 2, TIMEOUT_MS, &store, NULL), APR_OK);
+    assert_int_equal(swap_one(&store, "/a", 0, "1", 0, &revision), APR_OK);
+    AprStore_Close(&store);
+    assert_int_equal(AprEtcd_Open(nobody, 2, TIMEOUT_MS, &store, NULL),
+                     APR_OK);
+    assert_int_equal(swap_one(&store, "/a", 0, "1", 0, &revision),
+                     APR_E_UNAVAILABLE);
+    assert_int_equal(store.get(store.context, "/a", &value, &error),
+                     APR_E_UNAVAILABLE);
+    assert_int_equal(error.step, APR_STEP_STORE);
+    assert_string_equal(error.peer, NOBODY);
+    AprStore_Close(&store);
+}
+
+/* Guards against calls that hang or succeed while the store is down. */
+static void
+test_store_down(void **state)
+{
+    Fixture_t *fixture = *state;
+    AprStore_t *store = &fixture->store;
+    AprStoreValue_t value;
+    int64_t number;
+
+    AprStoreServer_SetMode(fixture->server, APR_STORE_DOWN, 0, 0);
+    for (int i = 0; i < 2; i++) { /* answered 503, then cut */
+        assert_int_equal(store->get(store->context, "/a", &value, NULL),
+                         APR_E_UNAVAILABLE);
+        assert_int_equal(store->grant_lease(store->context, 1, &number, NULL),
+                         APR_E_UNAVAILABLE);
+        assert_int_equal(swap_one(store, "/a", 0, "1", 0, &number),
+                         APR_E_UNKNOWN);
+    }
+    AprStoreServer_SetMode(fixture->server, APR_STORE_OK, 0, 0);
+    assert_int_equal(read_revision(store, "/a"), 0);
+}
+
+/* Guards against limits that refuse a value the service holds, and against
+   values that it would refuse. */
+static void
+test_value_sizes(void **state)
+{
+    Fixture_t *fixture = *state;
+    AprStore_t *store = &fixture->store;
+    AprStoreValue_t value;
+    size_t size = 1u << 20;
+    char *data = malloc(size + 2);
+    int64_t revision;
+
+    memset(data, 'v', size + 1);
+    data[size] = '\0';
+    assert_int_equal(swap_one(store, "/big", 0, data, 0, &revision), APR_OK);
+    assert_int_equal(store->get(store->context, "/big", &value, NULL), APR_OK);
+    assert_int_equal(value.size, size);
+    assert_memory_equal(value.data, data, size);
+    AprStoreValue_Clear(&value);
+    data[size] = 'v';
+    data[size + 1] = '\0';
+    assert_int_equal(swap_one(store, "/big", revision, data, 0, &revision),
+                     APR_E_TOO_LARGE);
+    free(data);
+}
+
+/* Guards against leases that expire although renewed, and against keys that
+   outlive their lease. */
+static void
+test_leases(void **state)
+{
+    Fixture_t *fixture = *state;
+    AprStore_t *store = &fixture->store;
+    int64_t lease;
+    int64_t revision;
+
+    assert_int_equal(store->grant_lease(store->context, 1, &lease, NULL),
+                     APR_OK);
+    assert_int_equal(swap_one(store, "/l", 0, "1", lease, &revision), APR_OK);
+    for (int i = 0; i < 3; i++) {
+        usleep(500 * 1000);
+        assert_int_equal(store->renew_lease(store->context, lease, NULL),
+                         APR_OK);
+    }
+    assert_int_equal(read_revision(store, "/l"), revision);
+    usleep(1200 * 1000);
+    assert_int_equal(read_revision(store, "/l"), 0);
+    assert_int_equal(store->renew_lease(store->context, lease, NULL),
+                     APR_E_NOT_FOUND);
+}
+
+typedef struct Watcher_t {
+    AprStore_t *store;
+    int64_t from;
+    pthread_t thread;
+    atomic_bool stop;
+    atomic_int events;
+    int result;
+    char seen[256];
+} Watcher_t;
+
+static void
+on_event(void *context, const AprStoreEvent_t *event)
+{
+    Watcher_t *watcher = context;
+
+    join_keys(watcher->seen, event);
+    atomic_fetch_add(&watcher->events, 1);
+}
+
+static bool
+should_stop(void *context)
+{
+    Watcher_t *watcher = context;
+
+    return atomic_load(&watcher->stop);
+}
+
+static void *
+run_watch(void *argument)
+{
+    Watcher_t *watcher = argument;
+    AprStore_t *store = watcher->store;
+
+    watcher->result =
+        store->watch(store->context, "/w/", watcher->from, on_event, watcher,
+                     should_stop, watcher, NULL);
+    return NULL;
+}
+
+static void
+start_watcher(Watcher_t *watcher, AprStore_t *store, int64_t from)
+{
+    memset(watcher, 0, sizeof(*watcher));
+    watcher->store = store;
+    watcher->from = from;
+    pthread_create(&watcher->thread, NULL, run_watch, watcher);
+}
+
+static void
+wait_events(Watcher_t *watcher, int count)
+{
+    for (int i = 0; i < 300 && atomic_load(&watcher->events) < count; i++) {
+        usleep(10 * 1000);
+    }
+    assert_int_equal(atomic_load(&watcher->events), count);
+}
+
+/* Guards against watches that miss changes made before they started or while
+   they wait, and against a slow stop. */
+static void
+test_watch_reports_and_stops(void **state)
+{
+    Fixture_t *fixture = *state;
+    AprClock_t clock = AprClock_System();
+    struct timespec start;
+    Watcher_t watcher;
+    int64_t first;
+    int64_t last;
+
+    assert_int_equal(swap_one(&fixture->store, "/w/a", 0, "1", 0, &first),
+                     APR_OK);
+    start_watcher(&watcher, &fixture->store, first);
+    wait_events(&watcher, 1);
+    assert_int_equal(counts_of(fixture->server).watches_open, 1);
+    assert_int_equal(swap_one(&fixture->store, "/x", 0, "0", 0, &last),
+                     APR_OK);
+    assert_int_equal(swap_one(&fixture->store, "/w/b", 0, "2", 0, &last),
+                     APR_OK);
+    wait_events(&watcher, 2);
+    assert_string_equal(watcher.seen, "/w/a1/w/b2");
+    start = AprClock_Now(&clock);
+    atomic_store(&watcher.stop, true);
+    pthread_join(watcher.thread, NULL);
+    assert_true(AprTime_DiffMs(AprClock_Now(&clock), start) < 200);
+    assert_int_equal(watcher.result, APR_OK);
+}
+
+/* Guards against a watch that does not see a key go when its lease runs out.
+ */
+static void
+test_watch_sees_expiry(void **state)
+{
+    Fixture_t *fixture = *state;
+    AprStore_t *store = &fixture->store;
+    Watcher_t watcher;
+    int64_t lease;
+    int64_t revision;
+
+    assert_int_equal(store->grant_lease(store->context, 1, &lease, NULL),
+                     APR_OK);
+    assert_int_equal(swap_one(store, "/w/l", 0, "1", lease, &revision),
+                     APR_OK);
+    start_watcher(&watcher, store, revision);
+    wait_events(&watcher, 2);
+    assert_string_equal(watcher.seen, "/w/l1/w/l-");
+    atomic_store(&watcher.stop, true);
+    pthread_join(watcher.thread, NULL);
+}
+
+/* Guards against a watch that silently skips changes which the store no
+   longer holds, and against one that survives an outage unnoticed. */
+static void
+test_watch_breaks(void **state)
+{
+    Fixture_t *fixture = *state;
+    Watcher_t watcher;
+    int64_t revision = 0;
+
+    for (int i = 0; i < 10; i++) { /* the history holds 8 */
+        assert_int_equal(
+            swap_one(&fixture->store, "/w/a", revision, "1", 0, &revision),
+            APR_OK);
+    }
+    start_watcher(&watcher, &fixture->store, 2);
+    pthread_join(watcher.thread, NULL);
+    assert_int_equal(watcher.result, APR_E_CLOSED);
+    assert_int_equal(atomic_load(&watcher.events), 0);
+    start_watcher(&watcher, &fixture->store, revision);
+    wait_events(&watcher, 1);
+    AprStoreServer_SetMode(fixture->server, APR_STORE_DOWN, 0, 0);
+    pthread_join(watcher.thread, NULL);
+    assert_int_equal(watcher.result, APR_E_CLOSED);
+    start_watcher(&watcher, &fixture->store, revision);
+    pthread_join(watcher.thread, NULL);
+    assert_int_equal(watcher.result, APR_E_UNAVAILABLE);
+}
+
+static void *
+increment(void *argument)
+{
+    AprStore_t *store = argument;
+    AprStoreValue_t value;
+    char next[32];
+    int64_t revision;
+
+    for (int done = 0; done < INCREMENTS;) {
+        if (store->get(store->context, "/n", &value, NULL) != APR_OK) {
+            continue;
+        }
+        snprintf(next, sizeof(next), "%ld",
+                 (value.data == NULL ? 0 : strtol(value.data, NULL, 10)) + 1);
+        if (swap_one(store, "/n", value.revision, next, 0, &revision) ==
+            APR_OK) {
+            done++;
+        }
+        AprStoreValue_Clear(&value);
+    }
+    return NULL;
+}
+
+/* Guards against updates lost between threads that share one client. */
+static void
+test_concurrent_swaps_lose_nothing(void **state)
+{
+    Fixture_t *fixture = *state;
+    AprStore_t *store = &fixture->store;
+    pthread_t threads[WRITERS];
+    AprStoreValue_t value;
+
+    for (int i = 0; i < WRITERS; i++) {
+        pthread_create(&threads[i], NULL, increment, store);
+    }
+    for (int i = 0; i < WRITERS; i++) {
+        pthread_join(threads[i], NULL);
+    }
+    assert_int_equal(store->get(store->context, "/n", &value, NULL), APR_OK);
+    assert_int_equal(strtol(value.data, NULL, 10), WRITERS * INCREMENTS);
+    AprStoreValue_Clear(&value);
+}
+
+#define STORE_TEST(name) \
+    cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        STORE_TEST(test_swap_compares_revisions),
+        STORE_TEST(test_swap_is_all_or_nothing),
+        STORE_TEST(test_list_returns_the_prefix),
+        STORE_TEST(test_lost_answer_is_unknown),
+        STORE_TEST(test_slow_write_is_unknown_and_lands_late),
+        STORE_TEST(test_endpoints_are_tried_in_turn),
+        STORE_TEST(test_store_down),
+        STORE_TEST(test_value_sizes),
+        STORE_TEST(test_leases),
+        STORE_TEST(test_watch_reports_and_stops),
+        STORE_TEST(test_watch_sees_expiry),
+        STORE_TEST(test_watch_breaks),
+        STORE_TEST(test_concurrent_swaps_lose_nothing),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
