Add settings and service files with table-driven checks

Cause: apricotd and apricotctl read TOML, and a mistake in it must be found before it is in force, with file, line, field and fix.

Ruled out: separate checks for TOML and JSON. Configuration JSON comes from the store and from peers and needs the same ranges, so both become one tree that one reader checks against one field table. Stopping at the first fault of a service file was also ruled out: operators mend all of them in one pass; process settings report the first only.

Files of one service are merged and may not contradict each other. Added to the public header: AprServiceConfig_LoadDirectories.

Conclusion: other modules can load settings and service files.

--- a/include/apricot/service_config.h
+++ b/include/apricot/service_config.h
@@ -58,6 +58,11 @@
 int AprServiceConfig_LoadDirectory(const char *directory,
                                    AprServiceConfig_t **configs,
                                    AprProblems_t *problems, AprError_t *error);
+/* The same for several directories, which may share services. */
+int AprServiceConfig_LoadDirectories(const char *const *directories, int count,
+                                     AprServiceConfig_t **configs,
+                                     AprProblems_t *problems,
+                                     AprError_t *error);
 char *AprServiceConfig_ToJson(const AprServiceConfig_t *config);
 int AprServiceConfig_FromJson(const char *text, size_t size,
                               AprServiceConfig_t *config, AprError_t *error);
--- /dev/null
+++ b/src/state/service_fields.c
@@ -0,0 +1,182 @@
+#include "internal/service_fields.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LIST(member)                      \
+    offsetof(AprServiceConfig_t, member), \
+        sizeof(((AprServiceConfig_t *)NULL)->member[0])
+#define OFFSET(member) offsetof(AprServiceConfig_t, member)
+#define RANK_OFFSET(member) offsetof(AprRankConfig_t, member)
+#define NAME_LENGTH (APR_NAME_SIZE - 1)
+#define PATTERN_LENGTH (2 * APR_NAME_SIZE - 1)
+
+/* Frames between processes hold 1 MiB; the rest is room for the key, the
+   caller and the other fields of a REQUEST or ANSWER. */
+#define BODY_BYTES_MAX 983040
+
+/* Largest integer that a double, in which ranges are kept, holds exactly. */
+#define INT64_LIMIT 9007199254740992.0
+
+const AprField_t apr_service_fields[] = {
+    {NULL, "service", APR_FIELD_NAME, OFFSET(service), APR_NAME_SIZE, 1,
+     NAME_LENGTH, "characters", NULL, "name of the service", 0, 0},
+    {NULL, "keys", APR_FIELD_TEXT, LIST(patterns), 1, PATTERN_LENGTH,
+     "characters", "", "key patterns with * and ?", APR_MAX_PATTERNS,
+     OFFSET(pattern_count)},
+    {NULL, "idempotent", APR_FIELD_NAME, LIST(idempotent), 1, NAME_LENGTH,
+     "characters", "", "operations that may run twice", APR_MAX_IDEMPOTENT,
+     OFFSET(idempotent_count)},
+    {NULL, "move_cost", APR_FIELD_DOUBLE, OFFSET(move_cost), 0, 0, 1, "",
+     "0.5", "0 moves for any imbalance, 1 for gross imbalance only", 0, 0},
+    {NULL, "ramp_s", APR_FIELD_INT, OFFSET(ramp_s), 0, 0, 3600, "s", "30",
+     "time until a new member has its full share", 0, 0},
+    {NULL, "hot_share", APR_FIELD_DOUBLE, OFFSET(hot_share), 0, 0.01, 1, "",
+     "0.2", "share of its host's requests above which a key is hot", 0, 0},
+    {"limits", "caller_rate", APR_FIELD_DOUBLE, OFFSET(caller_rate), 0, 0.1,
+     1e6, "requests/s", "200", "per caller", 0, 0},
+    {"limits", "service_rate", APR_FIELD_DOUBLE, OFFSET(service_rate), 0, 0.1,
+     1e7, "requests/s", "5000", "per entry process", 0, 0},
+    {"limits", "queue", APR_FIELD_INT, OFFSET(queue), 0, 1, 65536, "requests",
+     "256", "queue of each rank", 0, 0},
+    {"limits", "body_bytes", APR_FIELD_INT, OFFSET(body_bytes), 0, 0,
+     BODY_BYTES_MAX, "bytes", "65536", "largest request or answer body", 0, 0},
+    {NULL, "rank", APR_FIELD_TABLES, 0, 0, 0, 0, "", "",
+     "array of tables with name, target_ms and worth", 0, 0},
+    {NULL, "generation", APR_FIELD_INT64, OFFSET(generation), 0, 0,
+     INT64_LIMIT, "", "0", "generation at which it was accepted", 0, 0},
+    {NULL, "published_by", APR_FIELD_TEXT, OFFSET(published_by),
+     2 * APR_NAME_SIZE, 0, PATTERN_LENGTH, "characters", "", "user@host", 0,
+     0},
+    {NULL, "published_at_ms", APR_FIELD_INT64, OFFSET(published_at_ms), 0, 0,
+     INT64_LIMIT, "ms", "0", "calendar time", 0, 0},
+};
+
+#define JSON_ONLY_FIELDS 3
+
+const int apr_service_json_field_count =
+    sizeof(apr_service_fields) / sizeof(apr_service_fields[0]);
+const int apr_service_file_field_count =
+    sizeof(apr_service_fields) / sizeof(apr_service_fields[0]) -
+    JSON_ONLY_FIELDS;
+
+static const AprField_t rank_fields[] = {
+    {NULL, "name", APR_FIELD_NAME, RANK_OFFSET(name), APR_NAME_SIZE, 1,
+     NAME_LENGTH, "characters", NULL, "name = \"urgent\"", 0, 0},
+    {NULL, "target_ms", APR_FIELD_INT, RANK_OFFSET(spec.target_ms), 0, 1,
+     600000, "ms", NULL, "target_ms = 50, the latency aimed at", 0, 0},
+    {NULL, "worth", APR_FIELD_INT, RANK_OFFSET(spec.worth), 0, 1, 1000000, "",
+     NULL, "worth = 10, its weight in the guaranteed share", 0, 0},
+};
+
+#define RANK_FIELD_COUNT ((int)(sizeof(rank_fields) / sizeof(rank_fields[0])))
+
+typedef struct RankContext_t {
+    const AprFieldReader_t *outer;
+    int line; /* of the [[rank]] header */
+} RankContext_t;
+
+/* Puts "rank." before the field and gives missing fields the line of their
+   [[rank]] header. */
+static void
+report_rank(void *context, int line, const char *field, const char *message)
+{
+    const RankContext_t *rank = context;
+    char *name = g_strdup_printf("rank.%s", field);
+
+    rank->outer->report(rank->outer->context, line > 1 ? line : rank->line,
+                        name, message);
+    g_free(name);
+}
+
+/* The index of the rank with this name, or APR_E_NOT_FOUND. */
+int
+AprService_FindRankName(const AprServiceConfig_t *config, const char *name)
+{
+    for (int i = 0; i < config->rank_count; i++) {
+        if (strcmp(config->ranks[i].name, name) == 0) {
+            return i;
+        }
+    }
+    return APR_E_NOT_FOUND;
+}
+
+static int
+read_rank(const AprFieldReader_t *outer, const AprTree_t *tree,
+          AprServiceConfig_t *config, int *rank_lines)
+{
+    RankContext_t context = {outer, tree->line};
+    AprFieldReader_t reader = {rank_fields, RANK_FIELD_COUNT,
+                               outer->ignore_unknown, report_rank, &context};
+    AprRankConfig_t rank = {0};
+    AprFieldLines_t lines;
+    int faults = AprFields_Read(&reader, tree, &rank, &lines);
+
+    faults += AprFields_RequireAll(&reader, &lines);
+    if (faults > 0) {
+        return faults;
+    }
+    if (AprService_FindRankName(config, rank.name) >= 0) {
+        report_rank(&context, tree->line, "name",
+                    "is used by two ranks; rename one of them");
+        return 1;
+    }
+    if (config->rank_count == APR_MAX_RANKS) {
+        report_rank(&context, tree->line, "name",
+                    "is one rank too many; at most 8 are possible");
+        return 1;
+    }
+    rank_lines[config->rank_count] = tree->line;
+    config->ranks[config->rank_count++] = rank;
+    return 0;
+}
+
+/* Reads one document into a configuration that holds the defaults, reports
+   each fault and returns their number. Ranks keep the document's order. */
+int
+AprService_Read(const AprFieldReader_t *reader, const AprTree_t *tree,
+                AprServiceConfig_t *config, AprFieldLines_t *lines,
+                int *rank_lines)
+{
+    int faults = AprFields_Read(reader, tree, config, lines);
+    const AprTree_t *ranks;
+
+    if (tree->type != APR_TREE_TABLE) {
+        return faults;
+    }
+    faults += AprFields_RequireAll(reader, lines);
+    ranks = AprTree_Find(tree, "rank");
+    if (ranks == NULL || ranks->type != APR_TREE_ARRAY) {
+        return faults;
+    }
+    for (const AprTree_t *rank = ranks->first; rank != NULL;
+         rank = rank->next) {
+        faults += read_rank(reader, rank, config, rank_lines);
+    }
+    return faults;
+}
+
+static int
+compare_ranks(const void *left_rank, const void *right_rank)
+{
+    const AprRankConfig_t *left = left_rank;
+    const AprRankConfig_t *right = right_rank;
+
+    if (left->spec.target_ms != right->spec.target_ms) {
+        return left->spec.target_ms < right->spec.target_ms ? -1 : 1;
+    }
+    if (left->spec.worth != right->spec.worth) {
+        return left->spec.worth > right->spec.worth ? -1 : 1;
+    }
+    return strcmp(left->name, right->name);
+}
+
+/* Orders ranks from the most urgent. Equal targets are ordered by worth and
+   name, so that the order does not depend on the order of the files. */
+void
+AprService_SortRanks(AprServiceConfig_t *config)
+{
+    qsort(config->ranks, (size_t)config->rank_count, sizeof(config->ranks[0]),
+          compare_ranks);
+}
