Add the cell record, witness leases and idempotency table

Cause: the daemon needs the pure state modules that decide ownership and at-most-once execution before the coordination layer can be wired.

Change: record with checked changes, JSON codec and witness choice; both sides of the leases and the removal decision; the table of outcomes with an index per partition.

--- /dev/null
+++ b/tests/test_lease.c
@@ -0,0 +1,201 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "apricot/clock.h"
+#include "apricot/lease.h"
+
+#define HOSTS 4
+#define CONSENT_MS 919 /* promise plus drift */
+
+static AprRecord_t record;
+static AprLease_t *leases[HOSTS];
+static const char *const hosts[HOSTS] = {"a", "b", "c", "d"};
+
+static struct timespec
+at(int64_t ms)
+{
+    return AprTime_FromMs(ms);
+}
+
+static void
+show_record(int64_t ms)
+{
+    for (int i = 0; i < HOSTS; i++) {
+        AprLease_OnRecord(leases[i], &record, at(ms));
+    }
+}
+
+/* Four members of incarnation 1, each with the others as witnesses. */
+static int
+set_up(void **state)
+{
+    AprLeaseSettings_t settings = AprLeaseSettings_Default();
+
+    (void)state;
+    AprRecord_Init(&record, "cell");
+    AprRecord_BeginChange(&record);
+    for (int i = 0; i < HOSTS; i++) {
+        AprMemberEntry_t entry = {.state = APR_MEMBER_ACTIVE,
+                                  .incarnation = 1};
+        AprMember_t member;
+
+        snprintf(entry.host, sizeof(entry.host), "%s", hosts[i]);
+        if (AprRecord_Join(&record, &entry, &member, NULL) != APR_OK) {
+            return -1;
+        }
+        leases[i] = AprLease_New(&settings, hosts[i], 1, at(0));
+    }
+    for (int i = 0; i < HOSTS; i++) {
+        char witnesses[APR_MAX_WITNESSES][APR_NAME_SIZE];
+        int count =
+            AprRecord_ChooseWitnesses(&record, (AprMember_t)i, witnesses);
+
+        AprRecord_SetWitnesses(&record, (AprMember_t)i, witnesses, count);
+    }
+    show_record(0);
+    return 0;
+}
+
+static int
+tear_down(void **state)
+{
+    (void)state;
+    for (int i = 0; i < HOSTS; i++) {
+        AprLease_Free(leases[i]);
+    }
+    return 0;
+}
+
+/* Member `a` renews with its witnesses; the first `reached` answer. */
+static void
+renew(int64_t ms, int reached)
+{
+    AprRenewal_t renewals[APR_MAX_WITNESSES];
+    int count =
+        AprLease_DueRenewals(leases[0], at(ms), renewals, APR_MAX_WITNESSES);
+
+    for (int i = 0; i < count && i < reached; i++) {
+        AprLease_t *witness = leases[renewals[i].witness[0] - 'a'];
+
+        if (AprLease_OnRenew(witness, "a", 1, at(ms))) {
+            AprLease_OnRenewAck(leases[0], renewals[i].witness, 1,
+                                renewals[i].send_id);
+        }
+    }
+}
+
+/* Guards against a lease that needs too few acknowledgements or outlives the
+   promise of its second latest one. */
+static void
+test_validity(void **state)
+{
+    (void)state;
+    assert_false(AprLease_Valid(leases[0], at(0)));
+    renew(1000, 1);
+    assert_false(AprLease_Valid(leases[0], at(1000)));
+    renew(1250, 3);
+    assert_true(AprLease_Valid(leases[0], at(2149)));
+    renew(1500, 1);
+    assert_false(AprLease_Valid(leases[0], at(2150)));
+}
+
+/* Guards against consents inside a promise, for a version that is no longer
+   the last, and acknowledgements after a consent. */
+static void
+test_consent(void **state)
+{
+    AprMember_t suspect;
+
+    (void)state;
+    renew(1000, 3);
+    assert_false(AprLease_OnConsentRequest(leases[1], "a", 1, 1,
+                                           at(1000 + CONSENT_MS - 1)));
+    assert_int_equal(
+        AprLease_Suspects(leases[1], at(1000 + CONSENT_MS), &suspect, 1), 1);
+    assert_true(AprLease_OnConsentRequest(leases[1], "a", 1, 1,
+                                          at(1000 + CONSENT_MS)));
+    assert_false(AprLease_OnRenew(leases[1], "a", 1, at(2000)));
+    AprRecord_BeginChange(&record);
+    show_record(2100);
+    assert_true(AprLease_OnRenew(leases[1], "a", 1, at(2200)));
+    assert_false(AprLease_OnConsentRequest(leases[1], "a", 1, 1, at(9000)));
+}
+
+/* Guards against a removal with consents of a version that was replaced, or
+   of a witness whose newer incarnation is in the record. */
+static void
+test_removal(void **state)
+{
+    AprRemoval_t removal;
+    AprMember_t member = AprRecord_FindHost(&record, "c");
+    AprMemberEntry_t restarted = record.members[member];
+
+    (void)state;
+    assert_int_equal(AprRemoval_Begin(&removal, &record, 0), APR_OK);
+    AprRemoval_AddConsent(&removal, "b", 1);
+    AprRemoval_AddConsent(&removal, "b", 1);
+    assert_false(AprRemoval_Ready(&removal, &record));
+    AprRemoval_AddConsent(&removal, "c", 1);
+    assert_true(AprRemoval_Ready(&removal, &record));
+    AprRecord_BeginChange(&record);
+    assert_false(AprRemoval_Ready(&removal, &record));
+    AprRecord_Remove(&record, member);
+    restarted.incarnation = 2;
+    assert_int_equal(AprRecord_Join(&record, &restarted, &member, NULL),
+                     APR_OK);
+    removal.version = record.version;
+    assert_false(AprRemoval_Ready(&removal, &record));
+}
+
+/* Guards against a member that stays valid after its removal, or becomes one
+   again under the same incarnation. */
+static void
+test_removed_member(void **state)
+{
+    (void)state;
+    renew(1000, 3);
+    AprRecord_BeginChange(&record);
+    AprRecord_Remove(&record, 0);
+    assert_true(AprLease_Valid(leases[0], at(1100)));
+    show_record(1100);
+    assert_false(AprLease_Valid(leases[0], at(1100)));
+    assert_false(AprLease_IsMember(leases[0]));
+    assert_false(AprLease_OnRenew(leases[1], "a", 1, at(1200)));
+}
+
+/* Guards against a member that counts on one list only while the write of
+   another is under way. */
+static void
+test_witness_change(void **state)
+{
+    char list[1][APR_NAME_SIZE] = {"e"};
+
+    (void)state;
+    renew(1000, 3);
+    AprLease_BeginWitnessChange(leases[0], list, 1);
+    assert_false(AprLease_Valid(leases[0], at(1100)));
+    AprLease_EndWitnessChange(leases[0]);
+    assert_true(AprLease_Valid(leases[0], at(1100)));
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(test_validity, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_consent, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_removal, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_removed_member, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(test_witness_change, set_up,
+                                        tear_down),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
