Rename the configuration field of renewals to config_digest

Cause: renewals compare a digest of all services; the highest generation hides an older change of another service that one side missed. Ruled out: sending all generations with each renewal (bytes per renewal grow with the services). Figures: none; the wire format is unchanged (one unsigned integer). Conclusion: the name says what is compared.

--- a/src/protocol/message_decode.c
+++ b/src/protocol/message_decode.c
@@ -148,7 +148,7 @@
     renew->incarnation = read_u64(reader);
     renew->send_id = read_u64(reader);
     renew->record_version = read_u64(reader);
-    renew->generation = read_u64(reader);
+    renew->config_digest = read_u64(reader);
 }
 
 static void
--- a/src/protocol/message_encode.c
+++ b/src/protocol/message_encode.c
@@ -43,7 +43,7 @@
     msgpack_pack_uint64(packer, renew->incarnation);
     msgpack_pack_uint64(packer, renew->send_id);
     msgpack_pack_uint64(packer, renew->record_version);
-    msgpack_pack_uint64(packer, renew->generation);
+    msgpack_pack_uint64(packer, renew->config_digest);
 }
 
 static void
