--- a/internal/core.h
+++ b/internal/core.h
@@ -292,17 +292,17 @@
                         AprMessage_t *message);
 void AprOwner_OnCancel(AprCore_t *core, AprReplyTo_t reply);
 void AprOwner_OnBackendResult(AprCore_t *core, AprBackendResult_t *result);
-void AprOwner_Dispatch(AprCore_t *core, int service);
+void AprOwner_Dispatch(AprCore_t *core, int index);
 void AprOwner_Tick(AprCore_t *core);
-void AprOwner_SetQueue(AprCore_t *core, int service);
+void AprOwner_SetQueue(AprCore_t *core, int index);
 void AprOwner_OnRecord(AprCore_t *core, const AprRecord_t *previous);
-void AprOwner_Release(AprCore_t *core, int service, int partition);
+void AprOwner_Release(AprCore_t *core, int index, int partition);
 bool AprOwner_Owns(const AprCore_t *core, int service, int partition);
 /* For owner_record.c. */
 void AprOwner_EndAsMoved(AprCore_t *core, uint32_t handle, const char *reason);
 bool AprOwner_InPartition(const AprOwnedRequest_t *owned, int service,
                           int partition);
-uint32_t AprOwner_Queued(const AprCore_t *core, int service);
+uint32_t AprOwner_Queued(const AprCore_t *core, int index);
 
 /* handover.c: planned moves */
 void AprHandover_Init(AprCore_t *core);
