--- a/include/apricot/rate_limit.h
+++ b/include/apricot/rate_limit.h
@@ -5,6 +5,9 @@
 #include <stdint.h>
 #include <time.h>
 
+/* A bucket holds the tokens of this time, at least one. */
+#define APR_RATE_BURST_MS 200
+
 /* Token buckets: one for the service, one per caller in a bounded table. */
 typedef struct AprRateLimit_t AprRateLimit_t;
 
--- /dev/null
+++ b/tests/test_policy.c
@@ -0,0 +1,135 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "apricot/clock.h"
+#include "apricot/error.h"
+#include "apricot/rank_queue.h"
+
+static const AprRankSpec_t two_ranks[] = {{50, 10}, {2000, 5}};
+
+static struct timespec
+at_ms(int64_t ms)
+{
+    return AprTime_FromMs(ms);
+}
+
+/* A queue with 2 slots and a mean service time of 100 ms. */
+static AprRankQueue_t *
+queue_with_mean(void)
+{
+    AprRankQueue_t *queue = AprRankQueue_New(two_ranks, 2, 2, 4);
+    uint32_t item;
+    int rank;
+
+    assert_int_equal(AprRankQueue_Push(queue, 0, 1000, at_ms(9999), at_ms(0)),
+                     APR_OK);
+    assert_true(AprRankQueue_Pop(queue, at_ms(0), &item, &rank));
+    AprRankQueue_Done(queue, rank, 100);
+    return queue;
+}
+
+/* Guards against work that is queued although its deadline cannot be met, and
+   against refusals of work that can still be done in time. */
+static void
+test_refuses_early(void **state)
+{
+    AprRankQueue_t *queue = queue_with_mean();
+    uint32_t item;
+    int rank;
+
+    (void)state;
+    for (uint32_t i = 0; i < 2; i++) {
+        assert_int_equal(AprRankQueue_Push(queue, 0, i, at_ms(9999), at_ms(0)),
+                         APR_OK);
+        assert_true(AprRankQueue_Pop(queue, at_ms(0), &item, &rank));
+    }
+    /* Both slots are in use: 50 ms until one is free, and 100 ms of work. */
+    assert_int_equal(AprRankQueue_Push(queue, 0, 2, at_ms(149), at_ms(0)),
+                     APR_E_TIMEOUT);
+    assert_int_equal(AprRankQueue_Push(queue, 0, 2, at_ms(150), at_ms(0)),
+                     APR_OK);
+    /* The less urgent rank waits for that one too. */
+    assert_int_equal(AprRankQueue_Push(queue, 1, 3, at_ms(199), at_ms(0)),
+                     APR_E_TIMEOUT);
+    assert_int_equal(AprRankQueue_Push(queue, 1, 3, at_ms(200), at_ms(0)),
+                     APR_OK);
+    AprRankQueue_Free(queue);
+}
+
+/* Guards against a slow period after which every request is refused, because
+   no request is left that could correct the estimate. */
+static void
+test_idle_backend_gets_work(void **state)
+{
+    AprRankQueue_t *queue = queue_with_mean();
+    uint32_t item;
+    int rank;
+
+    (void)state;
+    assert_int_equal(AprRankQueue_Push(queue, 0, 1, at_ms(20), at_ms(0)),
+                     APR_OK);
+    assert_true(AprRankQueue_Pop(queue, at_ms(0), &item, &rank));
+    for (int i = 0; i < 100; i++) {
+        AprRankQueue_Done(queue, 0, 5);
+    }
+    assert_true(AprRankQueue_MeanServiceMs(queue) < 6);
+    AprRankQueue_Free(queue);
+}
+
+/* Guards against expired items that are dispatched, or that are lost when
+   they are cancelled before they are refused. */
+static void
+test_expired_items(void **state)
+{
+    AprRankQueue_t *queue = AprRankQueue_New(two_ranks, 2, 2, 4);
+    uint32_t item;
+    int rank;
+
+    (void)state;
+    for (uint32_t i = 0; i < 3; i++) {
+        assert_int_equal(
+            AprRankQueue_Push(queue, 1, i, at_ms(50 + i), at_ms(0)), APR_OK);
+    }
+    assert_true(AprRankQueue_Pop(queue, at_ms(51), &item, &rank));
+    assert_int_equal(item, 2);
+    assert_int_equal(AprRankQueue_Size(queue, 1), 2);
+    assert_true(AprRankQueue_Remove(queue, 1, 0));
+    assert_true(AprRankQueue_PopExpired(queue, at_ms(51), &item));
+    assert_int_equal(item, 1);
+    assert_false(AprRankQueue_PopExpired(queue, at_ms(51), &item));
+    AprRankQueue_Free(queue);
+}
+
+/* Guards against back-pressure that closes the wrong rank. */
+static void
+test_lowest_open_rank(void **state)
+{
+    AprRankQueue_t *queue = AprRankQueue_New(two_ranks, 2, 0, 1);
+
+    (void)state;
+    assert_int_equal(AprRankQueue_LowestOpenRank(queue), 1);
+    AprRankQueue_Push(queue, 1, 1, at_ms(50), at_ms(0));
+    assert_int_equal(AprRankQueue_LowestOpenRank(queue), 0);
+    assert_int_equal(AprRankQueue_Push(queue, 1, 2, at_ms(50), at_ms(0)),
+                     APR_E_FULL);
+    AprRankQueue_Push(queue, 0, 2, at_ms(50), at_ms(0));
+    assert_int_equal(AprRankQueue_LowestOpenRank(queue), -1);
+    AprRankQueue_Free(queue);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_refuses_early),
+        cmocka_unit_test(test_idle_backend_gets_work),
+        cmocka_unit_test(test_expired_items),
+        cmocka_unit_test(test_lowest_open_rank),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
