Add the backend client and the stand-in backend

Cause: owners need a path to the backend server of their host that tells "did not run" from "may have run", and tests need a backend that sheds, drains, starts cold, checks grants and announces itself. The callback that libcurl runs right before the first byte decides instead, and checks the time limit there. libcurl's own timeouts do not cover transfers that wait for a connection, so the thread keeps the limits itself. Change: AprBackendClient with one thread, a ring of commands and a multi handle; apricot-standin-backend. An answer of 400 or above that carries Apricot-Outcome not-run or unknown is reported as that outcome. Conclusion: dispatch to the backend can be wired into the core.

--- a/standins/apricot-standin-store.c
+++ b/standins/apricot-standin-store.c
@@ -1,8 +1,8 @@
 #include <glib.h>
-#include <signal.h>
 #include <stdbool.h>
 #include <stdio.h>
 
+#include "standins/lib/signals.h"
 #include "standins/lib/store_server.h"
 
 static char *listen_address = "127.0.0.1:0";
@@ -38,17 +38,11 @@
 {
     AprStoreServer_t *server;
     sigset_t signals;
-    int number;
 
     if (!parse_options(argc, argv)) {
         return 2;
     }
-    /* Blocked before threads start, so that only sigwait sees them. */
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, NULL);
-    signal(SIGPIPE, SIG_IGN);
+    AprStandin_BlockSignals(&signals);
     server = AprStoreServer_Start(listen_address, history);
     if (server == NULL) {
         fprintf(stderr, "cannot listen on %s\n", listen_address);
@@ -56,7 +50,7 @@
     }
     printf("listening %s\n", AprStoreServer_Address(server));
     fflush(stdout);
-    sigwait(&signals, &number);
+    AprStandin_WaitSignal(&signals);
     AprStoreServer_Stop(server);
     return 0;
 }
--- /dev/null
+++ b/standins/lib/backend_server_private.h
@@ -0,0 +1,40 @@
+#ifndef APRICOT_STANDIN_BACKEND_SERVER_PRIVATE_H
+#define APRICOT_STANDIN_BACKEND_SERVER_PRIVATE_H
+
+#include <gsl/gsl_rng.h>
+#include <pthread.h>
+#include <stdio.h>
+
+#include "standins/lib/backend_server.h"
+#include "standins/lib/http.h"
+
+#define APR_ANNOUNCE_MS 1000
+
+typedef struct AprBackendKey_t {
+    int64_t count;  /* runs */
+    uint64_t epoch; /* highest seen */
+} AprBackendKey_t;
+
+struct AprBackendServer_t {
+    AprStandinHttp_t http;
+    AprBackendOptions_t options;
+    pthread_mutex_t mutex;
+    pthread_cond_t changed; /* a slot was freed, or `stopping` */
+    GHashTable *keys;       /* "service/key" -> AprBackendKey_t */
+    gsl_rng *random;
+    FILE *run_log;
+    int64_t started_ms;
+    bool draining;
+    bool stopping;
+    AprBackendCounts_t counts;
+    int64_t health_ms; /* time of the state that /health shows */
+    int64_t health_in_use;
+    bool announcing; /* the thread runs */
+    pthread_t announcer;
+};
+
+int64_t AprBackendServer_NowMs(void);
+void AprBackendServer_Wait(AprBackendServer_t *server, int64_t ms);
+void *AprBackendServer_Announce(void *context);
+
+#endif
--- a/standins/lib/http.c
+++ b/standins/lib/http.c
@@ -1,6 +1,7 @@
 #include "standins/lib/http.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -24,6 +25,7 @@
     (void)version;
     if (body == NULL) {
         *request = g_string_new(NULL);
+        atomic_fetch_add(&http->active, 1);
         return MHD_YES;
     }
     if (*size > 0) {
@@ -41,10 +43,12 @@
 on_completed(void *context, struct MHD_Connection *client, void **request,
              enum MHD_RequestTerminationCode code)
 {
-    (void)context;
+    AprStandinHttp_t *http = context;
+
     (void)client;
     (void)code;
     if (*request != NULL) {
+        atomic_fetch_sub(&http->active, 1);
         g_string_free(*request, TRUE);
         *request = NULL;
     }
@@ -150,10 +154,21 @@
 {
     const union MHD_ConnectionInfo *info =
         MHD_get_connection_info(client, MHD_CONNECTION_INFO_CONNECTION_FD);
+    ssize_t size;
     char byte;
 
-    return info != NULL &&
-           recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    if (info == NULL) {
+        return true;
+    }
+    size = recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+/* Number of requests whose answer has not been sent. */
+int
+AprStandinHttp_Active(AprStandinHttp_t *http)
+{
+    return atomic_load(&http->active);
 }
 
 /* Reads a number from the query part of the URL. */
--- a/standins/lib/http.h
+++ b/standins/lib/http.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <jansson.h>
 #include <microhttpd.h>
+#include <stdatomic.h>
 #include <stdbool.h>
 
 #define APR_STANDIN_ADDRESS_SIZE 64
@@ -20,6 +21,7 @@
     struct MHD_Daemon *daemon;
     AprStandinHandler_t handle;
     void *context;
+    atomic_int active;
     char address[APR_STANDIN_ADDRESS_SIZE]; /* as bound */
 } AprStandinHttp_t;
 
@@ -33,6 +35,7 @@
 /* Takes ownership of the object. */
 enum MHD_Result AprStandinHttp_Json(struct MHD_Connection *client, int status,
                                     json_t *object);
+int AprStandinHttp_Active(AprStandinHttp_t *http);
 /* Whether the caller has closed its connection. */
 bool AprStandinHttp_Closed(struct MHD_Connection *client);
 /* Number from the query part of the URL. */
--- /dev/null
+++ b/tests/test_backend_client.c
@@ -0,0 +1,545 @@
+#include <pthread.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdatomic.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <arpa/inet.h>
+#include <cmocka.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "apricot/backend_client.h"
+#include "apricot/ring.h"
+#include "standins/lib/backend_server.h"
+#include "standins/lib/http.h"
+
+#define MAX_CONNECTIONS 4
+#define MAX_BODY 4096
+#define TIMEOUT_MS 2000
+#define WAIT_MS 5000
+#define CALLS 200
+
+typedef struct Fixture_t {
+    AprBackendOptions_t options;
+    AprBackendServer_t *server;
+    AprBackendClient_t *client;
+    AprRing_t *results;
+    AprClock_t clock;
+} Fixture_t;
+
+static void
+on_done(void *context, AprBackendResult_t *result)
+{
+    AprRing_Push(context, result);
+}
+
+static int
+set_up(void **state)
+{
+    Fixture_t *fixture = calloc(1, sizeof(*fixture));
+
+    fixture->options = AprBackendOptions_Default();
+    fixture->options.slots = 1;
+    fixture->options.checks_grants = true;
+    fixture->clock = AprClock_System();
+    fixture->results = AprRing_New(CALLS);
+    fixture->server = AprBackendServer_Start(&fixture->options);
+    fixture->client =
+        AprBackendClient_Start(&fixture->clock, MAX_CONNECTIONS, MAX_BODY,
+                               on_done, fixture->results, NULL);
+    *state = fixture;
+    return fixture->server == NULL || fixture->client == NULL;
+}
+
+static int
+tear_down(void **state)
+{
+    Fixture_t *fixture = *state;
+
+    AprBackendClient_Stop(fixture->client);
+    if (fixture->server != NULL) {
+        AprBackendServer_Stop(fixture->server);
+    }
+    AprRing_Free(fixture->results);
+    free(fixture);
+    return 0;
+}
+
+static void
+restart_server(Fixture_t *fixture)
+{
+    AprBackendServer_Stop(fixture->server);
+    fixture->server = AprBackendServer_Start(&fixture->options);
+    assert_non_null(fixture->server);
+}
+
+/* A call that the server accepts; tests change single fields. The texts must
+   stay valid. */
+static AprBackendCall_t *
+new_call(Fixture_t *fixture, uint64_t id, const char *operation,
+         const char *key, const char *body)
+{
+    AprBackendCall_t *call = calloc(1, sizeof(*call));
+    AprRequestMessage_t *request;
+
+    call->id = id;
+    snprintf(call->address, sizeof(call->address), "%s",
+             AprBackendServer_Address(fixture->server));
+    strcpy(call->service, "desk");
+    strcpy(call->rank, "urgent");
+    call->grant_epoch = 5;
+    call->grant_expiry_ms = AprClock_WallMs(&fixture->clock) + 60000;
+    call->timeout_ms = TIMEOUT_MS;
+    call->not_after = AprTime_AddMs(AprClock_Now(&fixture->clock), 60000);
+    call->request = calloc(1, sizeof(*call->request));
+    call->request->type = APR_MSG_REQUEST;
+    request = &call->request->request;
+    request->operation = (AprBytes_t){operation, strlen(operation)};
+    request->key = (AprBytes_t){key, strlen(key)};
+    request->body = (AprBytes_t){body, strlen(body)};
+    return call;
+}
+
+static AprBackendResult_t *
+next_result(Fixture_t *fixture)
+{
+    AprBackendResult_t *result = AprRing_Pop(fixture->results);
+
+    while (result == NULL && AprRing_Wait(fixture->results, WAIT_MS)) {
+        result = AprRing_Pop(fixture->results);
+    }
+    assert_non_null(result);
+    return result;
+}
+
+static void
+submit(Fixture_t *fixture, AprBackendCall_t *call)
+{
+    assert_int_equal(AprBackendClient_Submit(fixture->client, call), APR_OK);
+}
+
+/* Runs one call and checks its outcome. */
+static void
+expect(Fixture_t *fixture, AprBackendCall_t *call, AprOutcomeKind_t outcome,
+       const char *body)
+{
+    uint64_t id = call->id;
+    AprBackendResult_t *result;
+
+    submit(fixture, call);
+    result = next_result(fixture);
+    assert_int_equal(result->id, id);
+    assert_int_equal(result->outcome, outcome);
+    if (body != NULL) {
+        assert_string_equal(result->body, body);
+    }
+    AprBackendResult_Free(result);
+}
+
+static AprBackendCounts_t
+counts_of(Fixture_t *fixture)
+{
+    AprBackendCounts_t counts;
+
+    AprBackendServer_Counts(fixture->server, &counts);
+    return counts;
+}
+
+static void
+wait_in_use(Fixture_t *fixture, int count)
+{
+    for (int i = 0; i < 300 && counts_of(fixture).in_use != count; i++) {
+        usleep(10 * 1000);
+    }
+    assert_int_equal(counts_of(fixture).in_use, count);
+}
+
+/* Guards against keys that reach the backend changed, and against runs that
+   are logged without their idempotency key. */
+static void
+test_request_arrives_unchanged(void **state)
+{
+    static const uint8_t uuid[16] = {0x01, 0x8f, 0, 0, 0, 0, 0x70, 0,
+                                     0x80, 0,    0, 0, 0, 0, 0,    7};
+    static const char key[] = "job/../a b?c=1%2F#x";
+    char path[] = "/tmp/apricot-run-log-XXXXXX";
+    char text[256] = "";
+    Fixture_t *fixture = *state;
+    AprBackendCall_t *call;
+    FILE *log;
+    int fd = mkstemp(path);
+
+    fixture->options.run_log = path;
+    restart_server(fixture);
+    call = new_call(fixture, 1, "book", key, "body");
+    call->request->request.has_idempotency_key = true;
+    memcpy(call->request->request.idempotency_key, uuid, sizeof(uuid));
+    expect(fixture, call, APR_ANSWERED,
+           "{\"service\":\"desk\",\"key\":\"job/../a b?c=1%2F#x\","
+           "\"operation\":\"book\",\"count\":1}");
+    call = new_call(fixture, 2, "status", key, "");
+    call->request->request.is_get = true;
+    expect(fixture, call, APR_ANSWERED, NULL);
+    log = fdopen(fd, "r");
+    assert_int_equal(fread(text, 1, sizeof(text) - 1, log) > 0, 1);
+    fclose(log);
+    unlink(path);
+    assert_string_equal(text, "desk job/../a%20b%3Fc%3D1%252F%23x book "
+                              "018f0000-0000-7000-8000-000000000007\n"
+                              "desk job/../a%20b%3Fc%3D1%252F%23x status -\n");
+}
+
+/* Guards against a lost backend that is reported as an unknown outcome, which
+   would keep callers from repeating their requests. */
+static void
+test_refused_connection_is_not_run(void **state)
+{
+    Fixture_t *fixture = *state;
+    AprBackendCall_t *call = new_call(fixture, 1, "book", "k", "");
+    AprBackendResult_t *result;
+
+    AprBackendServer_Stop(fixture->server);
+    fixture->server = NULL;
+    submit(fixture, call);
+    result = next_result(fixture);
+    assert_int_equal(result->outcome, APR_NOT_RUN);
+    assert_true(result->refused);
+    assert_int_equal(result->error.step, APR_STEP_BACKEND);
+    AprBackendResult_Free(result);
+}
+
+/* Guards against work that is dispatched after the lease of the host ended,
+   also when the call waited for a connection until then. */
+static void
+test_not_started_after_the_limit(void **state)
+{
+    Fixture_t *fixture = *state;
+    AprBackendCall_t *call = new_call(fixture, 1, "book", "k", "");
+
+    call->not_after = AprTime_AddMs(AprClock_Now(&fixture->clock), -1);
+    expect(fixture, call, APR_NOT_RUN, NULL);
+    fixture->options.slots = MAX_CONNECTIONS;
+    restart_server(fixture);
+    for (int i = 0; i < MAX_CONNECTIONS; i++) {
+        submit(fixture, new_call(fixture, 10 + i, "sleep", "k", "400"));
+    }
+    wait_in_use(fixture, MAX_CONNECTIONS);
+    call = new_call(fixture, 2, "book", "k", "");
+    call->not_after = AprTime_AddMs(AprClock_Now(&fixture->clock), 100);
+    expect(fixture, call, APR_NOT_RUN, NULL);
+    for (int i = 0; i < MAX_CONNECTIONS; i++) {
+        AprBackendResult_Free(next_result(fixture));
+    }
+    assert_int_equal(counts_of(fixture).runs, MAX_CONNECTIONS);
+}
+
+/* Answers each request and keeps the connection; a request for the operation
+   `cut` is read and its connection closed without an answer. */
+typedef struct CuttingServer_t {
+    int count;
+    struct pollfd fds[8]; /* the first one listens */
+    char address[64];
+    atomic_int requests;
+    atomic_bool stop;
+    pthread_t thread;
+} CuttingServer_t;
+
+static bool
+serve_one(CuttingServer_t *server, int fd)
+{
+    static const char answer[] =
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    char text[4096];
+    ssize_t size = recv(fd, text, sizeof(text) - 1, 0);
+
+    if (size <= 0) {
+        return false;
+    }
+    text[size] = '\0';
+    atomic_fetch_add(&server->requests, 1);
+    return strstr(text, "/cut/") == NULL &&
+           send(fd, answer, sizeof(answer) - 1, MSG_NOSIGNAL) > 0;
+}
+
+static void *
+run_cutting_server(void *argument)
+{
+    CuttingServer_t *server = argument;
+
+    while (!atomic_load(&server->stop)) {
+        if (poll(server->fds, server->count, 20) <= 0) {
+            continue;
+        }
+        for (int i = server->count - 1; i > 0; i--) {
+            if (server->fds[i].revents != 0 &&
+                !serve_one(server, server->fds[i].fd)) {
+                close(server->fds[i].fd);
+                server->fds[i] = server->fds[--server->count];
+            }
+        }
+        if (server->fds[0].revents != 0) {
+            server->fds[server->count++] = (struct pollfd){
+                accept(server->fds[0].fd, NULL, NULL), POLLIN, 0};
+        }
+    }
+    while (server->count > 0) {
+        close(server->fds[--server->count].fd);
+    }
+    return NULL;
+}
+
+static void
+start_cutting_server(CuttingServer_t *server)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    socklen_t size = sizeof(address);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    memset(server, 0, sizeof(*server));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    assert_int_equal(bind(fd, (struct sockaddr *)&address, size), 0);
+    assert_int_equal(listen(fd, 8), 0);
+    getsockname(fd, (struct sockaddr *)&address, &size);
+    snprintf(server->address, sizeof(server->address), "127.0.0.1:%d",
+             ntohs(address.sin_port));
+    server->fds[server->count++] = (struct pollfd){fd, POLLIN, 0};
+    pthread_create(&server->thread, NULL, run_cutting_server, server);
+}
+
+/* Guards against a non-idempotent request that libcurl sends a second time
+   when the connection breaks: an earlier answer leaves a connection open, on
+   which it would do so. */
+static void
+test_broken_connection_is_unknown(void **state)
+{
+    Fixture_t *fixture = *state;
+    CuttingServer_t server;
+    AprBackendCall_t *first = new_call(fixture, 1, "status", "k", "");
+    AprBackendCall_t *second = new_call(fixture, 2, "cut", "k", "");
+
+    start_cutting_server(&server);
+    strcpy(first->address, server.address);
+    strcpy(second->address, server.address);
+    first->request->request.idempotent = true;
+    expect(fixture, first, APR_ANSWERED, NULL);
+    expect(fixture, second, APR_UNKNOWN, NULL);
+    assert_int_equal(atomic_load(&server.requests), 2);
+    atomic_store(&server.stop, true);
+    pthread_join(server.thread, NULL);
+}
+
+/* Guards against calls that outlast their time, and against a backend that
+   keeps working for a caller that has gone. */
+static void
+test_timeout_and_cancel_are_unknown(void **state)
+{
+    Fixture_t *fixture = *state;
+    AprBackendCall_t *call = new_call(fixture, 1, "sleep", "k", "5000");
+
+    call->timeout_ms = 100;
+    expect(fixture, call, APR_UNKNOWN, NULL);
+    wait_in_use(fixture, 0);
+    submit(fixture, new_call(fixture, 2, "sleep", "k", "5000"));
+    wait_in_use(fixture, 1);
+    AprBackendClient_Cancel(fixture->client, 2);
+    AprBackendClient_Cancel(fixture->client, 77); /* unknown: no effect */
+    AprBackendResult_Free(next_result(fixture));
+    wait_in_use(fixture, 0);
+    assert_int_equal(counts_of(fixture).cancelled, 2);
+}
+
+/* Guards against a request that the backend shed, or refused because of its
+   grant, being reported as run. */
+static void
+test_refusals_are_not_run(void **state)
+{
+    Fixture_t *fixture = *state;
+    AprBackendCall_t *call;
+
+    submit(fixture, new_call(fixture, 1, "sleep", "k", "300"));
+    wait_in_use(fixture, 1);
+    expect(fixture, new_call(fixture, 2, "book", "k", ""), APR_NOT_RUN, NULL);
+    AprBackendResult_Free(next_result(fixture));
+    call = new_call(fixture, 3, "book", "k", "");
+    call->grant_epoch = 4;
+    expect(fixture, call, APR_NOT_RUN, NULL);
+    call = new_call(fixture, 4, "book", "k", "");
+    call->grant_expiry_ms = AprClock_WallMs(&fixture->clock) - 1;
+    expect(fixture, call, APR_NOT_RUN, NULL);
+    call = new_call(fixture, 5, "book", "k", "");
+    strcpy(call->service, "bench");
+    call->grant_epoch = 4;
+    expect(fixture, call, APR_ANSWERED, NULL);
+    assert_int_equal(counts_of(fixture).stale_grants, 2);
+    assert_int_equal(counts_of(fixture).runs, 2);
+}
+
+/* Guards against an answer that is passed on cut short. */
+static void
+test_large_answer_is_unknown(void **state)
+{
+    static char key[MAX_BODY];
+    Fixture_t *fixture = *state;
+
+    memset(key, 'k', sizeof(key) - 1);
+    expect(fixture, new_call(fixture, 1, "book", key, ""), APR_UNKNOWN, NULL);
+}
+
+/* Guards against answers that reach the wrong call, and against calls without
+   an answer when they wait for a connection. */
+static void
+test_each_call_gets_its_own_answer(void **state)
+{
+    static char keys[CALLS][16];
+    Fixture_t *fixture = *state;
+    bool seen[CALLS] = {false};
+
+    fixture->options.slots = MAX_CONNECTIONS;
+    restart_server(fixture);
+    for (int i = 0; i < CALLS; i++) {
+        AprBackendCall_t *call;
+
+        snprintf(keys[i], sizeof(keys[i]), "key-%d-", i);
+        call = new_call(fixture, i, "status", keys[i], "");
+        call->request->request.idempotent = i % 2 == 0;
+        submit(fixture, call);
+    }
+    for (int i = 0; i < CALLS; i++) {
+        AprBackendResult_t *result = next_result(fixture);
+
+        assert_int_equal(result->outcome, APR_ANSWERED);
+        assert_false(seen[result->id]);
+        seen[result->id] = true;
+        assert_non_null(strstr(result->body, keys[result->id]));
+        AprBackendResult_Free(result);
+    }
+}
+
+/* Guards against calls that get no result when the client stops. */
+static void
+test_stop_ends_all_calls(void **state)
+{
+    Fixture_t *fixture = *state;
+    int unknown = 0;
+
+    submit(fixture, new_call(fixture, 1, "sleep", "k", "5000"));
+    wait_in_use(fixture, 1);
+    submit(fixture, new_call(fixture, 2, "sleep", "k", "5000"));
+    AprBackendClient_Stop(fixture->client);
+    for (int i = 0; i < 2; i++) {
+        AprBackendResult_t *result = next_result(fixture);
+
+        unknown += result->outcome == APR_UNKNOWN ? 1 : 0;
+        AprBackendResult_Free(result);
+    }
+    assert_true(unknown >= 1);
+    fixture->client =
+        AprBackendClient_Start(&fixture->clock, MAX_CONNECTIONS, MAX_BODY,
+                               on_done, fixture->results, NULL);
+}
+
+static void *
+drain(void *argument)
+{
+    AprBackendServer_Drain(argument, WAIT_MS);
+    return NULL;
+}
+
+/* Guards against a planned stop that interrupts a request in flight or takes
+   new ones. */
+static void
+test_drain_finishes_what_runs(void **state)
+{
+    Fixture_t *fixture = *state;
+    pthread_t thread;
+    AprBackendResult_t *result;
+
+    submit(fixture, new_call(fixture, 1, "sleep", "k", "400"));
+    wait_in_use(fixture, 1);
+    pthread_create(&thread, NULL, drain, fixture->server);
+    usleep(50 * 1000);
+    expect(fixture, new_call(fixture, 2, "book", "k", ""), APR_NOT_RUN, NULL);
+    pthread_join(thread, NULL);
+    AprBackendServer_Stop(fixture->server);
+    fixture->server = NULL;
+    result = next_result(fixture);
+    assert_int_equal(result->outcome, APR_ANSWERED);
+    AprBackendResult_Free(result);
+}
+
+typedef struct Announcements_t {
+    atomic_int count;
+    char last[512];
+} Announcements_t;
+
+static enum MHD_Result
+on_announce(void *context, struct MHD_Connection *client, const char *url,
+            const char *method, const GString *body)
+{
+    Announcements_t *announcements = context;
+    const char *token =
+        MHD_lookup_connection_value(client, MHD_HEADER_KIND, "Authorization");
+
+    snprintf(announcements->last, sizeof(announcements->last), "%s %s %s %s",
+             method, url, token, body->str);
+    atomic_fetch_add(&announcements->count, 1);
+    return AprStandinHttp_Text(client, MHD_HTTP_OK, "text/plain", "");
+}
+
+/* Guards against announcements that stop or that name the wrong address. */
+static void
+test_backend_announces_itself(void **state)
+{
+    static Announcements_t announcements;
+    Fixture_t *fixture = *state;
+    AprStandinHttp_t http = {0};
+    char expected[512];
+
+    assert_int_equal(AprStandinHttp_Start(&http, "127.0.0.1:0", 0, on_announce,
+                                          &announcements),
+                     APR_OK);
+    fixture->options.announce_to = http.address;
+    fixture->options.token = "secret";
+    fixture->options.services[fixture->options.service_count++] = "desk";
+    restart_server(fixture);
+    usleep(1500 * 1000);
+    assert_int_equal(atomic_load(&announcements.count), 2);
+    snprintf(expected, sizeof(expected),
+             "POST /announce Bearer secret {\"service\":\"desk\","
+             "\"address\":\"%s\",\"slots\":1,\"connections\":120,"
+             "\"checks_grants\":true}",
+             AprBackendServer_Address(fixture->server));
+    assert_string_equal(announcements.last, expected);
+    AprBackendServer_Stop(fixture->server);
+    fixture->server = NULL;
+    AprStandinHttp_Stop(&http);
+}
+
+#define BACKEND_TEST(name) \
+    cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        BACKEND_TEST(test_request_arrives_unchanged),
+        BACKEND_TEST(test_refused_connection_is_not_run),
+        BACKEND_TEST(test_not_started_after_the_limit),
+        BACKEND_TEST(test_broken_connection_is_unknown),
+        BACKEND_TEST(test_timeout_and_cancel_are_unknown),
+        BACKEND_TEST(test_refusals_are_not_run),
+        BACKEND_TEST(test_large_answer_is_unknown),
+        BACKEND_TEST(test_each_call_gets_its_own_answer),
+        BACKEND_TEST(test_stop_ends_all_calls),
+        BACKEND_TEST(test_drain_finishes_what_runs),
+        BACKEND_TEST(test_backend_announces_itself),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
