--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,7 +1,6 @@
 #include "apricot/log.h"
 
 #include <log4c.h>
-#include <log4c/appender_type_stream.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -9,6 +8,7 @@
 
 #include "apricot/error.h"
 
+#define STDERR_NAME "stderr"
 #define LOG_LINE_SIZE 2048
 #define LOG_MESSAGE_SIZE 1536
 #define LOG_HOST_SIZE 64
@@ -55,6 +55,38 @@
 
 static const log4c_layout_type_t key_value_layout = {"key_value", format_line};
 
+static int
+open_stream(log4c_appender_t *appender)
+{
+    const char *name = log4c_appender_get_name(appender);
+    FILE *stream = strcmp(name, STDERR_NAME) == 0 ? stderr : fopen(name, "a");
+
+    if (stream == NULL) {
+        return -1;
+    }
+    setvbuf(stream, NULL, _IOLBF, BUFSIZ);
+    log4c_appender_set_udata(appender, stream);
+    return 0;
+}
+
+/* log4c's own stream appender writes its name in front of each line. */
+static int
+append_line(log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+    return fputs(event->evt_rendered_msg, log4c_appender_get_udata(appender));
+}
+
+static int
+close_stream(log4c_appender_t *appender)
+{
+    FILE *stream = log4c_appender_get_udata(appender);
+
+    return stream == stderr || stream == NULL ? 0 : fclose(stream);
+}
+
+static const log4c_appender_type_t line_appender = {
+    "apricot_line", open_stream, append_line, close_stream};
+
 /* Starts logging to a file, or to standard error when `file` is NULL or
    empty. log4c's own configuration files are not read, so that the process
    settings are the only source. Returns APR_E_IO when the file cannot be
@@ -67,12 +99,12 @@
 
     snprintf(log_host, sizeof(log_host), "%s", host);
     if (file == NULL || file[0] == '\0') {
-        file = "stderr";
+        file = STDERR_NAME;
     }
     appender = log4c_appender_get(file);
     category = log4c_category_get("apricot");
     log4c_layout_set_type(layout, &key_value_layout);
-    log4c_appender_set_type(appender, &log4c_appender_type_stream);
+    log4c_appender_set_type(appender, &line_appender);
     log4c_appender_set_layout(appender, layout);
     if (log4c_appender_open(appender) != 0) {
         category = NULL;
