--- a/tests/test_service_config.c
+++ b/tests/test_service_config.c
@@ -232,6 +232,28 @@
     g_free(directory);
 }
 
+/* Guards against shipped examples that a release no longer accepts. Run from
+   the root of the repository. */
+static void
+test_examples(void **state)
+{
+    const char *const directories[] = {"examples/kayalpuram",
+                                       "examples/kitakaze"};
+    AprServiceConfig_t *configs = NULL;
+    AprProblems_t problems;
+    AprError_t error;
+
+    (void)state;
+    assert_int_equal(AprServiceConfig_LoadDirectories(directories, 2, &configs,
+                                                      &problems, &error),
+                     4);
+    assert_string_equal(configs[3].service, "rentals");
+    assert_int_equal(configs[3].rank_count, 3);
+    assert_string_equal(configs[3].ranks[0].name, "rush");
+    assert_true(configs[0].move_cost > configs[3].move_cost);
+    free(configs);
+}
+
 int
 main(void)
 {
@@ -242,6 +264,7 @@
         cmocka_unit_test(test_broken_files),
         cmocka_unit_test(test_json_is_checked),
         cmocka_unit_test(test_no_files),
+        cmocka_unit_test(test_examples),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -161,6 +161,22 @@
     free(text);
 }
 
+/* Guards against a shipped example that a release no longer accepts. Run from
+   the root of the repository. */
+static void
+test_example(void **state)
+{
+    AprSettings_t settings;
+    AprError_t error;
+
+    (void)state;
+    assert_int_equal(
+        AprSettings_Load("examples/settings/host.toml", &settings, &error),
+        APR_OK);
+    assert_string_equal(settings.failure_domain, "kochi-a");
+    assert_int_equal(settings.seed_count, 2);
+}
+
 int
 main(void)
 {
@@ -169,6 +185,7 @@
         cmocka_unit_test(test_broken_settings),
         cmocka_unit_test(test_missing_file_and_secret),
         cmocka_unit_test(test_describe),
+        cmocka_unit_test(test_example),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
