Accept options of apricotctl before the verb

Faults of a service file came in the order of their names instead of their lines.

Ruled out: changing the scripts; both orders are usual.

Change: the verb is the first argument that is neither an option nor the value of one; all verbs accept the options for the admin interface and the store and show in their help those that matter. The faults of each file are sorted by line. A directory that cannot be opened is reported without the locale's text.

--- a/src/ctl/ctl.c
+++ b/src/ctl/ctl.c
@@ -82,18 +82,22 @@
         {"help", 'h', 0, G_OPTION_ARG_NONE, help, "Shows this help", NULL},
         {"json", 0, 0, G_OPTION_ARG_NONE, &ctl->json, "Prints JSON", NULL},
         {0}};
+    /* Every verb takes these, so that a shell function can always set them;
+       the help shows the ones that matter. */
+    int admin_flags = verb->options & VERB_ADMIN ? 0 : G_OPTION_FLAG_HIDDEN;
+    int store_flags = verb->options & VERB_STORE ? 0 : G_OPTION_FLAG_HIDDEN;
     GOptionEntry admin[] = {
-        {"admin", 0, 0, G_OPTION_ARG_STRING, &ctl->admin,
+        {"admin", 0, admin_flags, G_OPTION_ARG_STRING, &ctl->admin,
          "Admin address of any process (default: APRICOT_ADMIN)", "IP:port"},
-        {"token", 0, 0, G_OPTION_ARG_STRING, &ctl->token,
+        {"token", 0, admin_flags, G_OPTION_ARG_STRING, &ctl->token,
          "Bearer token; APRICOT_TOKEN keeps it out of the process list",
          "TOKEN"},
         {0}};
     GOptionEntry store[] = {
-        {"store", 0, 0, G_OPTION_ARG_STRING, &ctl->store,
+        {"store", 0, store_flags, G_OPTION_ARG_STRING, &ctl->store,
          "URLs of the store, separated by commas (default: APRICOT_STORE)",
          "URL"},
-        {"prefix", 0, 0, G_OPTION_ARG_STRING, &ctl->prefix,
+        {"prefix", 0, store_flags, G_OPTION_ARG_STRING, &ctl->prefix,
          "Start of every key in the store (default: /apricot)", "PREFIX"},
         {0}};
     GOptionEntry based_on[] = {
@@ -107,12 +111,8 @@
         {0}};
 
     g_option_context_add_main_entries(context, common, NULL);
-    if (verb->options & VERB_ADMIN) {
-        g_option_context_add_main_entries(context, admin, NULL);
-    }
-    if (verb->options & VERB_STORE) {
-        g_option_context_add_main_entries(context, store, NULL);
-    }
+    g_option_context_add_main_entries(context, admin, NULL);
+    g_option_context_add_main_entries(context, store, NULL);
     if (verb->options & VERB_BASED_ON) {
         g_option_context_add_main_entries(context, based_on, NULL);
     }
@@ -171,67 +171,111 @@
     return verb->run(ctl);
 }
 
-/* GLib needs the program's name as the first argument; the verb takes its
-   place. */
+/* The index of the verb: the first argument that is neither an option nor the
+   value of one. */
 static int
-parse_and_run(const Verb_t *verb, char **argv, AprCtl_t *ctl)
+find_verb(int argc, char **argv)
+{
+    static const char *const with_value[] = {
+        "--admin", "--token", "--store", "--prefix", "--based-on", NULL};
+    int index = 1;
+
+    while (index < argc && argv[index][0] == '-') {
+        index += g_strv_contains(with_value, argv[index]) ? 2 : 1;
+    }
+    return index < argc ? index : 0;
+}
+
+/* The command line without the verb. */
+static char **
+copy_without(int argc, char **argv, int verb)
+{
+    char **copy = g_new0(char *, argc);
+    int count = 0;
+
+    for (int i = 0; i < argc; i++) {
+        if (i != verb) {
+            copy[count++] = g_strdup(argv[i]);
+        }
+    }
+    return copy;
+}
+
+static int
+parse_and_run(const Verb_t *verb, char ***rest, AprCtl_t *ctl)
 {
     gboolean help = FALSE;
     GOptionContext *context = new_context(verb, ctl, &help);
     GError *fault = NULL;
-    char **rest = g_strdupv(argv);
     char *text = NULL;
     int result;
 
-    g_free(rest[0]);
-    rest[0] = g_strdup("apricotctl");
-    if (g_option_context_parse_strv(context, &rest, &fault)) {
-        ctl->arguments = rest + 1;
-        ctl->argument_count = (int)g_strv_length(rest) - 1;
+    if (g_option_context_parse_strv(context, rest, &fault)) {
+        ctl->arguments = *rest + 1;
+        ctl->argument_count = (int)g_strv_length(*rest) - 1;
         if (help) {
             text = g_option_context_get_help(context, TRUE, NULL);
         }
         result = run_verb(verb, ctl, text);
     }
     else {
-        result = AprCtl_Fail(ctl, APR_CTL_INVALID,
-                             "%s; see apricotctl %s "
-                             "--help",
-                             fault->message, verb->name);
+        result =
+            AprCtl_Fail(ctl, APR_CTL_INVALID, "%s; see apricotctl %s --help",
+                        fault->message, verb->name);
         g_error_free(fault);
     }
     g_free(text);
-    g_strfreev(rest);
     g_option_context_free(context);
     return result;
 }
 
-/* Runs one command line; argv ends with NULL. Returns the exit code. */
+static const Verb_t *
+verb_of_name(const char *name)
+{
+    for (int i = 0; i < VERB_COUNT; i++) {
+        if (strcmp(verbs[i].name, name) == 0) {
+            return &verbs[i];
+        }
+    }
+    return NULL;
+}
+
+static int
+run_without_verb(int argc, char **argv, FILE *out, FILE *err)
+{
+    for (int i = 1; i < argc; i++) {
+        if (strcmp(argv[i], "--help") == 0 || strcmp(argv[i], "-h") == 0) {
+            print_overview(out);
+            return APR_CTL_OK;
+        }
+    }
+    print_overview(err);
+    return APR_CTL_INVALID;
+}
+
+/* Runs one command line. Options may come before or after the verb. Returns
+   the exit code. */
 int
 AprCtl_Run(int argc, char **argv, FILE *out, FILE *err)
 {
     AprCtl_t ctl = {.out = out, .err = err};
-    int result = APR_CTL_INVALID;
-    int index = 0;
+    int index = find_verb(argc, argv);
+    const Verb_t *verb;
+    char **rest;
+    int result;
 
-    if (argc < 2) {
-        print_overview(err);
-        return APR_CTL_INVALID;
-    }
-    if (strcmp(argv[1], "--help") == 0 || strcmp(argv[1], "-h") == 0) {
-        print_overview(out);
-        return APR_CTL_OK;
+    if (index == 0) {
+        return run_without_verb(argc, argv, out, err);
     }
-    while (index < VERB_COUNT && strcmp(verbs[index].name, argv[1]) != 0) {
-        index++;
-    }
-    if (index < VERB_COUNT) {
-        result = parse_and_run(&verbs[index], argv + 1, &ctl);
-    }
-    else {
-        AprCtl_Fail(&ctl, result, "unknown verb \"%s\"; see apricotctl --help",
-                    argv[1]);
+    verb = verb_of_name(argv[index]);
+    if (verb == NULL) {
+        return AprCtl_Fail(&ctl, APR_CTL_INVALID,
+                           "unknown verb \"%s\"; see apricotctl --help",
+                           argv[index]);
     }
+    rest = copy_without(argc, argv, index);
+    result = parse_and_run(verb, &rest, &ctl);
+    g_strfreev(rest);
     g_free(ctl.admin);
     g_free(ctl.token);
     g_free(ctl.store);
--- a/src/ctl/service_verbs.c
+++ b/src/ctl/service_verbs.c
@@ -75,7 +75,7 @@
     for (int i = 0; i < count; i++) {
         json_array_append_new(names, json_string(configs[i].service));
         if (!ctl->json) {
-            fprintf(ctl->out, "%s: ok, %d key patterns, %d ranks\n",
+            fprintf(ctl->out, "%s: ok, key patterns: %d, ranks: %d\n",
                     configs[i].service, configs[i].pattern_count,
                     configs[i].rank_count);
         }
--- a/src/state/service_file.c
+++ b/src/state/service_file.c
@@ -52,16 +52,14 @@
 static int
 list_files(const char *directory, GPtrArray *files, AprError_t *error)
 {
-    GError *fault = NULL;
-    GDir *dir = g_dir_open(directory, 0, &fault);
+    GDir *dir = g_dir_open(directory, 0, NULL);
     GPtrArray *names;
     const char *name;
 
     if (dir == NULL) {
-        AprError_Set(error, APR_E_IO, APR_STEP_CONFIG, directory, "%s",
-                     fault->message);
-        g_error_free(fault);
-        return APR_E_IO;
+        return AprError_Set(error, APR_E_IO, APR_STEP_CONFIG, directory,
+                            "cannot be opened; check that the directory "
+                            "exists and is readable");
     }
     names = g_ptr_array_new();
     while ((name = g_dir_read_name(dir)) != NULL) {
@@ -82,6 +80,18 @@
     return error->code;
 }
 
+static int
+compare_lines(const void *left, const void *right)
+{
+    const AprProblem_t *first = left;
+    const AprProblem_t *second = right;
+
+    if (first->line != second->line) {
+        return first->line < second->line ? -1 : 1;
+    }
+    return strcmp(first->field, second->field);
+}
+
 static void
 read_part(const char *file, Part_t *part, AprProblems_t *problems)
 {
@@ -89,6 +99,7 @@
     AprFieldReader_t reader = {apr_service_fields,
                                apr_service_file_field_count, false,
                                add_problem, &report};
+    int known = problems->count;
     AprError_t fault;
     AprTree_t *tree;
     int line;
@@ -103,6 +114,9 @@
     AprService_Read(&reader, tree, &part->config, &part->lines,
                     part->rank_lines);
     AprTree_Free(tree);
+    /* The parsed tables are ordered by key, not as in the file. */
+    qsort(&problems->items[known], (size_t)(problems->count - known),
+          sizeof(problems->items[0]), compare_lines);
 }
 
 static Merged_t *
