Add the open-loop load generator apricotload

Cause: service by rank and the time without answers have to be measured from the outside, at a rate that does not fall when the router is slow. Ruled out: latency from the time of sending (a stalled router would delay the sending and hide its own delay); letting libcurl resend on a reused connection (the request may have run and is marked as a first attempt), now stopped by the pre-request callback and counted as a transport error; seeded random bits in idempotency keys (two runs with one seed would share keys). Conclusion: usable against apricotd; a run against it has not been made yet.

--- /dev/null
+++ b/src/load/load_client.c
@@ -0,0 +1,308 @@
+#include "internal/load_client.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/timerfd.h>
+#include <unistd.h>
+
+#include <curl/curl.h>
+#include <glib.h>
+
+/* Bounds the memory when nothing is answered any more. */
+#define MAX_OPEN 20000
+
+/* The router answers by the deadline of a request; the extra time is for an
+   answer that is on its way. */
+#define GRACE_MS 2000
+
+#define NS_PER_S 1e9
+#define POLL_MS 1000
+
+typedef struct transfer_t {
+    CURL *easy;
+    struct curl_slist *headers;
+    AprArrival_t arrival;
+    int sends;
+} transfer_t;
+
+typedef struct run_t {
+    const AprWorkload_t *workload;
+    const AprClock_t *clock;
+    AprLoadStats_t *stats;
+    AprArrivals_t *arrivals;
+    AprArrival_t next;
+    struct timespec start;
+    CURLM *multi;
+    GPtrArray *idle; /* transfers whose easy handle can be used again */
+    int timer_fd;
+    int open;
+} run_t;
+
+static double
+elapsed_s(const run_t *run)
+{
+    return AprTime_DiffNs(AprClock_Now(run->clock), run->start) / NS_PER_S;
+}
+
+/* The signatures of both callbacks are those of libcurl. */
+static size_t
+// NOLINTNEXTLINE(readability-non-const-parameter)
+discard(char *data, size_t size, size_t count, void *context)
+{
+    (void)data;
+    (void)context;
+    return size * count;
+}
+
+/* libcurl sends a request again when a reused connection closes before the
+   answer. The second sending is stopped, because the request may have run and
+   is marked as a first attempt. */
+static int
+// NOLINTNEXTLINE(readability-non-const-parameter)
+before_send(void *context, char *remote, char *local, int remote_port,
+            int local_port)
+{
+    transfer_t *transfer = context;
+
+    (void)remote;
+    (void)local;
+    (void)remote_port;
+    (void)local_port;
+    transfer->sends++;
+    return transfer->sends > 1 ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
+static void
+free_transfer(void *item)
+{
+    transfer_t *transfer = item;
+
+    curl_slist_free_all(transfer->headers);
+    curl_easy_cleanup(transfer->easy);
+    free(transfer);
+}
+
+static transfer_t *
+new_transfer(void)
+{
+    transfer_t *transfer = calloc(1, sizeof(*transfer));
+
+    if (transfer == NULL) {
+        return NULL;
+    }
+    transfer->easy = curl_easy_init();
+    if (transfer->easy == NULL) {
+        free(transfer);
+        return NULL;
+    }
+    curl_easy_setopt(transfer->easy, CURLOPT_PRIVATE, transfer);
+    curl_easy_setopt(transfer->easy, CURLOPT_WRITEFUNCTION, discard);
+    curl_easy_setopt(transfer->easy, CURLOPT_PREREQFUNCTION, before_send);
+    curl_easy_setopt(transfer->easy, CURLOPT_PREREQDATA, transfer);
+    curl_easy_setopt(transfer->easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(transfer->easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(transfer->easy, CURLOPT_POST, 1L);
+    curl_easy_setopt(transfer->easy, CURLOPT_POSTFIELDSIZE, 0L);
+    curl_easy_setopt(transfer->easy, CURLOPT_POSTFIELDS, "");
+    return transfer;
+}
+
+static void
+add_header(transfer_t *transfer, const char *name, const char *value)
+{
+    char *line = g_strdup_printf("%s: %s", name, value);
+
+    transfer->headers = curl_slist_append(transfer->headers, line);
+    g_free(line);
+}
+
+static void
+set_headers(run_t *run, transfer_t *transfer)
+{
+    const AprLoadRank_t *rank = &run->workload->ranks[transfer->arrival.rank];
+    char id[APR_UUID_TEXT_SIZE];
+    char *timeout = g_strdup_printf("%d", rank->timeout_ms);
+
+    curl_slist_free_all(transfer->headers);
+    transfer->headers = NULL;
+    AprUuid7_Text(AprClock_WallMs(run->clock), id);
+    add_header(transfer, "Apricot-Rank", rank->name);
+    add_header(transfer, "Apricot-Timeout-Ms", timeout);
+    add_header(transfer, "Idempotency-Key", id);
+    add_header(transfer, "Apricot-Attempt", "1");
+    add_header(transfer, "Apricot-Caller", run->workload->caller);
+    if (run->workload->token != NULL) {
+        char *bearer = g_strdup_printf("Bearer %s", run->workload->token);
+
+        add_header(transfer, "Authorization", bearer);
+        g_free(bearer);
+    }
+    g_free(timeout);
+    curl_easy_setopt(transfer->easy, CURLOPT_HTTPHEADER, transfer->headers);
+}
+
+static void
+set_url(const run_t *run, transfer_t *transfer)
+{
+    const AprWorkload_t *workload = run->workload;
+    const AprLoadRank_t *rank = &workload->ranks[transfer->arrival.rank];
+    char *url = g_strdup_printf("http://%s/v1/%s/%s/%s%d",
+                                workload->targets[transfer->arrival.target],
+                                workload->service, rank->operation,
+                                workload->key_prefix, transfer->arrival.key);
+
+    curl_easy_setopt(transfer->easy, CURLOPT_URL, url);
+    curl_easy_setopt(transfer->easy, CURLOPT_TIMEOUT_MS,
+                     (long)rank->timeout_ms + GRACE_MS);
+    g_free(url);
+}
+
+/* Sends the request that is due, or skips it when too many are open. */
+static void
+send_next(run_t *run)
+{
+    transfer_t *transfer = NULL;
+
+    if (run->idle->len > 0) {
+        transfer = g_ptr_array_steal_index_fast(run->idle, run->idle->len - 1);
+    }
+    else if (run->open < MAX_OPEN) {
+        transfer = new_transfer();
+    }
+    if (transfer == NULL) {
+        run->stats->skipped++;
+        return;
+    }
+    transfer->arrival = run->next;
+    transfer->sends = 0;
+    set_headers(run, transfer);
+    set_url(run, transfer);
+    run->open++;
+    run->stats->ranks[run->next.rank].sent++;
+    curl_multi_add_handle(run->multi, transfer->easy);
+}
+
+static void
+finish_transfer(run_t *run, CURL *easy, CURLcode result)
+{
+    struct curl_header *header = NULL;
+    transfer_t *transfer;
+    AprLoadOutcome_t outcome = APR_LOAD_TRANSPORT;
+
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&transfer);
+    if (result == CURLE_OK &&
+        curl_easy_header(easy, "Apricot-Outcome", 0, CURLH_HEADER, -1,
+                         &header) == CURLHE_OK) {
+        outcome = AprLoadStats_OutcomeOf(header->value);
+    }
+    AprLoadStats_Add(run->stats, transfer->arrival.rank, outcome,
+                     transfer->arrival.at_s, elapsed_s(run));
+    curl_multi_remove_handle(run->multi, easy);
+    run->open--;
+    g_ptr_array_add(run->idle, transfer);
+}
+
+static void
+collect(run_t *run)
+{
+    CURLMsg *message;
+    int left;
+
+    while ((message = curl_multi_info_read(run->multi, &left)) != NULL) {
+        if (message->msg == CURLMSG_DONE) {
+            finish_transfer(run, message->easy_handle, message->data.result);
+        }
+    }
+}
+
+/* Waits for network events or the next request. curl_multi_poll counts in
+   milliseconds, which is too coarse above 1,000 requests per second. */
+static void
+wait_for_work(run_t *run, bool sending)
+{
+    struct curl_waitfd timer = {run->timer_fd, CURL_WAIT_POLLIN, 0};
+    struct itimerspec setting = {{0, 0}, {0, 0}};
+    double wait_s = run->next.at_s - elapsed_s(run);
+
+    if (!sending) {
+        curl_multi_poll(run->multi, NULL, 0, POLL_MS, NULL);
+        return;
+    }
+    if (wait_s <= 0) {
+        return;
+    }
+    setting.it_value.tv_sec = (time_t)wait_s;
+    setting.it_value.tv_nsec = (long)((wait_s - floor(wait_s)) * NS_PER_S) + 1;
+    if (setting.it_value.tv_nsec >= (long)NS_PER_S) {
+        setting.it_value.tv_nsec = (long)NS_PER_S - 1;
+    }
+    timerfd_settime(run->timer_fd, 0, &setting, NULL);
+    curl_multi_poll(run->multi, &timer, 1, POLL_MS, NULL);
+}
+
+static bool
+still_sending(const run_t *run)
+{
+    return run->next.at_s < run->workload->duration_s;
+}
+
+static void
+loop(run_t *run)
+{
+    int running;
+
+    run->next = AprArrivals_Next(run->arrivals);
+    while (still_sending(run) || run->open > 0) {
+        while (still_sending(run) && run->next.at_s <= elapsed_s(run)) {
+            send_next(run);
+            run->next = AprArrivals_Next(run->arrivals);
+        }
+        curl_multi_perform(run->multi, &running);
+        collect(run);
+        if (still_sending(run) || run->open > 0) {
+            wait_for_work(run, still_sending(run));
+        }
+    }
+    AprLoadStats_Finish(run->stats, run->workload->duration_s);
+}
+
+/* Runs a checked workload to its end and waits for the open requests; their
+   number is bounded by their timeouts. Returns APR_E_NOMEM when it cannot
+   start. */
+int
+AprLoadClient_Run(const AprWorkload_t *workload, const AprClock_t *clock,
+                  AprLoadStats_t *stats, AprError_t *error)
+{
+    run_t run = {workload, clock, stats, NULL, {0, 0, 0, 0},
+                 {0, 0},   NULL,  NULL,  -1,   0};
+    int code = APR_OK;
+
+    run.idle = g_ptr_array_new_with_free_func(free_transfer);
+    run.timer_fd = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+    run.arrivals = AprArrivals_New(workload);
+    run.multi = curl_multi_init();
+    if (run.timer_fd < 0 || run.arrivals == NULL || run.multi == NULL) {
+        code = AprError_Set(error, APR_E_NOMEM, APR_STEP_NONE, NULL,
+                            "cannot start the load client");
+        goto error;
+    }
+    curl_multi_setopt(run.multi, CURLMOPT_MAX_TOTAL_CONNECTIONS,
+                      (long)workload->connections);
+    curl_multi_setopt(run.multi, CURLMOPT_MAXCONNECTS,
+                      (long)workload->connections);
+    run.start = AprClock_Now(clock);
+    loop(&run);
+
+error:
+    g_ptr_array_free(run.idle, TRUE);
+    if (run.multi != NULL) {
+        curl_multi_cleanup(run.multi);
+    }
+    AprArrivals_Free(run.arrivals);
+    if (run.timer_fd >= 0) {
+        close(run.timer_fd);
+    }
+    return code;
+}
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -325,9 +325,8 @@
     for (int i = APR_SLOTS - 1; i >= 0; i--) {
         if (plan.used[i] && plan.owners[i] == APR_NO_MEMBER) {
             reassign(&plan, i, furthest_below(&plan, i));
-            record->services[service].partitions[i] =
-                (AprPartitionEntry_t){plan.owners[i], record->version, 0};
-            count++;
+            count += AprRecord_Assign(record, service, i, plan.owners[i], 0) ==
+                     APR_OK;
         }
     }
     return count;
