Make thread sanitizer runs of the rings readable

Cause: ThreadSanitizer cannot see the atomics that Concurrency Kit writes in assembly. A run of test_peer_net printed 47 warnings, all of them about items passed through a ring or memory passed through GLib's slice allocator. Ruled out: suppressing the whole call chain, which would hide real races in the code that handles the items.

--- a/src/base/ring.c
+++ b/src/base/ring.c
@@ -9,6 +9,18 @@
 
 #include "apricot/error.h"
 
+/* ThreadSanitizer does not see the atomic instructions that Concurrency Kit
+   writes in assembly, so the order that they guarantee is told to it. */
+#ifdef __SANITIZE_THREAD__
+void __tsan_acquire(void *address);
+void __tsan_release(void *address);
+#define NOTE_BEFORE_PUSH(ring) __tsan_release(ring)
+#define NOTE_AFTER_POP(ring) __tsan_acquire(ring)
+#else
+#define NOTE_BEFORE_PUSH(ring)
+#define NOTE_AFTER_POP(ring)
+#endif
+
 struct AprRing_t {
     ck_ring_t ring;
     ck_ring_buffer_t *buffer;
@@ -74,6 +86,7 @@
 {
     uint64_t one = 1;
 
+    NOTE_BEFORE_PUSH(ring);
     if (!ck_ring_enqueue_mpmc(&ring->ring, ring->buffer, item)) {
         return APR_E_FULL;
     }
@@ -92,6 +105,7 @@
     if (!ck_ring_dequeue_mpmc(&ring->ring, ring->buffer, &item)) {
         return NULL;
     }
+    NOTE_AFTER_POP(ring);
     return item;
 }
 
