--- a/src/protocol/session.c
+++ b/src/protocol/session.c
@@ -329,12 +329,22 @@
                              &event->message);
 }
 
+/* Handshake frames have no field that a third party could change unseen. */
+static bool
+is_handshake_header(const AprFrameHeader_t *header)
+{
+    static const uint8_t no_mac[APR_FRAME_MAC_SIZE];
+
+    return header->sequence == 0 &&
+           memcmp(header->mac, no_mac, sizeof(no_mac)) == 0;
+}
+
 static int
 on_frame(AprSession_t *session, const AprFrameHeader_t *header,
          const uint8_t *payload, AprSessionEvent_t *event)
 {
-    if (session->state != ESTABLISHED && header->sequence != 0) {
-        return APR_E_REPLAY;
+    if (session->state != ESTABLISHED && !is_handshake_header(header)) {
+        return APR_E_AUTH;
     }
     switch (session->state) {
     case AWAIT_HELLO:
