--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -180,3 +180,81 @@
         -H 'Apricot-Timeout-Ms: 500' \
         "http://127.0.0.1:$1/v1/desk/status/${2:-job/1}" | grep -q 200
 }
+
+# say TEXT COMMAND...: prints "TEXT: yes" when the command succeeds, else no.
+say() {
+    local text=$1
+    shift
+    if "$@" >/dev/null 2>&1; then
+        echo "$text: yes"
+    else
+        echo "$text: no"
+    fi
+}
+
+# A UUID of version 7 for the present time.
+uuid7() {
+    local random
+    random=$(od -An -N10 -tx1 /dev/urandom | tr -d ' \n')
+    printf '%012x' "$(now_ms)" |
+        sed "s/\(.\{8\}\)\(.\{4\}\)/\1-\2-7${random:0:3}-8${random:3:3}-${random:6:12}/"
+}
+
+# book PORT KEY UUID [CURL OPTIONS]: one non-idempotent request; prints the
+# outcome.
+book() {
+    local port=$1 key=$2 id=$3
+    shift 3
+    curl -s -i --max-time 5 -X POST -H "Idempotency-Key: $id" \
+        -H 'Apricot-Timeout-Ms: 1000' "$@" \
+        "http://127.0.0.1:$port/v1/desk/book/$key" |
+        tr -d '\r' | sed -n 's/^Apricot-Outcome: //p'
+}
+
+owner_of() {
+    local admin="$1_admin"
+    curl -s --max-time 2 \
+        "http://127.0.0.1:${!admin}/where?service=desk&key=$2" |
+        sed -n 's/.*"owner":"\([^"]*\)".*/\1/p'
+}
+
+# key_of OWNER HOST: a key that the host $2 says OWNER owns.
+key_of() {
+    local i
+    for i in $(seq 1 400); do
+        if [ "$(owner_of "$2" "job/$i")" = "$1" ]; then
+            echo "job/$i"
+            return
+        fi
+    done
+    return 1
+}
+
+# Idempotency keys that ran more than once on any backend server.
+doubled_runs() {
+    cat "$run_dir"/*.runs | awk '$3 == "book" {print $4}' | sort | uniq -d |
+        wc -l
+}
+
+none_doubled() {
+    [ "$(doubled_runs)" -eq 0 ]
+}
+
+all_owned() {
+    [ "$(unowned "$1")" = 0 ]
+}
+
+# start_cell HOST...: the store, the hosts in three failure domains in turn
+# and the demo configuration; waits until all of them own keys.
+start_cell() {
+    local host domain=0
+    start_store || return 1
+    for host in "$@"; do
+        start_host "$host" "domain-$((domain++ % 3))"
+    done
+    publish_demo >/dev/null || return 1
+    for host in "$@"; do
+        wait_until 15 has_share "$host" "$1" 20 || return 1
+    done
+    wait_until 5 all_owned "$1"
+}
