Keep answers within the target of their rank during a flood

Cause: the bench showed that a flood of the most urgent work left every rank without one answer within its target: the queues stood filled up to the deadlines, four targets away. Ruled out: last-come-first-served within a rank (starves requests that could be met); refusing beyond the target at all times (a short burst would be refused although its deadlines can be met); an estimate from queue lengths alone (it does not see more urgent work that goes on arriving, so that less urgent requests expired in the queue). Change: the expected wait takes the load of more urgent ranks over the last second into account; a rank that has been late for four targets without a break is filled only up to three quarters of its target until it recovers. bench/policy.c compares the rank queue with a first-come-first-served queue in virtual time; scripts/bench runs all bench programs.

--- a/include/apricot/rank_queue.h
+++ b/include/apricot/rank_queue.h
@@ -22,7 +22,8 @@
 void AprRankQueue_Free(AprRankQueue_t *queue);
 void AprRankQueue_SetSlots(AprRankQueue_t *queue, int slots);
 /* APR_E_FULL: no room in the rank; APR_E_TIMEOUT: the deadline cannot be
-   met. */
+   met, or the target of a rank with a standing backlog; APR_E_EXISTS: the
+   item is queued already. */
 int AprRankQueue_Push(AprRankQueue_t *queue, int rank, uint32_t item,
                       struct timespec deadline, struct timespec now);
 /* Takes the next item to dispatch while a slot is free; the slot is in use
--- a/src/state/rank_queue.c
+++ b/src/state/rank_queue.c
@@ -1,5 +1,6 @@
 #include "apricot/rank_queue.h"
 
+#include <math.h>
 #include <stdlib.h>
 
 #include "apricot/clock.h"
@@ -17,11 +18,36 @@
    cuts into a guaranteed share, and bounds the burst of a rank. */
 #define MAX_CREDIT 4.0
 
+/* Time over which the load of each rank is averaged, to foresee more urgent
+   work that has yet to arrive. */
+#define LOAD_MS 1000.0
+
+/* Lower bound of the part of the slots that a rank is expected to get. */
+#define MIN_PART 0.02
+
+/* A backlog that makes a rank late for this many targets without a break is a
+   standing one: it no longer absorbs a burst, it only makes every request
+   late. The factor is that of the callers' default timeout. */
+#define STANDING_TARGETS 4
+
+/* Part of the target up to which a rank with a standing backlog is filled. The
+   estimate is a mean; filled up to the target, more than half of the answers
+   to the flooded rank in bench/policy were late. */
+#define FILL_PART 0.75
+
+/* Part of the target at which a backlog no longer counts as standing; far
+   below FILL_PART, because the estimate varies by a fifth. */
+#define RECOVERED_PART 0.25
+
 typedef struct rank_t {
     double share;
     double credit;
     double mean_ms;
     bool has_mean;
+    double load_ms; /* service time dispatched lately, see LOAD_MS */
+    int target_ms;
+    bool late; /* since late_ns every request would have missed the target */
+    int64_t late_ns;
 } rank_t;
 
 struct AprRankQueue_t {
@@ -33,6 +59,7 @@
     int running;
     double mean_ms;
     bool has_mean;
+    int64_t load_ns; /* when the loads were brought up to date */
 };
 
 static int64_t
@@ -87,6 +114,9 @@
         AprRankQueue_Free(queue);
         return NULL;
     }
+    for (int i = 0; i < rank_count; i++) {
+        queue->ranks[i].target_ms = ranks[i].target_ms;
+    }
     set_shares(queue, ranks);
     return queue;
 }
@@ -117,20 +147,49 @@
                                        : queue->mean_ms;
 }
 
+static void
+update_loads(AprRankQueue_t *queue, int64_t now_ns)
+{
+    double past_ms = (double)(now_ns - queue->load_ns) / NS_PER_MS;
+    double kept;
+
+    if (past_ms <= 0) {
+        return;
+    }
+    kept = exp(-past_ms / LOAD_MS);
+    for (int i = 0; i < queue->rank_count; i++) {
+        queue->ranks[i].load_ms *= kept;
+    }
+    queue->load_ns = now_ns;
+}
+
+/* The part of the slots that is left to a rank while it waits for its turn by
+   urgency: more urgent work goes on arriving, and less urgent ranks with work
+   keep their shares. */
+static double
+part_left(const AprRankQueue_t *queue, int rank)
+{
+    double left = 1;
+
+    for (int i = 0; i < rank; i++) {
+        left -= queue->ranks[i].load_ms / (LOAD_MS * MAX(queue->slots, 1));
+    }
+    for (int i = rank + 1; i < queue->rank_count; i++) {
+        left -= waits(queue, i) > 0 ? queue->ranks[i].share : 0;
+    }
+    return MAX(left, MIN_PART);
+}
+
 /* The time until a new item of this rank would start, by the earlier of the
-   two ways to be dispatched: by urgency, after the work of its own and
-   the more urgent ranks and delayed by the shares of the less urgent ones; or
-   by its own guaranteed share. */
+   two ways to be dispatched: by urgency, after the work of its own and the
+   more urgent ranks; or by its own guaranteed share. */
 static double
 expected_wait_ms(const AprRankQueue_t *queue, int rank)
 {
     double ahead_ms = 0;
-    double less_urgent = 0;
-    double mean_ms = rank_mean_ms(queue, rank);
-    double own = waits(queue, rank) + 1.0;
     int64_t busy = queue->running;
-    double by_urgency;
-    double by_share;
+    double wait_ms;
+    double share = queue->ranks[rank].share;
 
     for (int i = 0; i <= rank; i++) {
         ahead_ms += waits(queue, i) * rank_mean_ms(queue, i);
@@ -139,21 +198,39 @@
     if (busy < queue->slots) {
         return 0;
     }
-    for (int i = rank + 1; i < queue->rank_count; i++) {
-        less_urgent += waits(queue, i) > 0 ? queue->ranks[i].share : 0;
-    }
-    /* Requests in work beyond the first free slot count as one more item. */
-    by_urgency = (ahead_ms + queue->mean_ms) / (1 - less_urgent);
-    by_share = queue->ranks[rank].share > 0
-                   ? own * mean_ms / queue->ranks[rank].share
-                   : by_urgency;
-    return (by_share < by_urgency ? by_share : by_urgency) /
-           (queue->slots > 0 ? queue->slots : 1);
+    /* Until the first slot is free counts as one more item. */
+    wait_ms = (ahead_ms + queue->mean_ms) / part_left(queue, rank);
+    if (share > 0) {
+        double own = waits(queue, rank) + 1.0;
+
+        wait_ms = MIN(wait_ms, own * rank_mean_ms(queue, rank) / share);
+    }
+    return wait_ms / MAX(queue->slots, 1);
 }
 
+/* Whether the rank has a standing backlog. A request that could still meet its
+   deadline, but not the target of its rank, is then refused: as many are
+   answered, but in time for the target. */
 static bool
-can_meet(const AprRankQueue_t *queue, int rank, int64_t deadline_ns,
-         int64_t now_ns)
+has_standing_backlog(AprRankQueue_t *queue, int index, double need_ms,
+                     int64_t now_ns)
+{
+    rank_t *rank = &queue->ranks[index];
+    double target_ms = rank->target_ms;
+
+    if (waits(queue, index) == 0 || need_ms <= RECOVERED_PART * target_ms) {
+        rank->late = false;
+    }
+    else if (!rank->late && need_ms > target_ms) {
+        rank->late = true;
+        rank->late_ns = now_ns;
+    }
+    return rank->late && (double)(now_ns - rank->late_ns) >=
+                             STANDING_TARGETS * target_ms * NS_PER_MS;
+}
+
+static bool
+can_meet(AprRankQueue_t *queue, int rank, int64_t deadline_ns, int64_t now_ns)
 {
     double need_ms;
 
@@ -165,14 +242,19 @@
     if (queue->running == 0 && g_hash_table_size(queue->items.by_item) == 0) {
         return true;
     }
+    update_loads(queue, now_ns);
     need_ms = expected_wait_ms(queue, rank) + rank_mean_ms(queue, rank);
+    if (has_standing_backlog(queue, rank, need_ms, now_ns) &&
+        need_ms > FILL_PART * queue->ranks[rank].target_ms) {
+        return false;
+    }
     return (double)(deadline_ns - now_ns) >= need_ms * NS_PER_MS;
 }
 
 /* Queues an item. Returns APR_E_INVALID for an unknown rank, APR_E_EXISTS
    when the item is queued already, APR_E_FULL when the rank has no room, and
-   APR_E_TIMEOUT when the deadline cannot be met; the item is then not
-   queued. */
+   APR_E_TIMEOUT when the deadline, or during a standing backlog the target of
+   the rank, cannot be met; the item is then not queued. */
 int
 AprRankQueue_Push(AprRankQueue_t *queue, int rank, uint32_t item,
                   struct timespec deadline, struct timespec now)
@@ -276,6 +358,8 @@
         return false;
     }
     account_dispatch(queue, chosen);
+    update_loads(queue, to_ns(now));
+    queue->ranks[chosen].load_ms += rank_mean_ms(queue, chosen);
     *item = AprRankItems_Take(&queue->items,
                               queue->items.ranks[chosen].waiting.first);
     *rank = chosen;
