Add a TCP relay for failure tests and test cut networks

Cause: a cut network gives no error on a socket; whether links notice it could not be tested without a part that holds bytes back. Ruled out: closing the relayed connections, which a link notices at once and which is not what a cut does; firewall rules, which need privileges.

--- /dev/null
+++ b/standins/lib/peer_node.c
@@ -0,0 +1,194 @@
+#include "standins/lib/peer_node.h"
+
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define METRIC_POLL_MS 2
+#define US_PER_MS 1000
+
+static void
+on_up(void *context, AprLink_t link, const char *host, uint64_t incarnation)
+{
+    AprPeerNode_t *node = context;
+
+    pthread_mutex_lock(&node->mutex);
+    node->up++;
+    node->last_up = link;
+    node->peer_incarnation = incarnation;
+    snprintf(node->peer_host, sizeof(node->peer_host), "%s", host);
+    pthread_cond_broadcast(&node->changed);
+    pthread_mutex_unlock(&node->mutex);
+}
+
+static void
+on_down(void *context, AprLink_t link)
+{
+    AprPeerNode_t *node = context;
+
+    (void)link;
+    pthread_mutex_lock(&node->mutex);
+    node->unpaired_down += node->down >= node->up;
+    node->down++;
+    pthread_cond_broadcast(&node->changed);
+    pthread_mutex_unlock(&node->mutex);
+}
+
+static uint64_t
+id_of(const AprMessage_t *message)
+{
+    switch (message->type) {
+    case APR_MSG_REQUEST:
+        return message->request.id;
+    case APR_MSG_ANSWER:
+        return message->answer.id;
+    default:
+        return message->renew.send_id;
+    }
+}
+
+static void
+on_message(void *context, AprLink_t link, AprMessage_t *message)
+{
+    AprPeerNode_t *node = context;
+    uint64_t id = id_of(message);
+
+    pthread_mutex_lock(&node->mutex);
+    if (node->messages < APR_PEER_NODE_LOG) {
+        node->types[node->messages] = message->type;
+        node->ids[node->messages] = id;
+    }
+    if (node->answers && message->type == APR_MSG_REQUEST) {
+        AprPeerNode_Send(node, link, APR_MSG_ANSWER, id, NULL, 0);
+    }
+    node->messages++;
+    pthread_cond_broadcast(&node->changed);
+    pthread_mutex_unlock(&node->mutex);
+    AprMessage_Free(message);
+}
+
+static void
+on_undelivered(void *context, AprLink_t link, AprMessage_t *message)
+{
+    AprPeerNode_t *node = context;
+
+    (void)link;
+    AprMessage_Free(message);
+    pthread_mutex_lock(&node->mutex);
+    node->undelivered++;
+    node->undelivered_after_down += node->down > 0;
+    pthread_cond_broadcast(&node->changed);
+    pthread_mutex_unlock(&node->mutex);
+}
+
+/* Starts a node. Returns APR_E_IO when the net does not start. */
+int
+AprPeerNode_Start(AprPeerNode_t *node, const char *host, const char *listen,
+                  const char *peer_key)
+{
+    static atomic_ullong incarnation = 100;
+    AprPeerSettings_t settings = {host, atomic_fetch_add(&incarnation, 1),
+                                  listen, peer_key};
+    AprPeerEvents_t events = {on_up, on_down, on_message, on_undelivered,
+                              node};
+    AprClock_t clock = AprClock_System();
+    AprError_t error;
+
+    memset(node, 0, sizeof(*node));
+    pthread_mutex_init(&node->mutex, NULL);
+    pthread_cond_init(&node->changed, NULL);
+    node->metrics = AprMetrics_New();
+    node->net =
+        AprPeerNet_Start(&settings, &clock, &events, node->metrics, &error);
+    if (node->net == NULL) {
+        fprintf(stderr, "%s: %s\n", host, error.detail);
+        return APR_E_IO;
+    }
+    return APR_OK;
+}
+
+/* Stops a node; its counters stay readable. */
+void
+AprPeerNode_Stop(AprPeerNode_t *node)
+{
+    AprPeerNet_Stop(node->net);
+    AprMetrics_Free(node->metrics);
+    pthread_cond_destroy(&node->changed);
+    pthread_mutex_destroy(&node->mutex);
+}
+
+/* Waits for a counter of the node. */
+int64_t
+AprPeerNode_Wait(AprPeerNode_t *node, const int *counter, int value,
+                 int limit_ms)
+{
+    AprClock_t clock = AprClock_System();
+    struct timespec begin = AprClock_Now(&clock);
+    struct timespec limit;
+    int status = 0;
+    bool reached;
+
+    clock_gettime(CLOCK_REALTIME, &limit);
+    limit = AprTime_AddMs(limit, limit_ms);
+    pthread_mutex_lock(&node->mutex);
+    while (*counter < value && status == 0) {
+        status = pthread_cond_timedwait(&node->changed, &node->mutex, &limit);
+    }
+    reached = *counter >= value;
+    pthread_mutex_unlock(&node->mutex);
+    return reached ? AprTime_DiffMs(AprClock_Now(&clock), begin) : -1;
+}
+
+/* Reads a metric of the node's net. */
+int64_t
+AprPeerNode_Metric(AprPeerNode_t *node, const char *name, const char *labels)
+{
+    return AprMetric_Value(
+        AprMetrics_Counter(node->metrics, name, labels, ""));
+}
+
+/* Waits for a metric of the node's net. Returns false on a timeout. */
+bool
+AprPeerNode_WaitMetric(AprPeerNode_t *node, const char *name,
+                       const char *labels, int64_t value, int limit_ms)
+{
+    for (int ms = 0; ms < limit_ms; ms += METRIC_POLL_MS) {
+        if (AprPeerNode_Metric(node, name, labels) >= value) {
+            return true;
+        }
+        usleep(METRIC_POLL_MS * US_PER_MS);
+    }
+    return false;
+}
+
+/* Sends a message; returns what AprPeerNet_Send says. */
+int
+AprPeerNode_Send(AprPeerNode_t *node, AprLink_t link, AprMessageType_t type,
+                 uint64_t id, const char *body, size_t body_size)
+{
+    AprMessage_t *message = calloc(1, sizeof(*message));
+    int status;
+
+    if (message == NULL) {
+        return APR_E_NOMEM;
+    }
+    message->type = type;
+    if (type == APR_MSG_REQUEST) {
+        message->request.id = id;
+        message->request.body = (AprBytes_t){body, body_size};
+    }
+    else if (type == APR_MSG_ANSWER) {
+        message->answer.id = id;
+        message->answer.body = (AprBytes_t){body, body_size};
+    }
+    else {
+        message->renew.send_id = id;
+    }
+    status = AprPeerNet_Send(node->net, link, message);
+    if (status != APR_OK) {
+        AprMessage_Free(message);
+    }
+    return status;
+}
--- /dev/null
+++ b/standins/lib/relay.c
@@ -0,0 +1,343 @@
+#include "standins/lib/relay.h"
+
+#include <errno.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include "apricot/record.h"
+#include "internal/peer_address.h"
+
+#define MAX_PAIRS 256
+#define FLOW_BYTES (64 * 1024)
+#define BACKLOG 64
+#define FIXED_FDS 2 /* wake-up and listener come before the pairs */
+
+/* Bytes on the way from one socket of a pair to the other. */
+typedef struct Flow_t {
+    uint8_t bytes[FLOW_BYTES];
+    size_t start;
+    size_t end;
+    bool ended; /* the sender has closed */
+    bool done;  /* and the receiver was told */
+} Flow_t;
+
+/* Flow i goes from fds[i] to fds[1 - i]. */
+typedef struct Pair_t {
+    int fds[2];
+    Flow_t flows[2];
+} Pair_t;
+
+struct AprRelay_t {
+    AprPeerAddress_t to;
+    char address[APR_ADDRESS_SIZE];
+    int listen_fd;
+    int wake_fd;
+    atomic_bool cut;
+    atomic_bool stopping;
+    pthread_t thread;
+    int pair_count;
+    Pair_t *pairs[MAX_PAIRS];
+};
+
+static void
+close_pair(AprRelay_t *relay, int index)
+{
+    Pair_t *pair = relay->pairs[index];
+
+    close(pair->fds[0]);
+    close(pair->fds[1]);
+    free(pair);
+    relay->pairs[index] = relay->pairs[--relay->pair_count];
+}
+
+static void
+accept_pair(AprRelay_t *relay)
+{
+    int from =
+        accept4(relay->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    Pair_t *pair;
+    int to;
+
+    if (from < 0) {
+        return;
+    }
+    to = AprPeerAddress_Socket(&relay->to);
+    pair = calloc(1, sizeof(*pair));
+    if (to < 0 || pair == NULL || relay->pair_count == MAX_PAIRS ||
+        (connect(to, (struct sockaddr *)&relay->to.storage, relay->to.size) !=
+             0 &&
+         errno != EINPROGRESS)) {
+        close(from);
+        if (to >= 0) {
+            close(to);
+        }
+        free(pair);
+        return;
+    }
+    pair->fds[0] = from;
+    pair->fds[1] = to;
+    relay->pairs[relay->pair_count++] = pair;
+}
+
+/* Fills the flow from its socket. Returns false when the socket is broken. */
+static bool
+read_flow(Flow_t *flow, int fd)
+{
+    ssize_t count;
+
+    if (flow->start != flow->end || flow->ended) {
+        return true;
+    }
+    count = recv(fd, flow->bytes, sizeof(flow->bytes), 0);
+    if (count < 0) {
+        return errno == EAGAIN || errno == EINTR;
+    }
+    flow->start = 0;
+    flow->end = (size_t)count;
+    flow->ended = count == 0;
+    return true;
+}
+
+/* Writes the flow to the other socket. Returns false when that is broken. */
+static bool
+write_flow(Flow_t *flow, int fd)
+{
+    while (flow->start < flow->end) {
+        ssize_t count = send(fd, flow->bytes + flow->start,
+                             flow->end - flow->start, MSG_NOSIGNAL);
+
+        if (count < 0) {
+            return errno == EAGAIN || errno == EINTR;
+        }
+        flow->start += (size_t)count;
+    }
+    if (flow->ended && !flow->done) {
+        shutdown(fd, SHUT_WR);
+        flow->done = true;
+    }
+    return true;
+}
+
+static short
+wanted_events(const Pair_t *pair, int side)
+{
+    const Flow_t *out = &pair->flows[side];
+    const Flow_t *in = &pair->flows[1 - side];
+    short events = 0;
+
+    if (out->start == out->end && !out->ended) {
+        events |= POLLIN;
+    }
+    if (in->start < in->end) {
+        events |= POLLOUT;
+    }
+    return events;
+}
+
+/* Moves what can be moved. Returns false when the pair is to be closed. */
+static bool
+serve_pair(Pair_t *pair, const struct pollfd *polled)
+{
+    for (int side = 0; side < 2; side++) {
+        if ((polled[side].revents & POLLERR) != 0) {
+            return false;
+        }
+        if ((polled[side].revents & (POLLIN | POLLHUP)) != 0 &&
+            !read_flow(&pair->flows[side], pair->fds[side])) {
+            return false;
+        }
+    }
+    for (int side = 0; side < 2; side++) {
+        /* Before the connect is done there is nothing to write to. */
+        if (pair->flows[side].end > 0 || pair->flows[side].ended) {
+            if (!write_flow(&pair->flows[side], pair->fds[1 - side])) {
+                return false;
+            }
+        }
+    }
+    return !pair->flows[0].done || !pair->flows[1].done;
+}
+
+static int
+collect_fds(AprRelay_t *relay, struct pollfd *fds)
+{
+    int count = FIXED_FDS;
+
+    fds[0] = (struct pollfd){relay->wake_fd, POLLIN, 0};
+    fds[1] = (struct pollfd){relay->listen_fd, POLLIN, 0};
+    if (atomic_load(&relay->cut)) {
+        return 1; /* nothing else is looked at */
+    }
+    for (int i = 0; i < relay->pair_count; i++) {
+        for (int side = 0; side < 2; side++) {
+            Pair_t *pair = relay->pairs[i];
+            short events = wanted_events(pair, side);
+
+            /* A negative descriptor is skipped: without it, a closed socket
+               from which nothing is wanted would end every poll at once. */
+            fds[count++] =
+                (struct pollfd){events == 0 ? -1 : pair->fds[side], events, 0};
+        }
+    }
+    return count;
+}
+
+static void
+clear_wake(AprRelay_t *relay)
+{
+    uint64_t count;
+
+    while (read(relay->wake_fd, &count, sizeof(count)) < 0 && errno == EINTR) {
+    }
+}
+
+static void *
+run_relay(void *context)
+{
+    AprRelay_t *relay = context;
+    struct pollfd fds[FIXED_FDS + 2 * MAX_PAIRS];
+
+    while (!atomic_load(&relay->stopping)) {
+        int count = collect_fds(relay, fds);
+
+        if (poll(fds, (nfds_t)count, -1) < 0) {
+            continue;
+        }
+        if ((fds[0].revents & POLLIN) != 0) {
+            clear_wake(relay);
+            continue; /* the state may have changed */
+        }
+        /* From the last to the first: closing one moves the last into its
+           place. */
+        for (int i = relay->pair_count - 1; i >= 0; i--) {
+            if (!serve_pair(relay->pairs[i], &fds[FIXED_FDS + 2 * i])) {
+                close_pair(relay, i);
+            }
+        }
+        if ((fds[1].revents & POLLIN) != 0) {
+            accept_pair(relay);
+        }
+    }
+    return NULL;
+}
+
+static int
+open_relay(AprRelay_t *relay, const char *text)
+{
+    AprPeerAddress_t address;
+    int one = 1;
+
+    if (AprPeerAddress_Parse(text, &address) != APR_OK) {
+        return APR_E_INVALID;
+    }
+    relay->listen_fd = AprPeerAddress_Socket(&address);
+    relay->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    if (relay->listen_fd < 0 || relay->wake_fd < 0) {
+        return APR_E_IO;
+    }
+    setsockopt(relay->listen_fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+    if (bind(relay->listen_fd, (struct sockaddr *)&address.storage,
+             address.size) != 0 ||
+        listen(relay->listen_fd, BACKLOG) != 0) {
+        return APR_E_IO;
+    }
+    return AprPeerAddress_OfSocket(relay->listen_fd, relay->address,
+                                   sizeof(relay->address));
+}
+
+static void
+free_relay(AprRelay_t *relay)
+{
+    while (relay->pair_count > 0) {
+        close_pair(relay, 0);
+    }
+    if (relay->listen_fd >= 0) {
+        close(relay->listen_fd);
+    }
+    if (relay->wake_fd >= 0) {
+        close(relay->wake_fd);
+    }
+    free(relay);
+}
+
+/* Returns NULL with the error set when an address is invalid or taken. */
+AprRelay_t *
+AprRelay_Start(const char *listen, const char *to, AprError_t *error)
+{
+    AprRelay_t *relay = calloc(1, sizeof(*relay));
+    int status;
+
+    if (relay == NULL) {
+        AprError_Set(error, APR_E_NOMEM, APR_STEP_NONE, NULL, "out of memory");
+        return NULL;
+    }
+    relay->listen_fd = -1;
+    relay->wake_fd = -1;
+    status = AprPeerAddress_Parse(to, &relay->to);
+    if (status == APR_OK) {
+        status = open_relay(relay, listen);
+    }
+    if (status == APR_OK &&
+        pthread_create(&relay->thread, NULL, run_relay, relay) != 0) {
+        status = APR_E_NOMEM;
+    }
+    if (status != APR_OK) {
+        AprError_Set(error, status, APR_STEP_NONE, listen,
+                     "cannot relay to %s: %s", to, AprError_Name(status));
+        free_relay(relay);
+        return NULL;
+    }
+    return relay;
+}
+
+static void
+wake(AprRelay_t *relay)
+{
+    uint64_t one = 1;
+
+    while (write(relay->wake_fd, &one, sizeof(one)) < 0 && errno == EINTR) {
+    }
+}
+
+/* Ends the thread and closes all connections. NULL is allowed. */
+void
+AprRelay_Stop(AprRelay_t *relay)
+{
+    if (relay == NULL) {
+        return;
+    }
+    atomic_store(&relay->stopping, true);
+    wake(relay);
+    pthread_join(relay->thread, NULL);
+    free_relay(relay);
+}
+
+/* "IP:port" of the listener. */
+const char *
+AprRelay_Address(const AprRelay_t *relay)
+{
+    return relay->address;
+}
+
+/* Starts to hold everything back. */
+void
+AprRelay_Cut(AprRelay_t *relay)
+{
+    atomic_store(&relay->cut, true);
+    wake(relay);
+}
+
+/* Passes on what was held back, and what follows. */
+void
+AprRelay_Restore(AprRelay_t *relay)
+{
+    atomic_store(&relay->cut, false);
+    wake(relay);
+}
--- a/tests/test_peer_net.c
+++ b/tests/test_peer_net.c
@@ -13,203 +13,69 @@
 
 #include <cmocka.h>
 
-#include "apricot/metrics.h"
 #include "apricot/peer_net.h"
 #include "internal/peer_loop.h"
 #include "internal/peer_queue.h"
+#include "standins/lib/peer_node.h"
 
 #define WAIT_MS 5000
 #define KEY "correct horse"
-#define MAX_LOG 8192
-
-/* What one net reported, in order. */
-typedef struct Seen_t {
-    pthread_mutex_t mutex;
-    pthread_cond_t changed;
-    int up, down, messages, undelivered;
-    int other_down; /* of links that had no `up` or had `down` before */
-    int is_up;
-    uint64_t undelivered_after_down;
-    AprLink_t last_up;
-    char host[APR_NAME_SIZE];
-    uint64_t incarnation;
-    AprMessageType_t types[MAX_LOG];
-    uint64_t ids[MAX_LOG];
-    AprPeerNet_t *echo; /* answers each request */
-} Seen_t;
-
-typedef struct Node_t {
-    Seen_t seen;
-    AprMetrics_t *metrics;
-    AprPeerNet_t *net;
-} Node_t;
+#define FLOOD_COUNT 400
+#define FLOOD_BODY 30000
 
-static void
-note(Seen_t *seen, int *counter)
-{
-    (*counter)++;
-    pthread_cond_broadcast(&seen->changed);
-    pthread_mutex_unlock(&seen->mutex);
-}
+typedef AprPeerNode_t Node_t;
 
 static void
-on_up(void *context, AprLink_t link, const char *host, uint64_t incarnation)
+start(Node_t *node, const char *host, const char *listen, const char *key)
 {
-    Seen_t *seen = context;
-
-    pthread_mutex_lock(&seen->mutex);
-    seen->last_up = link;
-    seen->incarnation = incarnation;
-    snprintf(seen->host, sizeof(seen->host), "%s", host);
-    seen->is_up++;
-    note(seen, &seen->up);
+    assert_int_equal(AprPeerNode_Start(node, host, listen, key), APR_OK);
 }
 
 static void
-on_down(void *context, AprLink_t link)
-{
-    Seen_t *seen = context;
-
-    (void)link;
-    pthread_mutex_lock(&seen->mutex);
-    seen->other_down += seen->is_up <= 0;
-    seen->is_up--;
-    note(seen, &seen->down);
-}
-
-static AprMessage_t *
-new_message(AprMessageType_t type, uint64_t id)
-{
-    AprMessage_t *message = calloc(1, sizeof(*message));
-
-    message->type = type;
-    if (type == APR_MSG_ANSWER) {
-        message->answer.id = id;
-    }
-    else if (type == APR_MSG_REQUEST) {
-        message->request.id = id;
-    }
-    else {
-        message->renew.send_id = id;
-    }
-    return message;
-}
-
-static uint64_t
-id_of(const AprMessage_t *message)
+wait_for(Node_t *node, const int *counter, int value)
 {
-    return message->type == APR_MSG_RENEW ? message->renew.send_id
-                                          : message->request.id;
+    assert_true(AprPeerNode_Wait(node, counter, value, WAIT_MS) >= 0);
 }
 
 static void
-on_message(void *context, AprLink_t link, AprMessage_t *message)
+wait_metric(Node_t *node, const char *name, const char *labels, int64_t value)
 {
-    Seen_t *seen = context;
-
-    pthread_mutex_lock(&seen->mutex);
-    if (seen->messages < MAX_LOG) {
-        seen->types[seen->messages] = message->type;
-        seen->ids[seen->messages] = id_of(message);
-    }
-    if (seen->echo != NULL && message->type == APR_MSG_REQUEST) {
-        AprMessage_t *answer =
-            new_message(APR_MSG_ANSWER, message->request.id);
-
-        if (AprPeerNet_Send(seen->echo, link, answer) != APR_OK) {
-            AprMessage_Free(answer);
-        }
-    }
-    note(seen, &seen->messages);
-    AprMessage_Free(message);
+    assert_true(AprPeerNode_WaitMetric(node, name, labels, value, WAIT_MS));
 }
 
 static void
-on_undelivered(void *context, AprLink_t link, AprMessage_t *message)
+send_message(Node_t *node, AprLink_t link, AprMessageType_t type, uint64_t id)
 {
-    Seen_t *seen = context;
-
-    (void)link;
-    AprMessage_Free(message);
-    pthread_mutex_lock(&seen->mutex);
-    seen->undelivered_after_down += seen->down > 0;
-    note(seen, &seen->undelivered);
+    assert_int_equal(AprPeerNode_Send(node, link, type, id, NULL, 0), APR_OK);
 }
 
-static void
-start(Node_t *node, const char *host, const char *listen, const char *key)
+/* Two nodes with a link from a to b that is up. */
+static AprLink_t
+start_linked(Node_t *a, Node_t *b)
 {
-    static uint64_t incarnation = 100;
-    AprPeerSettings_t settings = {host, ++incarnation, listen, key};
-    AprClock_t clock = AprClock_System();
-    AprPeerEvents_t events = {on_up, on_down, on_message, on_undelivered,
-                              &node->seen};
-    AprError_t error = {0};
-
-    memset(node, 0, sizeof(*node));
-    pthread_mutex_init(&node->seen.mutex, NULL);
-    pthread_cond_init(&node->seen.changed, NULL);
-    node->metrics = AprMetrics_New();
-    node->net =
-        AprPeerNet_Start(&settings, &clock, &events, node->metrics, &error);
-    if (node->net == NULL) {
-        fail_msg("%s", error.detail);
-    }
-}
+    AprLink_t link;
 
-static void
-stop(Node_t *node)
-{
-    AprPeerNet_Stop(node->net);
-    AprMetrics_Free(node->metrics);
-    pthread_cond_destroy(&node->seen.changed);
-    pthread_mutex_destroy(&node->seen.mutex);
+    start(a, "a", "127.0.0.1:0", KEY);
+    start(b, "b", "127.0.0.1:0", KEY);
+    link = AprPeerNet_Open(a->net, AprPeerNet_Address(b->net));
+    wait_for(a, &a->up, 1);
+    wait_for(b, &b->up, 1);
+    return link;
 }
 
-/* Waits until a counter has reached a value. */
+/* Fills the queue of a link while the receiver's peer thread is blocked by
+   the mutex, so that the sockets fill up too. */
 static void
-wait_for(Seen_t *seen, const int *counter, int value)
+fill_blocked_link(Node_t *a, AprLink_t link)
 {
-    struct timespec limit;
-    int status = 0;
-    int reached;
-
-    clock_gettime(CLOCK_REALTIME, &limit);
-    limit = AprTime_AddMs(limit, WAIT_MS);
-    pthread_mutex_lock(&seen->mutex);
-    while (*counter < value && status == 0) {
-        status = pthread_cond_timedwait(&seen->changed, &seen->mutex, &limit);
-    }
-    reached = *counter;
-    pthread_mutex_unlock(&seen->mutex);
-    assert_true(reached >= value);
-}
+    static const char body[FLOOD_BODY];
 
-static int64_t
-counter(Node_t *node, const char *name, const char *labels)
-{
-    return AprMetric_Value(
-        AprMetrics_Counter(node->metrics, name, labels, ""));
-}
-
-static void
-wait_counter(Node_t *node, const char *name, const char *labels, int64_t value)
-{
-    for (int ms = 0; ms < WAIT_MS; ms += 5) {
-        if (counter(node, name, labels) >= value) {
-            return;
-        }
-        usleep(5000);
+    for (uint64_t id = 0; id < FLOOD_COUNT; id++) {
+        assert_int_equal(
+            AprPeerNode_Send(a, link, APR_MSG_REQUEST, id, body, sizeof(body)),
+            APR_OK);
     }
-    fail_msg("%s{%s} stays below %d", name, labels, (int)value);
-}
-
-static void
-send_message(Node_t *node, AprLink_t link, AprMessageType_t type, uint64_t id)
-{
-    AprMessage_t *message = new_message(type, id);
-
-    assert_int_equal(AprPeerNet_Send(node->net, link, message), APR_OK);
+    usleep(200000);
 }
 
 /* Guards against messages that are lost, reordered within their class or
@@ -221,28 +87,24 @@
     AprLink_t link;
 
     (void)state;
-    start(&a, "a", "127.0.0.1:0", KEY);
-    start(&b, "b", "127.0.0.1:0", KEY);
-    b.seen.echo = b.net;
-    link = AprPeerNet_Open(a.net, AprPeerNet_Address(b.net));
-    wait_for(&a.seen, &a.seen.up, 1);
-    wait_for(&b.seen, &b.seen.up, 1);
-    assert_int_equal(a.seen.last_up, link);
-    assert_string_equal(a.seen.host, "b");
-    assert_string_equal(b.seen.host, "a");
+    link = start_linked(&a, &b);
+    b.answers = true;
+    assert_int_equal(a.last_up, link);
+    assert_string_equal(a.peer_host, "b");
+    assert_string_equal(b.peer_host, "a");
     for (uint64_t id = 0; id < 1000; id++) {
         send_message(&a, link, APR_MSG_REQUEST, id);
     }
-    wait_for(&a.seen, &a.seen.messages, 1000);
+    wait_for(&a, &a.messages, 1000);
     for (uint64_t id = 0; id < 1000; id++) {
-        assert_int_equal(b.seen.types[id], APR_MSG_REQUEST);
-        assert_int_equal(b.seen.ids[id], id);
-        assert_int_equal(a.seen.types[id], APR_MSG_ANSWER);
-        assert_int_equal(a.seen.ids[id], id);
+        assert_int_equal(b.types[id], APR_MSG_REQUEST);
+        assert_int_equal(b.ids[id], id);
+        assert_int_equal(a.types[id], APR_MSG_ANSWER);
+        assert_int_equal(a.ids[id], id);
     }
-    stop(&a);
-    wait_for(&b.seen, &b.seen.down, 1);
-    stop(&b);
+    AprPeerNode_Stop(&a);
+    wait_for(&b, &b.down, 1);
+    AprPeerNode_Stop(&b);
 }
 
 /* Guards against a link that stays down, or reports `up` before `down`, when
@@ -261,20 +123,20 @@
     snprintf(address, sizeof(address), "%s", AprPeerNet_Address(b.net));
     link = AprPeerNet_Open(a.net, address);
     for (int round = 1; round <= 3; round++) {
-        wait_for(&a.seen, &a.seen.up, round);
-        first = a.seen.incarnation;
-        stop(&b);
-        wait_for(&a.seen, &a.seen.down, round);
+        wait_for(&a, &a.up, round);
+        first = a.peer_incarnation;
+        AprPeerNode_Stop(&b);
+        wait_for(&a, &a.down, round);
         start(&b, "b", address, KEY);
     }
-    wait_for(&a.seen, &a.seen.up, 4);
-    assert_int_equal(a.seen.incarnation, first + 1);
-    assert_int_equal(a.seen.last_up, link);
-    assert_int_equal(a.seen.other_down, 0);
+    wait_for(&a, &a.up, 4);
+    assert_int_equal(a.peer_incarnation, first + 1);
+    assert_int_equal(a.last_up, link);
+    assert_int_equal(a.unpaired_down, 0);
     send_message(&a, link, APR_MSG_REQUEST, 7);
-    wait_for(&b.seen, &b.seen.messages, 1);
-    stop(&a);
-    stop(&b);
+    wait_for(&b, &b.messages, 1);
+    AprPeerNode_Stop(&a);
+    AprPeerNode_Stop(&b);
 }
 
 static int
@@ -316,29 +178,21 @@
     link = AprPeerNet_Open(a.net, address);
     send_message(&a, link, APR_MSG_REQUEST, 1);
     send_message(&a, link, APR_MSG_RENEW, 2);
-    wait_for(&a.seen, &a.seen.undelivered, 2);
-    assert_int_equal(
-        counter(&a, "apricot_peer_timeouts_total", "reason=\"handshake\""), 1);
+    wait_for(&a, &a.undelivered, 2);
+    assert_int_equal(AprPeerNode_Metric(&a, "apricot_peer_timeouts_total",
+                                        "reason=\"handshake\""),
+                     1);
     close(fd);
     AprPeerNet_Close(a.net, link);
     link = AprPeerNet_Open(a.net, address);
     send_message(&a, link, APR_MSG_REQUEST, 3);
-    wait_for(&a.seen, &a.seen.undelivered, 3);
+    wait_for(&a, &a.undelivered, 3);
     AprPeerNet_Close(a.net, link);
     send_message(&a, link, APR_MSG_REQUEST, 4);
-    wait_for(&a.seen, &a.seen.undelivered, 4);
-    assert_int_equal(a.seen.up, 0);
-    assert_int_equal(a.seen.down, 0);
-    stop(&a);
-}
-
-static AprMessage_t *
-large_request(uint64_t id, const char *body, size_t size)
-{
-    AprMessage_t *message = new_message(APR_MSG_REQUEST, id);
-
-    message->request.body = (AprBytes_t){body, size};
-    return message;
+    wait_for(&a, &a.undelivered, 4);
+    assert_int_equal(a.up, 0);
+    assert_int_equal(a.down, 0);
+    AprPeerNode_Stop(&a);
 }
 
 /* Guards against a message reported as undelivered although a part of it was
@@ -350,74 +204,51 @@
 static void
 test_undelivered_against_lost(void **state)
 {
-    enum { COUNT = 400, BODY = 30000 };
-    char *body = calloc(1, BODY);
     Node_t a, b;
     AprLink_t link;
     int64_t sent;
 
     (void)state;
-    start(&a, "a", "127.0.0.1:0", KEY);
-    start(&b, "b", "127.0.0.1:0", KEY);
-    link = AprPeerNet_Open(a.net, AprPeerNet_Address(b.net));
-    wait_for(&a.seen, &a.seen.up, 1);
-    wait_for(&b.seen, &b.seen.up, 1);
-    pthread_mutex_lock(&b.seen.mutex); /* blocks the peer thread of b */
-    for (uint64_t id = 0; id < COUNT; id++) {
-        assert_int_equal(
-            AprPeerNet_Send(a.net, link, large_request(id, body, BODY)),
-            APR_OK);
-    }
-    usleep(200000);
+    link = start_linked(&a, &b);
+    pthread_mutex_lock(&b.mutex); /* blocks the peer thread of b */
+    fill_blocked_link(&a, link);
     AprPeerNet_Close(a.net, link);
-    wait_for(&a.seen, &a.seen.down, 1);
-    pthread_mutex_unlock(&b.seen.mutex);
-    wait_for(&b.seen, &b.seen.down, 1);
-    sent = counter(&a, "apricot_peer_messages_total", "direction=\"sent\"");
-    assert_true(a.seen.undelivered > 0);
-    assert_int_equal(sent + a.seen.undelivered, COUNT);
-    assert_true(b.seen.messages <= sent);
-    assert_int_equal(a.seen.undelivered_after_down, 0);
-    stop(&a);
-    stop(&b);
-    free(body);
+    wait_for(&a, &a.down, 1);
+    pthread_mutex_unlock(&b.mutex);
+    wait_for(&b, &b.down, 1);
+    sent = AprPeerNode_Metric(&a, "apricot_peer_messages_total",
+                              "direction=\"sent\"");
+    assert_true(a.undelivered > 0);
+    assert_int_equal(sent + a.undelivered, FLOOD_COUNT);
+    assert_true(b.messages <= sent);
+    assert_int_equal(a.undelivered_after_down, 0);
+    AprPeerNode_Stop(&a);
+    AprPeerNode_Stop(&b);
 }
 
 /* Guards against lease renewals that wait behind a flood of requests. */
 static void
 test_control_before_data(void **state)
 {
-    enum { COUNT = 400, BODY = 30000 };
-    char *body = calloc(1, BODY);
     Node_t a, b;
     AprLink_t link;
     int at = 0;
 
     (void)state;
-    start(&a, "a", "127.0.0.1:0", KEY);
-    start(&b, "b", "127.0.0.1:0", KEY);
-    link = AprPeerNet_Open(a.net, AprPeerNet_Address(b.net));
-    wait_for(&a.seen, &a.seen.up, 1);
-    wait_for(&b.seen, &b.seen.up, 1);
-    pthread_mutex_lock(&b.seen.mutex);
-    for (uint64_t id = 0; id < COUNT; id++) {
-        assert_int_equal(
-            AprPeerNet_Send(a.net, link, large_request(id, body, BODY)),
-            APR_OK);
-    }
-    usleep(200000);
+    link = start_linked(&a, &b);
+    pthread_mutex_lock(&b.mutex);
+    fill_blocked_link(&a, link);
     send_message(&a, link, APR_MSG_RENEW, 1);
     usleep(50000);
-    pthread_mutex_unlock(&b.seen.mutex);
-    wait_for(&b.seen, &b.seen.messages, COUNT + 1);
-    while (b.seen.types[at] != APR_MSG_RENEW) {
+    pthread_mutex_unlock(&b.mutex);
+    wait_for(&b, &b.messages, FLOOD_COUNT + 1);
+    while (b.types[at] != APR_MSG_RENEW) {
         at++;
     }
     /* Not before what the sockets held, but before what was queued. */
-    assert_in_range(at, 0, COUNT - 10);
-    stop(&a);
-    stop(&b);
-    free(body);
+    assert_in_range(at, 0, FLOOD_COUNT - 10);
+    AprPeerNode_Stop(&a);
+    AprPeerNode_Stop(&b);
 }
 
 /* Guards against a queue that grows without limit, and against a sender that
@@ -434,19 +265,13 @@
     (void)state;
     start(&a, "a", "127.0.0.1:0", KEY);
     link = AprPeerNet_Open(a.net, address);
-    for (;;) {
-        AprMessage_t *message = new_message(APR_MSG_REQUEST, 1);
-
-        if (AprPeerNet_Send(a.net, link, message) != APR_OK) {
-            AprMessage_Free(message);
-            break;
-        }
+    while (AprPeerNode_Send(&a, link, APR_MSG_REQUEST, 1, NULL, 0) == APR_OK) {
         accepted++;
     }
     assert_int_equal(accepted, APR_PEER_MAX_DATA);
     send_message(&a, link, APR_MSG_RENEW, 1);
-    wait_for(&a.seen, &a.seen.undelivered, accepted + 1);
-    stop(&a);
+    wait_for(&a, &a.undelivered, accepted + 1);
+    AprPeerNode_Stop(&a);
     close(fd);
 }
 
@@ -462,13 +287,13 @@
     start(&b, "b", "127.0.0.1:0", "another key");
     link = AprPeerNet_Open(a.net, AprPeerNet_Address(b.net));
     send_message(&a, link, APR_MSG_REQUEST, 1);
-    wait_for(&a.seen, &a.seen.undelivered, 1);
-    wait_counter(&a, "apricot_peer_bad_frames_total",
-                 "reason=\"not-authorized\"", 2);
-    assert_int_equal(a.seen.up + b.seen.up, 0);
-    assert_int_equal(a.seen.down + b.seen.down, 0);
-    stop(&a);
-    stop(&b);
+    wait_for(&a, &a.undelivered, 1);
+    wait_metric(&a, "apricot_peer_bad_frames_total",
+                "reason=\"not-authorized\"", 2);
+    assert_int_equal(a.up + b.up, 0);
+    assert_int_equal(a.down + b.down, 0);
+    AprPeerNode_Stop(&a);
+    AprPeerNode_Stop(&b);
 }
 
 /* Guards against a client that sends garbage and stops the net, or is not
@@ -481,10 +306,7 @@
     char garbage[4096];
 
     (void)state;
-    start(&a, "a", "127.0.0.1:0", KEY);
-    start(&b, "b", "127.0.0.1:0", KEY);
-    link = AprPeerNet_Open(a.net, AprPeerNet_Address(b.net));
-    wait_for(&a.seen, &a.seen.up, 1);
+    link = start_linked(&a, &b);
     srand(20261204);
     for (int i = 0; i < 50; i++) {
         int fd = connect_socket(AprPeerNet_Address(b.net));
@@ -497,13 +319,13 @@
         assert_true(recv(fd, garbage, 1, 0) <= 0);
         close(fd);
     }
-    wait_counter(&b, "apricot_peer_bad_frames_total", "reason=\"too-large\"",
-                 50);
+    wait_metric(&b, "apricot_peer_bad_frames_total", "reason=\"too-large\"",
+                50);
     send_message(&a, link, APR_MSG_REQUEST, 1);
-    wait_for(&b.seen, &b.seen.messages, 1);
-    assert_int_equal(b.seen.up, 1);
-    stop(&a);
-    stop(&b);
+    wait_for(&b, &b.messages, 1);
+    assert_int_equal(b.up, 1);
+    AprPeerNode_Stop(&a);
+    AprPeerNode_Stop(&b);
 }
 
 /* Guards against silent connections that use up the process: at most 64 are
@@ -520,17 +342,17 @@
     for (int i = 0; i < count; i++) {
         fds[i] = connect_socket(AprPeerNet_Address(a.net));
     }
-    wait_counter(&a, "apricot_peer_refused_total", "reason=\"half-open\"", 10);
-    wait_counter(&a, "apricot_peer_timeouts_total", "reason=\"handshake\"",
-                 APR_PEER_MAX_HALF_OPEN);
+    wait_metric(&a, "apricot_peer_refused_total", "reason=\"half-open\"", 10);
+    wait_metric(&a, "apricot_peer_timeouts_total", "reason=\"handshake\"",
+                APR_PEER_MAX_HALF_OPEN);
     start(&b, "b", "127.0.0.1:0", KEY);
     AprPeerNet_Open(b.net, AprPeerNet_Address(a.net));
-    wait_for(&b.seen, &b.seen.up, 1);
+    wait_for(&b, &b.up, 1);
     for (int i = 0; i < count; i++) {
         close(fds[i]);
     }
-    stop(&a);
-    stop(&b);
+    AprPeerNode_Stop(&a);
+    AprPeerNode_Stop(&b);
 }
 
 /* Guards against a process that links to itself, for instance through its own
@@ -543,11 +365,11 @@
     (void)state;
     start(&a, "a", "127.0.0.1:0", KEY);
     AprPeerNet_Open(a.net, AprPeerNet_Address(a.net));
-    wait_counter(&a, "apricot_peer_bad_frames_total", "reason=\"invalid\"", 1);
-    assert_int_equal(a.seen.up, 0);
+    wait_metric(&a, "apricot_peer_bad_frames_total", "reason=\"invalid\"", 1);
+    assert_int_equal(a.up, 0);
     assert_int_equal(AprPeerNet_Open(a.net, "localhost:1"), APR_NO_LINK);
     assert_int_equal(AprPeerNet_Open(a.net, "127.0.0.1"), APR_NO_LINK);
-    stop(&a);
+    AprPeerNode_Stop(&a);
 }
 
 int
