--- a/internal/core.h
+++ b/internal/core.h
@@ -263,6 +263,7 @@
                              const AprMessage_t *message);
 /* After a newer record was adopted. */
 void AprMembership_OnRecord(AprCore_t *core);
+AprLeaseSettings_t AprMembership_LeaseSettings(const AprCore_t *core);
 /* The policy of a service of the record, from its configuration. */
 AprPlacementPolicy_t AprMembership_Policy(const AprCore_t *core,
                                           const char *service);
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -353,10 +353,8 @@
 static int
 init_state(AprCore_t *core)
 {
-    AprLeaseSettings_t lease = AprLeaseSettings_Default();
+    AprLeaseSettings_t lease = AprMembership_LeaseSettings(core);
 
-    lease.renew_ms = core->settings.lease_renew_ms;
-    lease.promise_ms = core->settings.lease_promise_ms;
     core->incarnation = (uint64_t)AprClock_WallMs(&core->clock);
     core->started_at = AprCore_Now(core);
     core->store_ok = true;
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -10,6 +10,8 @@
 #define MOVES_PER_PLAN 256
 #define MOVE_BATCH 32
 #define MAX_RENEWALS 8
+#define DRIFT_PERCENT 1
+#define DRIFT_FIXED_MS 10
 
 /* The placement policy of a service, or the default one while its
    configuration is not known. */
@@ -149,18 +151,29 @@
     AprRecordSync_Change(core, apply_join, join_done, NULL);
 }
 
+/* The lease times of the process settings. The allowance for clock drift
+   follows the promise. */
+AprLeaseSettings_t
+AprMembership_LeaseSettings(const AprCore_t *core)
+{
+    AprLeaseSettings_t lease = {
+        core->settings.lease_renew_ms, core->settings.lease_promise_ms,
+        core->settings.lease_promise_ms * DRIFT_PERCENT / 100 +
+            DRIFT_FIXED_MS};
+
+    return lease;
+}
+
 /* A removed process forgets everything it owned and comes back under a new
    incarnation, like one that was restarted. */
 static void
 become_new_incarnation(AprCore_t *core)
 {
-    AprLeaseSettings_t lease = AprLeaseSettings_Default();
+    AprLeaseSettings_t lease = AprMembership_LeaseSettings(core);
     uint64_t removed =
         AprRecord_RemovedIncarnation(core->record, core->settings.host);
     uint64_t wall_ms = (uint64_t)AprClock_WallMs(&core->clock);
 
-    lease.renew_ms = core->settings.lease_renew_ms;
-    lease.promise_ms = core->settings.lease_promise_ms;
     core->incarnation = MAX(MAX(wall_ms, core->incarnation + 1), removed + 1);
     core->started_at = AprCore_Now(core);
     AprLease_Free(core->lease);
