--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -75,6 +75,7 @@
 
 write_settings() {
     local host=$1 domain=$2
+    local advertised="${host}_advertised"
     local callers="${host}_callers" peers="${host}_peers" admin="${host}_admin"
     cat > "$run_dir/$host.toml" <<SETTINGS
 host = "$host"
@@ -87,8 +88,11 @@
 peers = "127.0.0.1:${!peers}"
 admin = "127.0.0.1:${!admin}"
 
+[advertise]
+peers = "127.0.0.1:${!advertised:-${!peers}}"
+
 [store]
-endpoints = ["http://127.0.0.1:${relay_port:-$store_port}"]
+endpoints = ["http://127.0.0.1:$store_port"]
 timeout_ms = 500
 
 [security]
@@ -119,6 +123,17 @@
     cluster_pids+=($!)
 }
 
+# run_relay HOST: a relay before the peer listener, if <host>_advertised is
+# set. SIGUSR1 to <host>_relay_pid cuts it, SIGUSR2 restores it.
+run_relay() {
+    local advertised="$1_advertised" peers="$1_peers"
+    [ -n "${!advertised:-}" ] || return 0
+    "$build/apricot-standin-relay" --listen "127.0.0.1:${!advertised}" \
+        --to "127.0.0.1:${!peers}" >"$run_dir/$1.relay" 2>&1 &
+    printf -v "$1_relay_pid" %s $!
+    cluster_pids+=($!)
+}
+
 # start_host HOST FAILURE_DOMAIN [BACKEND OPTIONS]: process and backend server.
 start_host() {
     local host=$1 domain=$2
@@ -128,6 +143,7 @@
     free_port "${host}_admin"
     free_port "${host}_backend"
     write_settings "$host" "$domain"
+    run_relay "$host"
     run_host "$host"
     run_backend "$host" --service desk "$@"
 }
