--- /dev/null
+++ b/tests/cutting_server.h
@@ -0,0 +1,94 @@
+#ifndef APRICOT_TESTS_CUTTING_SERVER_H
+#define APRICOT_TESTS_CUTTING_SERVER_H
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Answers each request and keeps the connection; a request for the operation
+   `cut` is read and its connection closed without an answer. */
+typedef struct CuttingServer_t {
+    int count;
+    struct pollfd fds[8]; /* the first one listens */
+    char address[64];
+    atomic_int requests;
+    atomic_bool stop;
+    pthread_t thread;
+} CuttingServer_t;
+
+static inline bool
+serve_one(CuttingServer_t *server, int fd)
+{
+    static const char answer[] =
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    char text[4096];
+    ssize_t size = recv(fd, text, sizeof(text) - 1, 0);
+
+    if (size <= 0) {
+        return false;
+    }
+    text[size] = '\0';
+    atomic_fetch_add(&server->requests, 1);
+    return strstr(text, "/cut/") == NULL &&
+           send(fd, answer, sizeof(answer) - 1, MSG_NOSIGNAL) > 0;
+}
+
+static inline void *
+run_cutting_server(void *argument)
+{
+    CuttingServer_t *server = argument;
+
+    while (!atomic_load(&server->stop)) {
+        if (poll(server->fds, server->count, 20) <= 0) {
+            continue;
+        }
+        for (int i = server->count - 1; i > 0; i--) {
+            if (server->fds[i].revents != 0 &&
+                !serve_one(server, server->fds[i].fd)) {
+                close(server->fds[i].fd);
+                server->fds[i] = server->fds[--server->count];
+            }
+        }
+        if (server->fds[0].revents != 0) {
+            server->fds[server->count++] = (struct pollfd){
+                accept(server->fds[0].fd, NULL, NULL), POLLIN, 0};
+        }
+    }
+    while (server->count > 0) {
+        close(server->fds[--server->count].fd);
+    }
+    return NULL;
+}
+
+static inline void
+start_cutting_server(CuttingServer_t *server)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    socklen_t size = sizeof(address);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    memset(server, 0, sizeof(*server));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    assert_int_equal(bind(fd, (struct sockaddr *)&address, size), 0);
+    assert_int_equal(listen(fd, 8), 0);
+    getsockname(fd, (struct sockaddr *)&address, &size);
+    snprintf(server->address, sizeof(server->address), "127.0.0.1:%d",
+             ntohs(address.sin_port));
+    server->fds[server->count++] = (struct pollfd){fd, POLLIN, 0};
+    pthread_create(&server->thread, NULL, run_cutting_server, server);
+}
+
+static inline void
+stop_cutting_server(CuttingServer_t *server)
+{
+    atomic_store(&server->stop, true);
+    pthread_join(server->thread, NULL);
+}
+
+#endif
--- a/tests/test_backend_client.c
+++ b/tests/test_backend_client.c
@@ -8,16 +8,14 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <arpa/inet.h>
 #include <cmocka.h>
-#include <poll.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "apricot/backend_client.h"
 #include "apricot/ring.h"
 #include "standins/lib/backend_server.h"
 #include "standins/lib/http.h"
+#include "tests/cutting_server.h"
 
 #define MAX_CONNECTIONS 4
 #define MAX_BODY 4096
@@ -239,79 +237,6 @@
     assert_int_equal(counts_of(fixture).runs, MAX_CONNECTIONS);
 }
 
-/* Answers each request and keeps the connection; a request for the operation
-   `cut` is read and its connection closed without an answer. */
-typedef struct CuttingServer_t {
-    int count;
-    struct pollfd fds[8]; /* the first one listens */
-    char address[64];
-    atomic_int requests;
-    atomic_bool stop;
-    pthread_t thread;
-} CuttingServer_t;
-
-static bool
-serve_one(CuttingServer_t *server, int fd)
-{
-    static const char answer[] =
-        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-    char text[4096];
-    ssize_t size = recv(fd, text, sizeof(text) - 1, 0);
-
-    if (size <= 0) {
-        return false;
-    }
-    text[size] = '\0';
-    atomic_fetch_add(&server->requests, 1);
-    return strstr(text, "/cut/") == NULL &&
-           send(fd, answer, sizeof(answer) - 1, MSG_NOSIGNAL) > 0;
-}
-
-static void *
-run_cutting_server(void *argument)
-{
-    CuttingServer_t *server = argument;
-
-    while (!atomic_load(&server->stop)) {
-        if (poll(server->fds, server->count, 20) <= 0) {
-            continue;
-        }
-        for (int i = server->count - 1; i > 0; i--) {
-            if (server->fds[i].revents != 0 &&
-                !serve_one(server, server->fds[i].fd)) {
-                close(server->fds[i].fd);
-                server->fds[i] = server->fds[--server->count];
-            }
-        }
-        if (server->fds[0].revents != 0) {
-            server->fds[server->count++] = (struct pollfd){
-                accept(server->fds[0].fd, NULL, NULL), POLLIN, 0};
-        }
-    }
-    while (server->count > 0) {
-        close(server->fds[--server->count].fd);
-    }
-    return NULL;
-}
-
-static void
-start_cutting_server(CuttingServer_t *server)
-{
-    struct sockaddr_in address = {.sin_family = AF_INET};
-    socklen_t size = sizeof(address);
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-    memset(server, 0, sizeof(*server));
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    assert_int_equal(bind(fd, (struct sockaddr *)&address, size), 0);
-    assert_int_equal(listen(fd, 8), 0);
-    getsockname(fd, (struct sockaddr *)&address, &size);
-    snprintf(server->address, sizeof(server->address), "127.0.0.1:%d",
-             ntohs(address.sin_port));
-    server->fds[server->count++] = (struct pollfd){fd, POLLIN, 0};
-    pthread_create(&server->thread, NULL, run_cutting_server, server);
-}
-
 /* Guards against a non-idempotent request that libcurl sends a second time
    when the connection breaks: an earlier answer leaves a connection open, on
    which it would do so. */
@@ -330,8 +255,7 @@
     expect(fixture, first, APR_ANSWERED, NULL);
     expect(fixture, second, APR_UNKNOWN, NULL);
     assert_int_equal(atomic_load(&server.requests), 2);
-    atomic_store(&server.stop, true);
-    pthread_join(server.thread, NULL);
+    stop_cutting_server(&server);
 }
 
 /* Guards against calls that outlast their time, and against a backend that
