--- /dev/null
+++ b/programs/apricotctl.c
@@ -0,0 +1,12 @@
+#include <locale.h>
+#include <stdio.h>
+
+#include "internal/ctl.h"
+
+/* The operators' command line; see docs/operations.md. */
+int
+main(int argc, char **argv)
+{
+    setlocale(LC_ALL, "");
+    return AprCtl_Run(argc, argv, stdout, stderr);
+}
--- a/src/ctl/config_verbs.c
+++ b/src/ctl/config_verbs.c
@@ -107,8 +107,8 @@
     json_decref(list);
     free(configs);
     if (count < 0) {
-        return AprCtl_Fail(ctl, AprCtl_ExitOf(count), "store: %s",
-                           error.detail);
+        return AprCtl_Fail(ctl, AprCtl_ExitOf(count),
+                           "cannot read the store: %s", error.detail);
     }
     if (shown == 0 && ctl->argument_count > 1) {
         return AprCtl_Fail(ctl, APR_CTL_FAILED,
@@ -228,8 +228,8 @@
     g_free(prefix);
     if (result != APR_OK) {
         json_decref(history.list);
-        return AprCtl_Fail(ctl, AprCtl_ExitOf(result), "store: %s",
-                           error.detail);
+        return AprCtl_Fail(ctl, AprCtl_ExitOf(result),
+                           "cannot read the store: %s", error.detail);
     }
     if (ctl->json) {
         AprCtl_PrintJson(
--- a/src/ctl/service_verbs.c
+++ b/src/ctl/service_verbs.c
@@ -162,6 +162,12 @@
             "again, which changes nothing if it is",
             config->service, error->detail);
     }
+    if (code == APR_E_UNAVAILABLE) {
+        return g_strdup_printf(
+            "%s: not published, what is in force stays; the store is "
+            "unavailable: %s",
+            config->service, error->detail);
+    }
     return g_strdup_printf("%s: not published: %s", config->service,
                            error->detail);
 }
