Wait for announcements in the backend test instead of sleeping

Cause: test_backend_announces_itself counted announcements after a fixed 1.5 s, which a busy machine can miss. Ruled out: a longer sleep; it would also accept announcements that come too slowly or more than once a second. Change: the test waits up to 5 s for the second announcement and also checks that it does not come within 0.8 s.

--- a/tests/test_backend_client.c
+++ b/tests/test_backend_client.c
@@ -416,13 +416,15 @@
     return AprStandinHttp_Text(client, MHD_HTTP_OK, "text/plain", "");
 }
 
-/* Guards against announcements that stop or that name the wrong address. */
+/* Guards against announcements that stop, that come more often than once a
+   second, or that name the wrong address. */
 static void
 test_backend_announces_itself(void **state)
 {
     static Announcements_t announcements;
     Fixture_t *fixture = *state;
     AprStandinHttp_t http = {0};
+    struct timespec start;
     char expected[512];
 
     assert_int_equal(AprStandinHttp_Start(&http, "127.0.0.1:0", 0, on_announce,
@@ -432,8 +434,12 @@
     fixture->options.token = "secret";
     fixture->options.services[fixture->options.service_count++] = "desk";
     restart_server(fixture);
-    usleep(1500 * 1000);
+    start = AprClock_Now(&fixture->clock);
+    for (int i = 0; i < 500 && atomic_load(&announcements.count) < 2; i++) {
+        usleep(10 * 1000);
+    }
     assert_int_equal(atomic_load(&announcements.count), 2);
+    assert_true(AprTime_DiffMs(AprClock_Now(&fixture->clock), start) >= 800);
     snprintf(expected, sizeof(expected),
              "POST /announce Bearer secret {\"service\":\"desk\","
              "\"address\":\"%s\",\"slots\":1,\"connections\":120,"
