--- a/tests/prop_lease.cc
+++ b/tests/prop_lease.cc
@@ -316,11 +316,11 @@
             cases++;
             RC_ASSERT(violation == "");
         });
-    printf("proof lease: %s, %ld cases;", passed ? "held" : "VIOLATED", cases);
+    printf("proof|lease|%s|%ld|", passed ? "held" : "VIOLATED", cases);
     for (const auto &total : totals) {
-        printf(" %ld %s,", total.second, total.first.c_str());
+        printf("%ld %s, ", total.second, total.first.c_str());
     }
-    printf(" seeds %s\n", getenv("RC_PARAMS") ? getenv("RC_PARAMS") : "any");
+    printf("\n");
     for (const Mutant &mutant : mutants) {
         passed = mutant_is_detected(mutant) && passed;
     }
--- a/tests/prop_outcomes.cc
+++ b/tests/prop_outcomes.cc
@@ -292,12 +292,11 @@
             cases++;
             RC_ASSERT(violation == "");
         });
-    printf("proof outcomes: %s, %ld cases;", passed ? "held" : "VIOLATED",
-           cases);
+    printf("proof|outcomes|%s|%ld|", passed ? "held" : "VIOLATED", cases);
     for (const auto &total : totals) {
-        printf(" %ld %s,", total.second, total.first.c_str());
+        printf("%ld %s, ", total.second, total.first.c_str());
     }
-    printf(" seeds %s\n", getenv("RC_PARAMS") ? getenv("RC_PARAMS") : "any");
+    printf("\n");
     bool *floor = &apr_outcomes_rules.floor;
     bool *retention = &apr_outcomes_rules.retention;
     passed = mutant_is_detected("without floor", floor, 0) && passed;
--- a/tests/prop_record.cc
+++ b/tests/prop_record.cc
@@ -231,7 +231,5 @@
              passed;
     passed =
         rc::check("the value stays small", the_value_stays_small) && passed;
-    printf("proof record: %s, seeds %s\n", passed ? "held" : "VIOLATED",
-           getenv("RC_PARAMS") ? getenv("RC_PARAMS") : "any");
     return passed ? 0 : 1;
 }
