--- a/src/load/load_client.c
+++ b/src/load/load_client.c
@@ -4,21 +4,22 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/timerfd.h>
-#include <unistd.h>
 
 #include <curl/curl.h>
 #include <glib.h>
 
+#include "internal/curl_loop.h"
+
 /* Bounds the memory when nothing is answered any more. */
-#define MAX_OPEN 20000
+#define MAX_WAITING 100000
 
 /* The router answers by the deadline of a request; the extra time is for an
    answer that is on its way. */
 #define GRACE_MS 2000
 
 #define NS_PER_S 1e9
-#define POLL_MS 1000
+#define MS_PER_S 1000
+#define POLL_NS 1000000000LL
 
 typedef struct transfer_t {
     CURL *easy;
@@ -34,9 +35,13 @@
     AprArrivals_t *arrivals;
     AprArrival_t next;
     struct timespec start;
-    CURLM *multi;
+    AprCurlLoop_t *loop;
     GPtrArray *idle; /* transfers whose easy handle can be used again */
-    int timer_fd;
+    /* Each rank has its part of the connections, because callers with urgent
+       work do not wait behind the connections of others. */
+    GQueue waiting[APR_MAX_RANKS]; /* due, but without a connection */
+    int open_by_rank[APR_MAX_RANKS];
+    int connections_per_rank;
     int open;
 } run_t;
 
@@ -119,11 +124,11 @@
 }
 
 static void
-set_headers(run_t *run, transfer_t *transfer)
+set_headers(run_t *run, transfer_t *transfer, int timeout_ms)
 {
     const AprLoadRank_t *rank = &run->workload->ranks[transfer->arrival.rank];
     char id[APR_UUID_TEXT_SIZE];
-    char *timeout = g_strdup_printf("%d", rank->timeout_ms);
+    char *timeout = g_strdup_printf("%d", timeout_ms);
 
     curl_slist_free_all(transfer->headers);
     transfer->headers = NULL;
@@ -144,7 +149,7 @@
 }
 
 static void
-set_url(const run_t *run, transfer_t *transfer)
+set_url(const run_t *run, transfer_t *transfer, int timeout_ms)
 {
     const AprWorkload_t *workload = run->workload;
     const AprLoadRank_t *rank = &workload->ranks[transfer->arrival.rank];
@@ -155,33 +160,92 @@
 
     curl_easy_setopt(transfer->easy, CURLOPT_URL, url);
     curl_easy_setopt(transfer->easy, CURLOPT_TIMEOUT_MS,
-                     (long)rank->timeout_ms + GRACE_MS);
+                     (long)timeout_ms + GRACE_MS);
     g_free(url);
 }
 
-/* Sends the request that is due, or skips it when too many are open. */
+/* Milliseconds left of the timeout of an arrival, which runs from the time at
+   which it was due. */
+static int
+remaining_ms(const run_t *run, const AprArrival_t *arrival)
+{
+    double waited_s = elapsed_s(run) - arrival->at_s;
+
+    return run->workload->ranks[arrival->rank].timeout_ms -
+           (int)(waited_s * MS_PER_S);
+}
+
 static void
-send_next(run_t *run)
+send_request(run_t *run, const AprArrival_t *arrival, int timeout_ms)
 {
-    transfer_t *transfer = NULL;
+    transfer_t *transfer =
+        run->idle->len > 0
+            ? g_ptr_array_steal_index_fast(run->idle, run->idle->len - 1)
+            : new_transfer();
 
-    if (run->idle->len > 0) {
-        transfer = g_ptr_array_steal_index_fast(run->idle, run->idle->len - 1);
-    }
-    else if (run->open < MAX_OPEN) {
-        transfer = new_transfer();
-    }
     if (transfer == NULL) {
         run->stats->skipped++;
         return;
     }
-    transfer->arrival = run->next;
+    transfer->arrival = *arrival;
     transfer->sends = 0;
-    set_headers(run, transfer);
-    set_url(run, transfer);
+    set_headers(run, transfer, timeout_ms);
+    set_url(run, transfer, timeout_ms);
     run->open++;
-    run->stats->ranks[run->next.rank].sent++;
-    curl_multi_add_handle(run->multi, transfer->easy);
+    run->open_by_rank[arrival->rank]++;
+    run->stats->ranks[arrival->rank].sent++;
+    curl_multi_add_handle(AprCurlLoop_Multi(run->loop), transfer->easy);
+}
+
+static void
+send_rank(run_t *run, int rank)
+{
+    GQueue *waiting = &run->waiting[rank];
+
+    while (run->open_by_rank[rank] < run->connections_per_rank &&
+           !g_queue_is_empty(waiting)) {
+        AprArrival_t *arrival = g_queue_pop_head(waiting);
+        int timeout_ms = remaining_ms(run, arrival);
+
+        if (timeout_ms > 0) {
+            send_request(run, arrival, timeout_ms);
+        }
+        else {
+            run->stats->skipped++;
+        }
+        g_free(arrival);
+    }
+}
+
+/* Sends waiting requests while connections are free. libcurl could hold them
+   itself, but it visits every transfer in each round: with 20,000 of them the
+   client and not the router was the limit. */
+static void
+send_waiting(run_t *run)
+{
+    for (int i = 0; i < run->workload->rank_count; i++) {
+        send_rank(run, i);
+    }
+}
+
+static void
+take_due(run_t *run)
+{
+    while (run->next.at_s < run->workload->duration_s &&
+           run->next.at_s <= elapsed_s(run)) {
+        GQueue *waiting = &run->waiting[run->next.rank];
+
+        if (waiting->length < MAX_WAITING) {
+            AprArrival_t *arrival = g_new(AprArrival_t, 1);
+
+            *arrival = run->next;
+            g_queue_push_tail(waiting, arrival);
+        }
+        else {
+            run->stats->skipped++;
+        }
+        run->next = AprArrivals_Next(run->arrivals);
+    }
 }
 
 static void
@@ -199,8 +263,9 @@
     }
     AprLoadStats_Add(run->stats, transfer->arrival.rank, outcome,
                      transfer->arrival.at_s, elapsed_s(run));
-    curl_multi_remove_handle(run->multi, easy);
+    curl_multi_remove_handle(AprCurlLoop_Multi(run->loop), easy);
     run->open--;
+    run->open_by_rank[transfer->arrival.rank]--;
     g_ptr_array_add(run->idle, transfer);
 }
 
@@ -210,60 +275,39 @@
     CURLMsg *message;
     int left;
 
-    while ((message = curl_multi_info_read(run->multi, &left)) != NULL) {
+    while ((message = curl_multi_info_read(AprCurlLoop_Multi(run->loop),
+                                           &left)) != NULL) {
         if (message->msg == CURLMSG_DONE) {
             finish_transfer(run, message->easy_handle, message->data.result);
         }
     }
 }
 
-/* Waits for network events or the next request. curl_multi_poll counts in
-   milliseconds, which is too coarse above 1,000 requests per second. */
-static void
-wait_for_work(run_t *run, bool sending)
-{
-    struct curl_waitfd timer = {run->timer_fd, CURL_WAIT_POLLIN, 0};
-    struct itimerspec setting = {{0, 0}, {0, 0}};
-    double wait_s = run->next.at_s - elapsed_s(run);
-
-    if (!sending) {
-        curl_multi_poll(run->multi, NULL, 0, POLL_MS, NULL);
-        return;
-    }
-    if (wait_s <= 0) {
-        return;
-    }
-    setting.it_value.tv_sec = (time_t)wait_s;
-    setting.it_value.tv_nsec = (long)((wait_s - floor(wait_s)) * NS_PER_S) + 1;
-    if (setting.it_value.tv_nsec >= (long)NS_PER_S) {
-        setting.it_value.tv_nsec = (long)NS_PER_S - 1;
-    }
-    timerfd_settime(run->timer_fd, 0, &setting, NULL);
-    curl_multi_poll(run->multi, &timer, 1, POLL_MS, NULL);
-}
-
 static bool
 still_sending(const run_t *run)
 {
     return run->next.at_s < run->workload->duration_s;
 }
 
-static void
-loop(run_t *run)
+/* Nanoseconds until the next request is due. */
+static int64_t
+until_next_ns(const run_t *run)
 {
-    int running;
+    double wait_s = run->next.at_s - elapsed_s(run);
 
+    return still_sending(run) ? (int64_t)(wait_s * NS_PER_S) : POLL_NS;
+}
+
+static void
+run_to_end(run_t *run)
+{
     run->next = AprArrivals_Next(run->arrivals);
     while (still_sending(run) || run->open > 0) {
-        while (still_sending(run) && run->next.at_s <= elapsed_s(run)) {
-            send_next(run);
-            run->next = AprArrivals_Next(run->arrivals);
-        }
-        curl_multi_perform(run->multi, &running);
+        take_due(run);
+        send_waiting(run);
+        AprCurlLoop_Run(run->loop, until_next_ns(run));
         collect(run);
-        if (still_sending(run) || run->open > 0) {
-            wait_for_work(run, still_sending(run));
-        }
+        send_waiting(run); /* a waiting request must not end the loop */
     }
     AprLoadStats_Finish(run->stats, run->workload->duration_s);
 }
@@ -275,34 +319,31 @@
 AprLoadClient_Run(const AprWorkload_t *workload, const AprClock_t *clock,
                   AprLoadStats_t *stats, AprError_t *error)
 {
-    run_t run = {workload, clock, stats, NULL, {0, 0, 0, 0},
-                 {0, 0},   NULL,  NULL,  -1,   0};
+    run_t run = {.workload = workload, .clock = clock, .stats = stats};
     int code = APR_OK;
 
+    for (int i = 0; i < APR_MAX_RANKS; i++) {
+        g_queue_init(&run.waiting[i]);
+    }
+    run.connections_per_rank =
+        MAX(1, workload->connections / workload->rank_count);
     run.idle = g_ptr_array_new_with_free_func(free_transfer);
-    run.timer_fd = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
     run.arrivals = AprArrivals_New(workload);
-    run.multi = curl_multi_init();
-    if (run.timer_fd < 0 || run.arrivals == NULL || run.multi == NULL) {
+    run.loop = AprCurlLoop_New(workload->connections);
+    if (run.arrivals == NULL || run.loop == NULL) {
         code = AprError_Set(error, APR_E_NOMEM, APR_STEP_NONE, NULL,
                             "cannot start the load client");
         goto error;
     }
-    curl_multi_setopt(run.multi, CURLMOPT_MAX_TOTAL_CONNECTIONS,
-                      (long)workload->connections);
-    curl_multi_setopt(run.multi, CURLMOPT_MAXCONNECTS,
-                      (long)workload->connections);
     run.start = AprClock_Now(clock);
-    loop(&run);
+    run_to_end(&run);
 
 error:
-    g_ptr_array_free(run.idle, TRUE);
-    if (run.multi != NULL) {
-        curl_multi_cleanup(run.multi);
+    for (int i = 0; i < APR_MAX_RANKS; i++) {
+        g_queue_clear_full(&run.waiting[i], g_free);
     }
+    g_ptr_array_free(run.idle, TRUE);
+    AprCurlLoop_Free(run.loop);
     AprArrivals_Free(run.arrivals);
-    if (run.timer_fd >= 0) {
-        close(run.timer_fd);
-    }
     return code;
 }
