Sharpen the tests of lost and undelivered messages

The first test sent bodies of 30,000 bytes, and the sockets always filled up exactly after a whole batch, so no message was ever written in part. Ruled out: asserting that a part was written in a single attempt, because the sockets can also be full exactly after a large message. Change: the bytes on the wire are counted against the reports, with small and with large bodies; a message sent between two attempts must come back at once; the limit of 1024 inbound links has a test. Counters of the recording node are atomic, because a thread sanitizer run showed the test reading them without the mutex. Idle links release their buffers when their timer runs; the bench prints the memory of an idle link. Conclusion: the close semantics are tested at the byte level.

--- a/bench/transport.c
+++ b/bench/transport.c
@@ -24,6 +24,7 @@
 #define CODEC_CALLS 50000
 #define STREAM_MESSAGES 100000
 #define ECHO_CALLS 5000
+#define IDLE_LINKS 500
 #define BATCH_BYTES (64 * 1024)
 #define NS_PER_S 1e9
 #define NS_PER_US 1e3
@@ -293,6 +294,7 @@
     End_t to;
     AprLink_t link;
 
+    atomic_store(&stopping, false);
     start_end(&from, "a");
     start_end(&to, "b");
     link = AprPeerNet_Open(from.net, AprPeerNet_Address(to.net));
@@ -305,6 +307,43 @@
     AprPeerNet_Stop(to.net);
 }
 
+static double
+resident_bytes(void)
+{
+    FILE *file = fopen("/proc/self/statm", "r");
+    long pages = 0;
+
+    require(file != NULL && fscanf(file, "%*d %ld", &pages) == 1, "statm");
+    fclose(file);
+    return (double)pages * (double)sysconf(_SC_PAGESIZE);
+}
+
+/* Memory of both ends of an idle link, in user space. */
+static void
+bench_idle_links(void)
+{
+    End_t from;
+    End_t to;
+    double before;
+
+    atomic_store(&stopping, false);
+    start_end(&from, "a");
+    start_end(&to, "b");
+    before = resident_bytes();
+    for (int i = 0; i < IDLE_LINKS; i++) {
+        AprPeerNet_Open(from.net, AprPeerNet_Address(to.net));
+    }
+    for (int i = 0; i < IDLE_LINKS; i++) {
+        sem_wait(&from.up);
+        sem_wait(&to.up);
+    }
+    print_value("idle_link_memory", (resident_bytes() - before) / IDLE_LINKS,
+                "bytes");
+    atomic_store(&stopping, true);
+    AprPeerNet_Stop(from.net);
+    AprPeerNet_Stop(to.net);
+}
+
 /* A connected pair of loopback sockets. */
 static void
 socket_pair(int fds[2])
@@ -442,6 +481,8 @@
     print_value("seed", (double)seed, "seed");
     make_request(seed);
     bench_codec();
+    /* Before the streams, whose freed memory would serve the links. */
+    bench_idle_links();
     bench_link();
     socket_pair(fds);
     bench_plain_stream(fds);
--- a/internal/session.h
+++ b/internal/session.h
@@ -38,7 +38,7 @@
 AprSession_t *AprSession_New(AprDirection_t role, const AprIdentity_t *self,
                              const char *peer_key);
 void AprSession_Free(AprSession_t *session);
-/* Bytes to write; the owner removes what it has written. */
+/* Bytes to write; the owner removes what it has written. Valid until Trim. */
 GByteArray *AprSession_Output(AprSession_t *session);
 /* Adds received bytes. */
 void AprSession_Push(AprSession_t *session, const void *bytes, size_t size);
@@ -50,6 +50,8 @@
    APR_E_TOO_LARGE for a message that cannot be encoded. */
 int AprSession_Seal(AprSession_t *session, const AprMessage_t *message);
 int AprSession_SealKeepalive(AprSession_t *session, bool is_reply);
+/* Releases buffers that are empty. */
+void AprSession_Trim(AprSession_t *session);
 bool AprSession_IsUp(const AprSession_t *session);
 /* Identity of the peer; valid after UP. */
 const AprIdentity_t *AprSession_Peer(const AprSession_t *session);
--- a/src/protocol/session.c
+++ b/src/protocol/session.c
@@ -8,9 +8,6 @@
 
 #define FIRST_SEQUENCE 1 /* of the frames after the handshake */
 #define KEEPALIVE_SIZE 3 /* array of one uint8 */
-/* An empty input buffer above this size is released, so that idle links hold
-   little memory after a large message. */
-#define INPUT_KEEP_BYTES (128 * 1024)
 
 typedef enum SessionState_t {
     AWAIT_HELLO,
@@ -163,18 +160,29 @@
 static void
 discard_consumed(AprSession_t *session)
 {
-    if (session->consumed == 0) {
-        return;
-    }
-    if (session->consumed == session->input->len &&
-        session->input->len > INPUT_KEEP_BYTES) {
-        g_byte_array_unref(session->input);
-        session->input = g_byte_array_new();
-    }
-    else {
+    if (session->consumed > 0) {
         g_byte_array_remove_range(session->input, 0, (guint)session->consumed);
+        session->consumed = 0;
     }
-    session->consumed = 0;
+}
+
+static void
+release_if_empty(GByteArray **array)
+{
+    if ((*array)->len == 0) {
+        g_byte_array_unref(*array);
+        *array = g_byte_array_new();
+    }
+}
+
+/* Releases empty buffers, which keep the size of the largest message so far.
+   Called now and then, so that idle links hold little memory. */
+void
+AprSession_Trim(AprSession_t *session)
+{
+    discard_consumed(session);
+    release_if_empty(&session->input);
+    release_if_empty(&session->output);
 }
 
 /* Adds received bytes, to be taken apart by AprSession_Next. A failed session
--- a/src/transport/peer_link.c
+++ b/src/transport/peer_link.c
@@ -426,6 +426,7 @@
         AprMetric_Add(link->shared->counters.handshake_timeout, 1);
         return APR_E_TIMEOUT;
     case APR_LINK_UP:
+        AprSession_Trim(link->session);
         return check_silence(link, now);
     default:
         return APR_OK;
--- a/standins/lib/peer_node.c
+++ b/standins/lib/peer_node.c
@@ -121,7 +121,7 @@
 
 /* Waits for a counter of the node. */
 int64_t
-AprPeerNode_Wait(AprPeerNode_t *node, const int *counter, int value,
+AprPeerNode_Wait(AprPeerNode_t *node, const atomic_int *counter, int value,
                  int limit_ms)
 {
     AprClock_t clock = AprClock_System();
--- a/standins/lib/peer_node.h
+++ b/standins/lib/peer_node.h
@@ -2,6 +2,7 @@
 #define APRICOT_STANDINS_PEER_NODE_H
 
 #include <pthread.h>
+#include <stdatomic.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -11,16 +12,17 @@
 #define APR_PEER_NODE_LOG 8192
 
 /* A process on the peer network that records what its net reports. Events are
-   recorded under the mutex, so holding it blocks the peer thread. */
+   recorded under the mutex, so holding it blocks the peer thread; the counters
+   can be read at any time. */
 typedef struct AprPeerNode_t {
     pthread_mutex_t mutex;
     pthread_cond_t changed;
-    int up;
-    int down;
-    int messages;
-    int undelivered;
-    int undelivered_after_down;
-    int unpaired_down; /* without an `up` before it */
+    atomic_int up;
+    atomic_int down;
+    atomic_int messages;
+    atomic_int undelivered;
+    atomic_int undelivered_after_down;
+    atomic_int unpaired_down; /* without an `up` before it */
     AprLink_t last_up;
     char peer_host[APR_NAME_SIZE];
     uint64_t peer_incarnation;
@@ -37,8 +39,8 @@
 void AprPeerNode_Stop(AprPeerNode_t *node);
 /* Waits until one of the node's counters has reached a value. Returns the
    milliseconds it took, or -1 when the limit passed. */
-int64_t AprPeerNode_Wait(AprPeerNode_t *node, const int *counter, int value,
-                         int limit_ms);
+int64_t AprPeerNode_Wait(AprPeerNode_t *node, const atomic_int *counter,
+                         int value, int limit_ms);
 /* Waits in the same way for a metric of the net. */
 bool AprPeerNode_WaitMetric(AprPeerNode_t *node, const char *name,
                             const char *labels, int64_t value, int limit_ms);
--- /dev/null
+++ b/tests/test_peer_hostile.c
@@ -0,0 +1,165 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "internal/peer_loop.h"
+#include "tests/peer_test.h"
+
+static int
+connect_socket(const char *address)
+{
+    AprPeerAddress_t to;
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+    assert_int_equal(AprPeerAddress_Parse(address, &to), APR_OK);
+    assert_int_equal(connect(fd, (struct sockaddr *)&to.storage, to.size), 0);
+    return fd;
+}
+
+/* Guards against a process with another key that is taken for a peer. */
+static void
+test_wrong_key(void **state)
+{
+    Node_t a, b;
+    AprLink_t link;
+
+    (void)state;
+    start(&a, "a", "127.0.0.1:0", KEY);
+    start(&b, "b", "127.0.0.1:0", "another key");
+    link = AprPeerNet_Open(a.net, AprPeerNet_Address(b.net));
+    send_message(&a, link, APR_MSG_REQUEST, 1);
+    wait_for(&a, &a.undelivered, 1);
+    wait_metric(&a, "apricot_peer_bad_frames_total",
+                "reason=\"not-authorized\"", 2);
+    assert_int_equal(a.up + b.up, 0);
+    assert_int_equal(a.down + b.down, 0);
+    AprPeerNode_Stop(&a);
+    AprPeerNode_Stop(&b);
+}
+
+/* Guards against a client that sends garbage and stops the net, or is not
+   counted, while another link works. */
+static void
+test_garbage_client(void **state)
+{
+    Node_t a, b;
+    AprLink_t link;
+    char garbage[4096];
+
+    (void)state;
+    link = start_linked(&a, &b);
+    srand(20261204);
+    for (int i = 0; i < 50; i++) {
+        int fd = connect_socket(AprPeerNet_Address(b.net));
+
+        for (size_t at = 0; at < sizeof(garbage); at++) {
+            garbage[at] = (char)rand();
+        }
+        send(fd, garbage, sizeof(garbage), MSG_NOSIGNAL);
+        /* The net closes the connection; its reset may come first. */
+        assert_true(recv(fd, garbage, 1, 0) <= 0);
+        close(fd);
+    }
+    wait_metric(&b, "apricot_peer_bad_frames_total", "reason=\"too-large\"",
+                50);
+    send_message(&a, link, APR_MSG_REQUEST, 1);
+    wait_for(&b, &b.messages, 1);
+    assert_int_equal(b.up, 1);
+    AprPeerNode_Stop(&a);
+    AprPeerNode_Stop(&b);
+}
+
+/* Guards against silent connections that use up the process: at most 64 are
+   kept without a proof, for one second. */
+static void
+test_half_open_limit(void **state)
+{
+    int fds[APR_PEER_MAX_HALF_OPEN + 10];
+    int count = sizeof(fds) / sizeof(fds[0]);
+    Node_t a, b;
+
+    (void)state;
+    start(&a, "a", "127.0.0.1:0", KEY);
+    for (int i = 0; i < count; i++) {
+        fds[i] = connect_socket(AprPeerNet_Address(a.net));
+    }
+    wait_metric(&a, "apricot_peer_refused_total", "reason=\"half-open\"", 10);
+    wait_metric(&a, "apricot_peer_timeouts_total", "reason=\"handshake\"",
+                APR_PEER_MAX_HALF_OPEN);
+    start(&b, "b", "127.0.0.1:0", KEY);
+    AprPeerNet_Open(b.net, AprPeerNet_Address(a.net));
+    wait_for(&b, &b.up, 1);
+    for (int i = 0; i < count; i++) {
+        close(fds[i]);
+    }
+    AprPeerNode_Stop(&a);
+    AprPeerNode_Stop(&b);
+}
+
+/* Guards against links without limit: the 1025th inbound one is refused and
+   counted, and outbound links still have room. */
+static void
+test_inbound_limit(void **state)
+{
+    const char *name = "apricot_peer_refused_total";
+    Node_t a, b, c;
+
+    (void)state;
+    start(&a, "a", "127.0.0.1:0", KEY);
+    start(&b, "b", "127.0.0.1:0", KEY);
+    start(&c, "c", "127.0.0.1:0", KEY);
+    for (int i = 0; i < APR_PEER_MAX_OUTBOUND; i++) {
+        assert_int_not_equal(AprPeerNet_Open(a.net, AprPeerNet_Address(b.net)),
+                             APR_NO_LINK);
+    }
+    assert_int_equal(AprPeerNet_Open(a.net, AprPeerNet_Address(b.net)),
+                     APR_NO_LINK);
+    wait_for(&b, &b.up, APR_PEER_MAX_INBOUND);
+    AprPeerNet_Open(c.net, AprPeerNet_Address(b.net));
+    wait_metric(&b, name, "reason=\"links\"", 1);
+    assert_int_equal(c.up, 0);
+    AprPeerNet_Open(b.net, AprPeerNet_Address(c.net));
+    wait_for(&b, &b.up, APR_PEER_MAX_INBOUND + 1);
+    AprPeerNode_Stop(&a);
+    wait_for(&c, &c.up, 2);
+    AprPeerNode_Stop(&b);
+    AprPeerNode_Stop(&c);
+}
+
+/* Guards against a process that links to itself, for instance through its own
+   address among the seeds, and then counts itself as a peer. */
+static void
+test_no_link_to_itself(void **state)
+{
+    Node_t a;
+
+    (void)state;
+    start(&a, "a", "127.0.0.1:0", KEY);
+    AprPeerNet_Open(a.net, AprPeerNet_Address(a.net));
+    wait_metric(&a, "apricot_peer_bad_frames_total", "reason=\"invalid\"", 1);
+    assert_int_equal(a.up, 0);
+    assert_int_equal(AprPeerNet_Open(a.net, "localhost:1"), APR_NO_LINK);
+    assert_int_equal(AprPeerNet_Open(a.net, "127.0.0.1"), APR_NO_LINK);
+    AprPeerNode_Stop(&a);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_wrong_key),
+        cmocka_unit_test(test_garbage_client),
+        cmocka_unit_test(test_half_open_limit),
+        cmocka_unit_test(test_inbound_limit),
+        cmocka_unit_test(test_no_link_to_itself),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_peer_net.c
+++ b/tests/test_peer_net.c
@@ -1,7 +1,5 @@
-#include <arpa/inet.h>
-#include <pthread.h>
+#include <netinet/in.h>
 #include <setjmp.h>
-#include <signal.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -13,67 +11,29 @@
 
 #include <cmocka.h>
 
-#include "apricot/peer_net.h"
-#include "internal/peer_loop.h"
+#include "internal/peer_address.h"
 #include "internal/peer_queue.h"
-#include "standins/lib/peer_node.h"
+#include "internal/session.h"
+#include "tests/peer_test.h"
 
-#define WAIT_MS 5000
-#define KEY "correct horse"
 #define FLOOD_COUNT 400
 #define FLOOD_BODY 30000
+#define LARGE_COUNT 20
+#define LARGE_BODY 700000
+#define FLOOD_FIRST_ID 1000 /* all ids take three bytes */
 
-typedef AprPeerNode_t Node_t;
+static const char flood_body[LARGE_BODY];
 
+/* Fills the queue of a link whose receiver does not read, so that the sockets
+   fill up too. All frames have the same size. */
 static void
-start(Node_t *node, const char *host, const char *listen, const char *key)
+fill_link(Node_t *a, AprLink_t link, int count, size_t body_size)
 {
-    assert_int_equal(AprPeerNode_Start(node, host, listen, key), APR_OK);
-}
-
-static void
-wait_for(Node_t *node, const int *counter, int value)
-{
-    assert_true(AprPeerNode_Wait(node, counter, value, WAIT_MS) >= 0);
-}
-
-static void
-wait_metric(Node_t *node, const char *name, const char *labels, int64_t value)
-{
-    assert_true(AprPeerNode_WaitMetric(node, name, labels, value, WAIT_MS));
-}
-
-static void
-send_message(Node_t *node, AprLink_t link, AprMessageType_t type, uint64_t id)
-{
-    assert_int_equal(AprPeerNode_Send(node, link, type, id, NULL, 0), APR_OK);
-}
-
-/* Two nodes with a link from a to b that is up. */
-static AprLink_t
-start_linked(Node_t *a, Node_t *b)
-{
-    AprLink_t link;
-
-    start(a, "a", "127.0.0.1:0", KEY);
-    start(b, "b", "127.0.0.1:0", KEY);
-    link = AprPeerNet_Open(a->net, AprPeerNet_Address(b->net));
-    wait_for(a, &a->up, 1);
-    wait_for(b, &b->up, 1);
-    return link;
-}
-
-/* Fills the queue of a link while the receiver's peer thread is blocked by
-   the mutex, so that the sockets fill up too. */
-static void
-fill_blocked_link(Node_t *a, AprLink_t link)
-{
-    static const char body[FLOOD_BODY];
-
-    for (uint64_t id = 0; id < FLOOD_COUNT; id++) {
-        assert_int_equal(
-            AprPeerNode_Send(a, link, APR_MSG_REQUEST, id, body, sizeof(body)),
-            APR_OK);
+    for (int i = 0; i < count; i++) {
+        assert_int_equal(AprPeerNode_Send(a, link, APR_MSG_REQUEST,
+                                          FLOOD_FIRST_ID + i, flood_body,
+                                          body_size),
+                         APR_OK);
     }
     usleep(200000);
 }
@@ -152,17 +112,6 @@
     return fd;
 }
 
-static int
-connect_socket(const char *address)
-{
-    AprPeerAddress_t to;
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-    assert_int_equal(AprPeerAddress_Parse(address, &to), APR_OK);
-    assert_int_equal(connect(fd, (struct sockaddr *)&to.storage, to.size), 0);
-    return fd;
-}
-
 /* Guards against a message that is kept without limit, or lost, while its
    link cannot connect: refused, and accepted without a handshake. */
 static void
@@ -187,43 +136,119 @@
     link = AprPeerNet_Open(a.net, address);
     send_message(&a, link, APR_MSG_REQUEST, 3);
     wait_for(&a, &a.undelivered, 3);
+    /* Attempts follow at 50, 150, 350, 750 and 1550 ms; between them a
+       message must not wait. */
+    usleep(900000);
+    send_message(&a, link, APR_MSG_REQUEST, 5);
+    assert_true(AprPeerNode_Wait(&a, &a.undelivered, 4, 300) >= 0);
     AprPeerNet_Close(a.net, link);
     send_message(&a, link, APR_MSG_REQUEST, 4);
-    wait_for(&a, &a.undelivered, 4);
+    wait_for(&a, &a.undelivered, 5);
     assert_int_equal(a.up, 0);
     assert_int_equal(a.down, 0);
     AprPeerNode_Stop(&a);
 }
 
-/* Guards against a message reported as undelivered although a part of it was
-   written (a retry would run it twice), and against one that vanishes
-   although no byte was written. The receiver's callback blocks, so that the
-   sockets fill up, and then the link is closed. Every message must be
-   either written or undelivered, and every undelivered report comes before
-   `down`. */
-static void
-test_undelivered_against_lost(void **state)
+/* Accepts one connection and plays the other side of the handshake; nothing
+   is read after it. */
+static int
+accept_peer(int listen_fd)
 {
-    Node_t a, b;
+    AprIdentity_t identity = {"raw", 1};
+    AprSession_t *session = AprSession_New(APR_FROM_ACCEPTOR, &identity, KEY);
+    int fd = accept(listen_fd, NULL, NULL);
+
+    while (!AprSession_IsUp(session)) {
+        GByteArray *output = AprSession_Output(session);
+        AprSessionEvent_t event;
+        char bytes[1024];
+        ssize_t count = recv(fd, bytes, sizeof(bytes), 0);
+
+        assert_true(count > 0);
+        AprSession_Push(session, bytes, (size_t)count);
+        assert_int_equal(AprSession_Next(session, &event), APR_OK);
+        send(fd, output->data, output->len, MSG_NOSIGNAL);
+        g_byte_array_set_size(output, 0);
+    }
+    AprSession_Free(session);
+    return fd;
+}
+
+static size_t
+flood_frame_size(size_t body_size)
+{
+    AprMessage_t message = {.type = APR_MSG_REQUEST};
+    char *data;
+    size_t size;
+
+    message.request.id = FLOOD_FIRST_ID;
+    message.request.body = (AprBytes_t){flood_body, body_size};
+    assert_int_equal(AprMessage_Encode(&message, &data, &size), APR_OK);
+    free(data);
+    return APR_FRAME_HEADER_SIZE + size;
+}
+
+static size_t
+count_bytes(int fd)
+{
+    static char bytes[65536];
+    size_t total = 0;
+    ssize_t count;
+
+    while ((count = recv(fd, bytes, sizeof(bytes), 0)) > 0) {
+        total += (size_t)count;
+    }
+    return total;
+}
+
+/* Closes a link whose receiver has stopped reading, so that the sockets are
+   full. The bytes on the wire tell how many messages were touched. Returns
+   whether the last of them was written in part. */
+static bool
+close_full_link(int count, size_t body_size)
+{
+    size_t frame_size = flood_frame_size(body_size);
+    char address[APR_ADDRESS_SIZE];
+    int listen_fd = listen_socket(address, sizeof(address));
+    size_t bytes;
+    size_t touched;
+    Node_t a;
     AprLink_t link;
-    int64_t sent;
+    int fd;
 
-    (void)state;
-    link = start_linked(&a, &b);
-    pthread_mutex_lock(&b.mutex); /* blocks the peer thread of b */
-    fill_blocked_link(&a, link);
+    start(&a, "a", "127.0.0.1:0", KEY);
+    link = AprPeerNet_Open(a.net, address);
+    fd = accept_peer(listen_fd);
+    wait_for(&a, &a.up, 1);
+    fill_link(&a, link, count, body_size);
     AprPeerNet_Close(a.net, link);
     wait_for(&a, &a.down, 1);
-    pthread_mutex_unlock(&b.mutex);
-    wait_for(&b, &b.down, 1);
-    sent = AprPeerNode_Metric(&a, "apricot_peer_messages_total",
-                              "direction=\"sent\"");
-    assert_true(a.undelivered > 0);
-    assert_int_equal(sent + a.undelivered, FLOOD_COUNT);
-    assert_true(b.messages <= sent);
+    bytes = count_bytes(fd);
+    touched = (bytes + frame_size - 1) / frame_size;
+    assert_in_range(touched, 1, count - 1);
+    assert_int_equal(a.undelivered, count - touched);
     assert_int_equal(a.undelivered_after_down, 0);
     AprPeerNode_Stop(&a);
-    AprPeerNode_Stop(&b);
+    close(fd);
+    close(listen_fd);
+    return bytes % frame_size != 0;
+}
+
+/* Guards against a message reported as undelivered although a part of it was
+   written (a retry would run it twice), and against one that vanishes although
+   no byte was written. Small messages leave some that are sealed but not
+   written; one of the large ones is written in part, but for the rare case
+   that the sockets are full exactly after a message. */
+static void
+test_undelivered_against_lost(void **state)
+{
+    int attempts = 1;
+
+    (void)state;
+    close_full_link(FLOOD_COUNT, FLOOD_BODY);
+    while (!close_full_link(LARGE_COUNT, LARGE_BODY)) {
+        assert_in_range(++attempts, 2, 10);
+    }
 }
 
 /* Guards against lease renewals that wait behind a flood of requests. */
@@ -237,7 +262,7 @@
     (void)state;
     link = start_linked(&a, &b);
     pthread_mutex_lock(&b.mutex);
-    fill_blocked_link(&a, link);
+    fill_link(&a, link, FLOOD_COUNT, FLOOD_BODY);
     send_message(&a, link, APR_MSG_RENEW, 1);
     usleep(50000);
     pthread_mutex_unlock(&b.mutex);
@@ -275,103 +300,6 @@
     close(fd);
 }
 
-/* Guards against a process with another key that is taken for a peer. */
-static void
-test_wrong_key(void **state)
-{
-    Node_t a, b;
-    AprLink_t link;
-
-    (void)state;
-    start(&a, "a", "127.0.0.1:0", KEY);
-    start(&b, "b", "127.0.0.1:0", "another key");
-    link = AprPeerNet_Open(a.net, AprPeerNet_Address(b.net));
-    send_message(&a, link, APR_MSG_REQUEST, 1);
-    wait_for(&a, &a.undelivered, 1);
-    wait_metric(&a, "apricot_peer_bad_frames_total",
-                "reason=\"not-authorized\"", 2);
-    assert_int_equal(a.up + b.up, 0);
-    assert_int_equal(a.down + b.down, 0);
-    AprPeerNode_Stop(&a);
-    AprPeerNode_Stop(&b);
-}
-
-/* Guards against a client that sends garbage and stops the net, or is not
-   counted, while another link works. */
-static void
-test_garbage_client(void **state)
-{
-    Node_t a, b;
-    AprLink_t link;
-    char garbage[4096];
-
-    (void)state;
-    link = start_linked(&a, &b);
-    srand(20261204);
-    for (int i = 0; i < 50; i++) {
-        int fd = connect_socket(AprPeerNet_Address(b.net));
-
-        for (size_t at = 0; at < sizeof(garbage); at++) {
-            garbage[at] = (char)rand();
-        }
-        send(fd, garbage, sizeof(garbage), MSG_NOSIGNAL);
-        /* The net closes the connection; its reset may come first. */
-        assert_true(recv(fd, garbage, 1, 0) <= 0);
-        close(fd);
-    }
-    wait_metric(&b, "apricot_peer_bad_frames_total", "reason=\"too-large\"",
-                50);
-    send_message(&a, link, APR_MSG_REQUEST, 1);
-    wait_for(&b, &b.messages, 1);
-    assert_int_equal(b.up, 1);
-    AprPeerNode_Stop(&a);
-    AprPeerNode_Stop(&b);
-}
-
-/* Guards against silent connections that use up the process: at most 64 are
-   kept without a proof, for one second. */
-static void
-test_half_open_limit(void **state)
-{
-    int fds[APR_PEER_MAX_HALF_OPEN + 10];
-    int count = sizeof(fds) / sizeof(fds[0]);
-    Node_t a, b;
-
-    (void)state;
-    start(&a, "a", "127.0.0.1:0", KEY);
-    for (int i = 0; i < count; i++) {
-        fds[i] = connect_socket(AprPeerNet_Address(a.net));
-    }
-    wait_metric(&a, "apricot_peer_refused_total", "reason=\"half-open\"", 10);
-    wait_metric(&a, "apricot_peer_timeouts_total", "reason=\"handshake\"",
-                APR_PEER_MAX_HALF_OPEN);
-    start(&b, "b", "127.0.0.1:0", KEY);
-    AprPeerNet_Open(b.net, AprPeerNet_Address(a.net));
-    wait_for(&b, &b.up, 1);
-    for (int i = 0; i < count; i++) {
-        close(fds[i]);
-    }
-    AprPeerNode_Stop(&a);
-    AprPeerNode_Stop(&b);
-}
-
-/* Guards against a process that links to itself, for instance through its own
-   address among the seeds, and then counts itself as a peer. */
-static void
-test_no_link_to_itself(void **state)
-{
-    Node_t a;
-
-    (void)state;
-    start(&a, "a", "127.0.0.1:0", KEY);
-    AprPeerNet_Open(a.net, AprPeerNet_Address(a.net));
-    wait_metric(&a, "apricot_peer_bad_frames_total", "reason=\"invalid\"", 1);
-    assert_int_equal(a.up, 0);
-    assert_int_equal(AprPeerNet_Open(a.net, "localhost:1"), APR_NO_LINK);
-    assert_int_equal(AprPeerNet_Open(a.net, "127.0.0.1"), APR_NO_LINK);
-    AprPeerNode_Stop(&a);
-}
-
 int
 main(void)
 {
@@ -382,10 +310,6 @@
         cmocka_unit_test(test_undelivered_against_lost),
         cmocka_unit_test(test_control_before_data),
         cmocka_unit_test(test_full_queue_refuses),
-        cmocka_unit_test(test_wrong_key),
-        cmocka_unit_test(test_garbage_client),
-        cmocka_unit_test(test_half_open_limit),
-        cmocka_unit_test(test_no_link_to_itself),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_peer_silence.c
+++ b/tests/test_peer_silence.c
@@ -6,35 +6,8 @@
 
 #include <cmocka.h>
 
-#include "standins/lib/peer_node.h"
 #include "standins/lib/relay.h"
-
-#define KEY "correct horse"
-
-typedef AprPeerNode_t Node_t;
-
-static void
-start(Node_t *node, const char *host)
-{
-    assert_int_equal(AprPeerNode_Start(node, host, "127.0.0.1:0", KEY),
-                     APR_OK);
-}
-
-static int64_t
-wait_for(Node_t *node, const int *counter, int value, int limit_ms)
-{
-    int64_t waited_ms = AprPeerNode_Wait(node, counter, value, limit_ms);
-
-    assert_true(waited_ms >= 0);
-    return waited_ms;
-}
-
-static void
-send_request(Node_t *node, AprLink_t link)
-{
-    assert_int_equal(AprPeerNode_Send(node, link, APR_MSG_REQUEST, 1, NULL, 0),
-                     APR_OK);
-}
+#include "tests/peer_test.h"
 
 /* Guards against a cut network that goes unnoticed, on an idle link as well as
    on one whose owner keeps sending, and against a link that does not return
@@ -45,26 +18,28 @@
     Node_t a, b;
     AprRelay_t *relay;
     AprLink_t link;
+    int64_t waited_ms;
 
-    start(&a, "a");
-    start(&b, "b");
+    start(&a, "a", "127.0.0.1:0", KEY);
+    start(&b, "b", "127.0.0.1:0", KEY);
     relay = AprRelay_Start("127.0.0.1:0", AprPeerNet_Address(b.net), NULL);
     assert_non_null(relay);
     link = AprPeerNet_Open(a.net, AprRelay_Address(relay));
-    wait_for(&a, &a.up, 1, 2000);
-    wait_for(&b, &b.up, 1, 2000);
+    wait_for(&a, &a.up, 1);
+    wait_for(&b, &b.up, 1);
     AprRelay_Cut(relay);
     for (int i = 0; sending && i < 15; i++) {
-        send_request(&a, link);
+        send_message(&a, link, APR_MSG_REQUEST, 1);
         usleep(100000);
     }
-    assert_in_range(wait_for(&a, &a.down, 1, 3000), sending ? 0 : 1500, 2500);
-    wait_for(&b, &b.down, 1, 3000);
+    waited_ms = AprPeerNode_Wait(&a, &a.down, 1, WAIT_MS);
+    assert_in_range(waited_ms, sending ? 0 : 1500, sending ? 1000 : 2500);
+    wait_for(&b, &b.down, 1);
     assert_int_equal(b.messages, 0);
     AprRelay_Restore(relay);
-    wait_for(&a, &a.up, 2, 4000);
-    send_request(&a, link);
-    wait_for(&b, &b.messages, 1, 2000);
+    wait_for(&a, &a.up, 2);
+    send_message(&a, link, APR_MSG_REQUEST, 1);
+    wait_for(&b, &b.messages, 1);
     assert_int_equal(a.undelivered, 0);
     AprPeerNode_Stop(&a);
     AprRelay_Stop(relay);
@@ -95,16 +70,16 @@
     AprLink_t link;
 
     (void)state;
-    start(&a, "a");
-    start(&b, "b");
+    start(&a, "a", "127.0.0.1:0", KEY);
+    start(&b, "b", "127.0.0.1:0", KEY);
     link = AprPeerNet_Open(a.net, AprPeerNet_Address(b.net));
-    wait_for(&b, &b.up, 1, 2000);
+    wait_for(&b, &b.up, 1);
     usleep(3500000);
     for (int i = 0; i < 35; i++) {
-        send_request(&a, link);
+        send_message(&a, link, APR_MSG_REQUEST, 1);
         usleep(100000);
     }
-    wait_for(&b, &b.messages, 35, 1000);
+    wait_for(&b, &b.messages, 35);
     assert_int_equal(a.down, 0);
     assert_int_equal(b.down, 0);
     AprPeerNode_Stop(&a);
