--- a/src/ctl/host_verbs.c
+++ b/src/ctl/host_verbs.c
@@ -80,6 +80,45 @@
     return post_to_host(ctl, "/undrain", "active");
 }
 
+static const json_t *
+find_member(const json_t *status, const char *host)
+{
+    const json_t *members = json_object_get(status, "members");
+
+    for (size_t i = 0; i < json_array_size(members); i++) {
+        const json_t *member = json_array_get(members, i);
+
+        if (strcmp(AprCtl_Text(member, "host"), host) == 0) {
+            return member;
+        }
+    }
+    return NULL;
+}
+
+/* A move to a host that takes no partitions would only time out. */
+static int
+check_target(const AprCtl_t *ctl, const char *host)
+{
+    const json_t *member;
+    json_t *status;
+    int result = AprCtl_Get(ctl, ctl->admin, "/status", &status);
+
+    if (result != APR_CTL_OK) {
+        return result;
+    }
+    member = find_member(status, host);
+    if (member == NULL) {
+        result =
+            AprCtl_Fail(ctl, APR_CTL_FAILED, "host %s is not a member", host);
+    }
+    else if (strcmp(AprCtl_Text(member, "state"), "draining") == 0) {
+        result = AprCtl_Fail(ctl, APR_CTL_FAILED,
+                             "host %s is draining; undrain it first", host);
+    }
+    json_decref(status);
+    return result;
+}
+
 static int
 get_owner(const AprCtl_t *ctl, char *owner, size_t size)
 {
@@ -160,6 +199,9 @@
     char owner[APR_NAME_SIZE];
     int result = AprCtl_RequireAdmin(ctl);
 
+    if (result == APR_CTL_OK) {
+        result = check_target(ctl, ctl->arguments[2]);
+    }
     if (result == APR_CTL_OK) {
         result = get_owner(ctl, owner, sizeof(owner));
     }
@@ -178,31 +220,18 @@
     return result == APR_CTL_OK ? wait_for_owner(ctl, owner) : result;
 }
 
-static bool
-is_member(const json_t *status, const char *host)
-{
-    const json_t *members = json_object_get(status, "members");
-
-    for (size_t i = 0; i < json_array_size(members); i++) {
-        if (strcmp(AprCtl_Text(json_array_get(members, i), "host"), host) ==
-            0) {
-            return true;
-        }
-    }
-    return false;
-}
-
 static int
 wait_for_removal(const AprCtl_t *ctl, const char *host)
 {
     for (int i = 0; i < POLL_COUNT; i++) {
         json_t *status;
         int result = AprCtl_Get(ctl, ctl->admin, "/status", &status);
-        bool present = is_member(status, host);
+        bool present;
 
         if (result != APR_CTL_OK) {
             return result;
         }
+        present = find_member(status, host) != NULL;
         json_decref(status);
         if (!present) {
             return APR_CTL_OK;
--- a/src/state/field_table.c
+++ b/src/state/field_table.c
@@ -361,7 +361,11 @@
         char name[FULL_NAME_SIZE];
 
         AprField_FullName(field, name, sizeof(name));
-        g_string_append_printf(text, "%-20s %s", name, field->help);
+        g_string_append_printf(text, "%-22s %s", name, field->help);
+        if (field->capacity > 0) {
+            g_string_append_printf(text, "; list of up to %d",
+                                   (int)field->capacity);
+        }
         if (field->kind != APR_FIELD_TABLES) {
             g_string_append_printf(text, "; %g to %g %s", field->min,
                                    field->max, field->unit);
--- a/src/state/service_fields.c
+++ b/src/state/service_fields.c
@@ -12,9 +12,9 @@
 #define NAME_LENGTH (APR_NAME_SIZE - 1)
 #define PATTERN_LENGTH (2 * APR_NAME_SIZE - 1)
 
-/* Frames between processes hold 1 MiB; the rest is room for the key, the
-   caller and the other fields of a REQUEST or ANSWER. */
-#define BODY_BYTES_MAX 983040
+/* Equal to APR_ENTRY_MAX_BODY: the HTTP entry and the backend client hold no
+   larger body, so that a higher limit would be accepted and not work. */
+#define BODY_BYTES_MAX 65536
 
 /* Largest integer that a double, in which ranges are kept, holds exactly. */
 #define INT64_LIMIT 9007199254740992.0
--- a/tests/test_service_config.c
+++ b/tests/test_service_config.c
@@ -136,6 +136,8 @@
      "use only letters"},
     {HEAD "move_cost = 1.5\n" RANK, 3, "move_cost", "use 0 to 1"},
     {HEAD "move_cost = nan\n" RANK, 3, "move_cost", "use 0 to 1"},
+    {HEAD "[limits]\nbody_bytes = 65537\n" RANK, 4, "limits.body_bytes",
+     "use 0 to 65536"},
     {HEAD "ramp_s = 1.5\n" RANK, 3, "ramp_s", "whole number"},
     {"service = \"desk\"\nkeys = \"job/*\"\n" RANK, 2, "keys",
      "must be a list"},
