Test that apricotload sends each request once; fix a read outside a vector

Cause: nothing tested that a request is not sent again when libcurl finds a reused connection closed. The address sanitizer reported prop_limits: RC_ASSERT evaluates both sides of ||, so found[-1] was read. Ruled out: nothing else; the module under test was not at fault. Change: a test with the cutting server in tests/test_load.c; parentheses in three assertions, which check the same conditions as before.

--- a/tests/prop_limits.cc
+++ b/tests/prop_limits.cc
@@ -193,7 +193,8 @@
         RC_ASSERT(found[i].count >= exact[found[i].key_hash] - 1e-6);
         RC_ASSERT(found[i].count - found[i].error <=
                   exact[found[i].key_hash] + 1e-6);
-        RC_ASSERT(i == 0 || found[i - 1].count >= found[i].count);
+        /* RC_ASSERT evaluates both sides of || unless it is in parentheses. */
+        RC_ASSERT((i == 0 || found[i - 1].count >= found[i].count));
     }
     for (auto &entry : exact) {
         if (entry.second > total / APR_HOT_KEY_ENTRIES) {
--- a/tests/prop_placement.cc
+++ b/tests/prop_placement.cc
@@ -177,7 +177,7 @@
 
         if (i < APR_PARTITIONS ||
             record->services[0].hot_used[i - APR_PARTITIONS]) {
-            RC_ASSERT(owner < APR_MAX_MEMBERS && eligible(*record, owner));
+            RC_ASSERT((owner < APR_MAX_MEMBERS && eligible(*record, owner)));
         }
         else {
             RC_ASSERT(owner == APR_NO_MEMBER);
@@ -326,7 +326,7 @@
     AprMember_t chosen =
         AprPlacement_ChooseForHotKey(record.get(), 0, current);
 
-    RC_ASSERT(chosen < APR_MAX_MEMBERS && eligible(*record, chosen));
+    RC_ASSERT((chosen < APR_MAX_MEMBERS && eligible(*record, chosen)));
     for (int i = 0; i < APR_MAX_MEMBERS; i++) {
         RC_ASSERT(!eligible(*record, i) ||
                   loads.load[chosen] <= loads.load[i]);
--- a/tests/test_load.c
+++ b/tests/test_load.c
@@ -8,9 +8,12 @@
 
 #include <cmocka.h>
 
+#include "apricot/clock.h"
 #include "internal/latency.h"
+#include "internal/load_client.h"
 #include "internal/load_stats.h"
 #include "internal/workload.h"
+#include "tests/cutting_server.h"
 
 /* Guards against quantiles that are off by more than a bin, and against times
    outside the range that are lost. */
@@ -156,6 +159,44 @@
     AprLoadStats_Clear(&stats);
 }
 
+/* Guards against requests that libcurl sends a second time when a reused
+   connection closes, against requests that are left in the waiting line, and
+   against answers without an outcome that count as answered. */
+static void
+test_each_request_is_sent_once(void **state)
+{
+    AprClock_t clock = AprClock_System();
+    AprWorkload_t workload = {.service = "desk",
+                              .key_prefix = "job/",
+                              .caller = "test",
+                              .rate = 400,
+                              .duration_s = 0.5,
+                              .keys = 10,
+                              .connections = 2,
+                              .seed = 3};
+    CuttingServer_t server;
+    AprLoadStats_t stats;
+    uint64_t sent;
+
+    (void)state;
+    start_cutting_server(&server);
+    AprWorkload_SetTargets(&workload, server.address, NULL);
+    AprWorkload_SetRanks(&workload, "a:3:5000:list,b:1:5000:cut", NULL);
+    assert_true(AprLoadStats_Init(&stats, 2));
+    assert_int_equal(AprLoadClient_Run(&workload, &clock, &stats, NULL),
+                     APR_OK);
+    sent = stats.ranks[0].sent + stats.ranks[1].sent;
+    assert_true(stats.ranks[0].sent > 50 && stats.ranks[1].sent > 10);
+    assert_int_equal(atomic_load(&server.requests), sent);
+    assert_int_equal(stats.skipped, 0);
+    for (int i = 0; i < 2; i++) {
+        assert_int_equal(stats.ranks[i].outcomes[APR_LOAD_TRANSPORT],
+                         stats.ranks[i].sent);
+    }
+    AprLoadStats_Clear(&stats);
+    stop_cutting_server(&server);
+}
+
 int
 main(void)
 {
@@ -166,6 +207,7 @@
         cmocka_unit_test(test_arrivals),
         cmocka_unit_test(test_uuid_version_7),
         cmocka_unit_test(test_outcomes_and_gap),
+        cmocka_unit_test(test_each_request_is_sent_once),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
