Spare members that a restarted witness hears

Cause: a witness that has restarted acknowledges nothing until it is in the record, but could consent to the removal of a member whose renewals it receives. When two hosts restart together, members that count on both could be removed although they are alive. The core also needs to tell a removed process from one that has not joined yet.

Ruled out: sparing heard members after a consent as well; a member that is not acknowledged because of a consent can only be freed by a change of the record.

Change: a witness refuses consent while it has heard the member within the promise plus drift and has not consented before; suspects follow the same condition. AprLease_WasRemoved is new in lease.h.

--- a/include/apricot/lease.h
+++ b/include/apricot/lease.h
@@ -47,6 +47,9 @@
 void AprLease_OnRenewAck(AprLease_t *lease, const char *witness,
                          uint64_t witness_incarnation, uint64_t send_id);
 bool AprLease_IsMember(const AprLease_t *lease);
+/* Whether this incarnation was a member and is none any more, or was
+   superseded: the process must rejoin under a newer incarnation. */
+bool AprLease_WasRemoved(const AprLease_t *lease);
 bool AprLease_Valid(const AprLease_t *lease, struct timespec now);
 /* Time until which the lease is valid without further acknowledgements; for
    a member without witnesses a time far ahead. */
--- a/src/state/lease.c
+++ b/src/state/lease.c
@@ -318,6 +318,14 @@
     return lease->self != APR_NO_MEMBER;
 }
 
+/* Whether this incarnation was removed. It is then never a member again; the
+   process needs a new AprLease_t with a newer incarnation. */
+bool
+AprLease_WasRemoved(const AprLease_t *lease)
+{
+    return lease->removed;
+}
+
 static struct timespec
 later_of(struct timespec left, struct timespec right)
 {
--- a/src/state/lease_witness.c
+++ b/src/state/lease_witness.c
@@ -75,6 +75,10 @@
                                                     lease->settings.drift_ms));
 }
 
+/* Whether this process may consent to the removal of a member. A member that
+   was heard but not acknowledged, because this process is not in the record
+   yet, is alive and is spared; one to whose removal this process consented is
+   not, because only a removal or another change of the record ends that. */
 static bool
 may_consent(const AprLease_t *lease, const AprLeaseWatch_t *watch,
             struct timespec now)
@@ -83,6 +87,10 @@
                           !promise_is_over(lease, watch->promised_at, now))) {
         return false;
     }
+    if (watch->consent_version == 0 && watch->heard &&
+        !promise_is_over(lease, watch->heard_at, now)) {
+        return false;
+    }
     /* An earlier incarnation of this process may have promised. */
     return !apr_lease_rules.no_early_consent ||
            (promise_is_over(lease, lease->started, now) &&
@@ -130,17 +138,6 @@
     return true;
 }
 
-/* A member that is heard but not acknowledged is alive; it is a suspect only
-   after a consent, which it can otherwise not outlive. */
-static bool
-is_suspect(const AprLease_t *lease, const AprLeaseWatch_t *watch,
-           struct timespec now)
-{
-    return may_consent(lease, watch, now) &&
-           (watch->consent_version != 0 || !watch->heard ||
-            promise_is_over(lease, watch->heard_at, now));
-}
-
 /* Members of the last record for which this process is a witness and whose
    promise has run out. Returns their number, at most `capacity`. */
 int
@@ -151,7 +148,7 @@
 
     for (int i = 0; i < APR_MAX_MEMBERS && count < capacity; i++) {
         if (lease->members[i].state != APR_MEMBER_FREE &&
-            is_suspect(lease, &lease->watches[i], now)) {
+            may_consent(lease, &lease->watches[i], now)) {
             members[count++] = (AprMember_t)i;
         }
     }
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -127,6 +127,25 @@
     assert_false(AprLease_OnConsentRequest(leases[1], "a", 1, 1, at(9000)));
 }
 
+/* Guards against consents of a restarted witness that is not in the record
+   yet: too early, or to the removal of a member that it hears. */
+static void
+test_restarted_witness(void **state)
+{
+    AprLeaseSettings_t settings = AprLeaseSettings_Default();
+    AprLease_t *witness = AprLease_New(&settings, "b", 2, at(1000));
+
+    (void)state;
+    AprLease_OnRecord(witness, &record, at(1000));
+    assert_false(AprLease_OnConsentRequest(witness, "a", 1, 1,
+                                           at(1000 + CONSENT_MS - 1)));
+    assert_false(AprLease_OnRenew(witness, "a", 1, at(1900)));
+    assert_false(AprLease_OnConsentRequest(witness, "a", 1, 1, at(2000)));
+    assert_true(
+        AprLease_OnConsentRequest(witness, "a", 1, 1, at(1900 + CONSENT_MS)));
+    AprLease_Free(witness);
+}
+
 /* Guards against a removal with consents of a version that was replaced, or
    of a witness whose newer incarnation is in the record. */
 static void
@@ -166,6 +185,7 @@
     show_record(1100);
     assert_false(AprLease_Valid(leases[0], at(1100)));
     assert_false(AprLease_IsMember(leases[0]));
+    assert_true(AprLease_WasRemoved(leases[0]));
     assert_false(AprLease_OnRenew(leases[1], "a", 1, at(1200)));
 }
 
@@ -190,6 +210,8 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(test_validity, set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_consent, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_restarted_witness, set_up,
+                                        tear_down),
         cmocka_unit_test_setup_teardown(test_removal, set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_removed_member, set_up,
                                         tear_down),
