--- a/internal/core.h
+++ b/internal/core.h
@@ -98,6 +98,7 @@
     int in_flight[APR_SLOTS];        /* at the backend server, per partition */
     uint64_t held_by[APR_SLOTS];     /* id of the move, 0: not held */
     uint64_t owned_epoch[APR_SLOTS]; /* epoch under which it is owned here */
+    uint64_t owned_handover[APR_SLOTS]; /* move by which it came; 0: none */
     struct timespec owned_since[APR_SLOTS];
 } AprServiceState_t;
 
@@ -215,6 +216,8 @@
 };
 
 /* core.c */
+AprCore_t *AprCore_New(const AprSettings_t *settings, const AprClock_t *clock);
+void AprCore_Free(AprCore_t *core);
 struct timespec AprCore_Now(const AprCore_t *core);
 bool AprCore_IsMember(const AprCore_t *core);
 AprMember_t AprCore_Self(const AprCore_t *core);
@@ -251,6 +254,7 @@
                            int64_t revision);
 void AprRecordSync_Read(AprCore_t *core);
 void AprRecordSync_Compare(AprCore_t *core, AprLink_t link, uint64_t version);
+void AprRecordSync_Offer(AprCore_t *core, AprLink_t link, uint64_t version);
 void AprRecordSync_Push(AprCore_t *core);
 
 /* config_sync.c */
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -420,21 +420,35 @@
     return APR_OK;
 }
 
-/* Starts the threads of one process except its HTTP servers. NULL on failure,
-   with the error set. */
+/* Creates the state of one process without its threads: the peer network, the
+   backend client and the store are still missing. NULL when memory runs out.
+ */
 AprCore_t *
-AprCore_Start(const AprSettings_t *settings, const AprClock_t *clock,
-              AprError_t *error)
+AprCore_New(const AprSettings_t *settings, const AprClock_t *clock)
 {
     AprCore_t *core = calloc(1, sizeof(*core));
 
     if (core == NULL) {
-        AprError_Set(error, APR_E_NOMEM, APR_STEP_NONE, NULL, "out of memory");
         return NULL;
     }
     core->settings = *settings;
     core->clock = *clock;
     if (init_state(core) != APR_OK) {
+        AprCore_Free(core);
+        return NULL;
+    }
+    return core;
+}
+
+/* Starts the threads of one process except its HTTP servers. NULL on failure,
+   with the error set. */
+AprCore_t *
+AprCore_Start(const AprSettings_t *settings, const AprClock_t *clock,
+              AprError_t *error)
+{
+    AprCore_t *core = AprCore_New(settings, clock);
+
+    if (core == NULL) {
         AprError_Set(error, APR_E_NOMEM, APR_STEP_NONE, NULL, "out of memory");
         return NULL;
     }
@@ -481,22 +495,40 @@
     return AprPeerNet_Address(core->net);
 }
 
-/* Stops all threads and frees what the core owns. */
+/* Frees the state of a process whose threads have ended or were not started.
+ */
 void
-AprCore_Stop(AprCore_t *core)
+AprCore_Free(AprCore_t *core)
 {
-    atomic_store(&core->stop, true);
-    pthread_join(core->thread, NULL);
-    AprBackendClient_Stop(core->backends);
-    AprPeerNet_Stop(core->net);
-    AprStoreWorker_Stop(core->store);
     for (int i = 0; i < core->service_count; i++) {
         free_service(core->services[i]);
     }
     AprLease_Free(core->lease);
     AprOutcomes_Free(core->outcomes);
+    AprRing_Free(core->inbox);
     AprMetrics_Free(core->metrics);
+    g_hash_table_destroy(core->links_by_id);
+    g_hash_table_destroy(core->links);
+    g_hash_table_destroy(core->inbound);
+    g_hash_table_destroy(core->entries);
+    g_hash_table_destroy(core->removals);
+    g_hash_table_destroy(core->moves);
+    g_hash_table_destroy(core->staged);
+    g_ptr_array_free(core->owned, TRUE);
+    g_array_free(core->owned_free, TRUE);
     free(core->record);
     free(core->change_record);
     free(core);
 }
+
+/* Stops all threads and frees what the core owns. */
+void
+AprCore_Stop(AprCore_t *core)
+{
+    atomic_store(&core->stop, true);
+    pthread_join(core->thread, NULL);
+    AprBackendClient_Stop(core->backends);
+    AprPeerNet_Stop(core->net);
+    AprStoreWorker_Stop(core->store);
+    AprCore_Free(core);
+}
--- a/src/coordination/hot_key_task.c
+++ b/src/coordination/hot_key_task.c
@@ -74,10 +74,6 @@
             state->owned_epoch[change->partition]) {
         return APR_E_STALE;
     }
-    /* The backend server has seen the slot's epoch for this key, so the base
-       partition needs a higher one, or its grants would be refused. */
-    AprRecord_Assign(record, service, base,
-                     record->services[service].partitions[base].owner, 0);
     return AprRecord_FreeHotSlot(record, service, change->partition);
 }
 
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -348,6 +348,7 @@
         AprLinks_Send(core, link, &answer);
     }
     AprRecordSync_Compare(core, link, renew->record_version);
+    AprRecordSync_Offer(core, link, renew->record_version);
     AprConfigSync_Compare(core, link, renew->config_digest);
 }
 
--- a/src/coordination/owner_record.c
+++ b/src/coordination/owner_record.c
@@ -10,13 +10,9 @@
     for (uint32_t handle = 0; handle < core->owned->len; handle++) {
         AprOwnedRequest_t *owned = AprOwnedTable_Get(core, handle);
 
-        if (!AprOwner_InPartition(owned, index, partition)) {
-            continue;
-        }
-        if (owned->state == APR_OWNED_RUNNING) {
-            /* Its table entry goes with the partition and may be used for
-               another request before the backend server answers. */
-            owned->outcome = APR_NO_OUTCOME;
+        /* The table keeps the entries of running requests until they end. */
+        if (!AprOwner_InPartition(owned, index, partition) ||
+            owned->state == APR_OWNED_RUNNING) {
             continue;
         }
         if (owned->state == APR_OWNED_QUEUED) {
@@ -56,7 +52,7 @@
    minted up to now may have run there, so the floor is the present time and
    the clock skew. A partition that this incarnation owned all the time and
    that only got a new epoch keeps its floor: nobody but the owner gives it
-   away, and that sets a handover id. */
+   away, and it then comes back under another handover id. */
 static void
 gain_partition(AprCore_t *core, int index, const AprServiceTable_t *table,
                int partition)
@@ -65,12 +61,13 @@
     const AprPartitionEntry_t *entry = &table->partitions[partition];
     int slot = partition - APR_PARTITIONS;
 
-    if (entry->handover != 0 &&
-        AprHandover_TakeStaged(core, index, partition, entry->handover)) {
-        service->owned_epoch[partition] = entry->epoch;
-        return;
-    }
-    if (entry->handover == 0 && service->owned_epoch[partition] != 0) {
+    bool continued = service->owned_epoch[partition] != 0 &&
+                     service->owned_handover[partition] == entry->handover;
+
+    service->owned_handover[partition] = entry->handover;
+    if (continued ||
+        (entry->handover != 0 &&
+         AprHandover_TakeStaged(core, index, partition, entry->handover))) {
         service->owned_epoch[partition] = entry->epoch;
         return;
     }
--- a/src/coordination/record_sync.c
+++ b/src/coordination/record_sync.c
@@ -311,31 +311,39 @@
     free(text);
 }
 
-/* Answers RECORD_GET when the asking process is behind, and takes RECORD. */
+/* Sends the record to a peer that is behind. A removed member that renews
+   gets no acknowledgement, so this is how it learns of its removal. */
 void
-AprRecordSync_OnMessage(AprCore_t *core, AprLink_t link,
-                        const AprMessage_t *message)
+AprRecordSync_Offer(AprCore_t *core, AprLink_t link, uint64_t version)
 {
-    AprMessage_t answer = {0};
+    AprMessage_t message = {0};
     char *text;
 
-    if (message->type == APR_MSG_RECORD) {
-        offer_record(core, message->text.text.data, message->text.text.size,
-                     message->text.store_revision);
-        return;
-    }
-    if (message->text.version >= core->record->version) {
+    if (version >= core->record->version) {
         return;
     }
     text = AprRecord_ToJson(core->record);
     if (text == NULL) {
         return;
     }
-    fill_record(core, &answer, text);
-    AprLinks_Send(core, link, &answer);
+    fill_record(core, &message, text);
+    AprLinks_Send(core, link, &message);
     free(text);
 }
 
+/* Answers RECORD_GET when the asking process is behind, and takes RECORD. */
+void
+AprRecordSync_OnMessage(AprCore_t *core, AprLink_t link,
+                        const AprMessage_t *message)
+{
+    if (message->type == APR_MSG_RECORD) {
+        offer_record(core, message->text.text.data, message->text.text.size,
+                     message->text.store_revision);
+        return;
+    }
+    AprRecordSync_Offer(core, link, message->text.version);
+}
+
 /* Pulls the record from a peer that has a newer version. */
 void
 AprRecordSync_Compare(AprCore_t *core, AprLink_t link, uint64_t version)
--- a/src/coordination/removal_task.c
+++ b/src/coordination/removal_task.c
@@ -213,13 +213,34 @@
     return false;
 }
 
+/* Gives this process's own consent when it decides. A consent binds its
+   witness until the record changes, so it is not given while the other
+   witnesses still hear the member. */
+static void
+consent_if_decisive(AprCore_t *core, Attempt_t *attempt)
+{
+    AprRemoval_t with_own = attempt->removal;
+
+    AprRemoval_AddConsent(&with_own, core->settings.host, core->incarnation);
+    if (!AprRemoval_Ready(&attempt->removal, core->record) &&
+        AprRemoval_Ready(&with_own, core->record) &&
+        AprLease_OnConsentRequest(
+            core->lease, attempt->host, attempt->removal.member_incarnation,
+            attempt->removal.version, AprCore_Now(core))) {
+        attempt->removal = with_own;
+    }
+}
+
 /* A swap makes the consents of all other attempts void, so the first ready
    one waits a little for the others. */
 static void
 write_if_ready(AprCore_t *core, Attempt_t *attempt)
 {
-    if (attempt->phase != ATTEMPT_ASKING ||
-        !AprRemoval_Ready(&attempt->removal, core->record)) {
+    if (attempt->phase != ATTEMPT_ASKING) {
+        return;
+    }
+    consent_if_decisive(core, attempt);
+    if (!AprRemoval_Ready(&attempt->removal, core->record)) {
         return;
     }
     attempt->ready = true;
--- a/standins/lib/backend_server.c
+++ b/standins/lib/backend_server.c
@@ -76,7 +76,9 @@
     return MHD_lookup_connection_value(client, MHD_HEADER_KIND, name);
 }
 
-/* Splits /<service>/<operation>/<key>; the key may contain slashes. */
+/* Splits /<service>/<operation>/<key>; the key may contain slashes. The prefix
+   of the callers' interface is allowed, so that a load generator can measure
+   the backend server alone as a baseline. */
 static bool
 parse_request(struct MHD_Connection *client, const char *url,
               Request_t *request)
@@ -84,7 +86,8 @@
     const char *timeout = get_header(client, "Apricot-Timeout-Ms");
     const char *grant = get_header(client, "Apricot-Grant");
     const char *uuid = get_header(client, "Idempotency-Key");
-    char **parts = g_strsplit(url, "/", 4);
+    char **parts =
+        g_strsplit(g_str_has_prefix(url, "/v1/") ? url + 3 : url, "/", 4);
     bool complete = g_strv_length(parts) == 4 && parts[3][0] != '\0';
 
     memset(request, 0, sizeof(*request));
--- a/tests/random_message.h
+++ b/tests/random_message.h
@@ -149,6 +149,7 @@
         break;
     case APR_MSG_CONSENT:
     case APR_MSG_CONSENT_ACK:
+    case APR_MSG_SUSPECT:
         message.consent = {arena.text(random, APR_NAME_SIZE - 1),
                            integer(random), integer(random),
                            below(random, 2) == 1, integer(random)};
