Pass records and configuration on in a tree of fan-out 4

Cause: a relay sent each change to every member of its cell, and a writer the whole record; at 0.53 changes/s and 64 members one process would send about 41 KB/s (64 x 1.2 KB x 0.53/s), over the limit of 17 KB/s for control. Ruled out: leaving it to the renewals alone, which takes up to a renewal interval for each hop; a tree agreed on by messages, since the record order gives one without agreement. Change: AprLinks_SendDown passes on to at most 4 members by record order; whoever learns something newer passes it on; a writer tells the root, and the source of a planned move tells the receiver at once. Conclusion: the cost of a change per process no longer grows with the cell.

--- a/internal/core.h
+++ b/internal/core.h
@@ -28,6 +28,8 @@
 #include "internal/store_worker.h"
 
 #define APR_CORE_TICK_MS 10
+/* Members to which each member passes on records and configuration. */
+#define APR_TREE_FAN_OUT 4
 
 /* Where the answer to a request at its owner goes. */
 typedef struct AprReplyTo_t {
@@ -237,7 +239,8 @@
                         const AprMessage_t *message);
 int AprLinks_Send(AprCore_t *core, AprLink_t link,
                   const AprMessage_t *message);
-void AprLinks_Broadcast(AprCore_t *core, const AprMessage_t *message);
+void AprLinks_SendDown(AprCore_t *core, const AprMessage_t *message);
+void AprLinks_SendToRoot(AprCore_t *core, const AprMessage_t *message);
 
 /* record_sync.c */
 void AprRecordSync_Change(AprCore_t *core,
@@ -255,7 +258,7 @@
 void AprRecordSync_Read(AprCore_t *core);
 void AprRecordSync_Compare(AprCore_t *core, AprLink_t link, uint64_t version);
 void AprRecordSync_Offer(AprCore_t *core, AprLink_t link, uint64_t version);
-void AprRecordSync_Push(AprCore_t *core);
+void AprRecordSync_SendTo(AprCore_t *core, const char *host);
 
 /* config_sync.c */
 void AprConfigSync_Tick(AprCore_t *core);
--- a/src/coordination/config_sync.c
+++ b/src/coordination/config_sync.c
@@ -153,9 +153,10 @@
     }
 }
 
-/* Takes a change that the watch reported and passes it on to the members. */
-void
-AprConfigSync_OnWatch(AprCore_t *core, const char *data, size_t size)
+/* Takes a service's configuration and passes it on in the tree of the cell if
+   it was newer. */
+static void
+take_and_pass_on(AprCore_t *core, const char *data, size_t size)
 {
     AprMessage_t message = {0};
 
@@ -166,7 +167,14 @@
     message.text.version = core->generation;
     message.text.text.data = data;
     message.text.text.size = size;
-    AprLinks_Broadcast(core, &message);
+    AprLinks_SendDown(core, &message);
+}
+
+/* Takes a change that the watch reported. */
+void
+AprConfigSync_OnWatch(AprCore_t *core, const char *data, size_t size)
+{
+    take_and_pass_on(core, data, size);
 }
 
 static void
@@ -196,7 +204,8 @@
                         const AprMessage_t *message)
 {
     if (message->type == APR_MSG_CONFIG) {
-        offer_config(core, message->text.text.data, message->text.text.size);
+        take_and_pass_on(core, message->text.text.data,
+                         message->text.text.size);
         return;
     }
     send_all(core, link);
--- a/src/coordination/handover.c
+++ b/src/coordination/handover.c
@@ -408,6 +408,11 @@
 static void
 move_done(AprCore_t *core, int result, void *argument)
 {
+    const Move_t *move = argument;
+
+    if (result == APR_OK) {
+        AprRecordSync_SendTo(core, move->to);
+    }
     end_move(core, argument, result);
 }
 
--- a/src/coordination/links.c
+++ b/src/coordination/links.c
@@ -198,16 +198,58 @@
     return AprLinks_Send(core, link->link, message);
 }
 
-/* Sends a copy of a message to every other member of the record. */
-void
-AprLinks_Broadcast(AprCore_t *core, const AprMessage_t *message)
+/* Position of a host among the members in record order, or -1. */
+static int
+member_position(const AprCore_t *core, const char *host)
 {
+    int position = 0;
+
     for (int i = 0; i < APR_MAX_MEMBERS; i++) {
         const AprMemberEntry_t *member = &core->record->members[i];
 
-        if (member->state != APR_MEMBER_FREE &&
-            strcmp(member->host, core->settings.host) != 0) {
+        if (member->state == APR_MEMBER_FREE) {
+            continue;
+        }
+        if (strcmp(member->host, host) == 0) {
+            return position;
+        }
+        position++;
+    }
+    return -1;
+}
+
+/* Sends a copy of a message to the members below this one in the tree of the
+   cell: the member at position p passes on to positions p * fan-out + 1 and
+   following. One process that sent to all members would spend more than the
+   control limit on configuration alone at the target size. */
+void
+AprLinks_SendDown(AprCore_t *core, const AprMessage_t *message)
+{
+    int self = member_position(core, core->settings.host);
+    int first = self * APR_TREE_FAN_OUT + 1;
+    int position = 0;
+
+    for (int i = 0; self >= 0 && i < APR_MAX_MEMBERS; i++) {
+        const AprMemberEntry_t *member = &core->record->members[i];
+
+        if (member->state == APR_MEMBER_FREE) {
+            continue;
+        }
+        if (position >= first && position < first + APR_TREE_FAN_OUT) {
             AprLinks_SendToHost(core, member->host, message);
         }
+        position++;
+    }
+}
+
+/* Sends a copy of a message to the root of the tree, the first member. */
+void
+AprLinks_SendToRoot(AprCore_t *core, const AprMessage_t *message)
+{
+    for (int i = 0; i < APR_MAX_MEMBERS; i++) {
+        if (core->record->members[i].state != APR_MEMBER_FREE) {
+            AprLinks_SendToHost(core, core->record->members[i].host, message);
+            return;
+        }
     }
 }
--- a/src/coordination/record_sync.c
+++ b/src/coordination/record_sync.c
@@ -191,6 +191,49 @@
     }
 }
 
+static void
+fill_record(const AprCore_t *core, AprMessage_t *message, char *text)
+{
+    message->type = APR_MSG_RECORD;
+    message->text.version = core->record->version;
+    message->text.store_revision = core->record->store_revision;
+    message->text.text = AprBytes_FromText(text);
+}
+
+/* Passes the record on in the tree of the cell; its writer also tells the
+   root, which may hear of it later from its watch. */
+static void
+pass_on(AprCore_t *core, bool written_here)
+{
+    AprMessage_t message = {0};
+    char *text = AprRecord_ToJson(core->record);
+
+    if (text == NULL) {
+        return;
+    }
+    fill_record(core, &message, text);
+    AprLinks_SendDown(core, &message);
+    if (written_here) {
+        AprLinks_SendToRoot(core, &message);
+    }
+    free(text);
+}
+
+/* Sends the record to one member at once, for instance to a new owner. */
+void
+AprRecordSync_SendTo(AprCore_t *core, const char *host)
+{
+    AprMessage_t message = {0};
+    char *text = AprRecord_ToJson(core->record);
+
+    if (text == NULL) {
+        return;
+    }
+    fill_record(core, &message, text);
+    AprLinks_SendToHost(core, host, &message);
+    free(text);
+}
+
 static void
 swap_succeeded(AprCore_t *core, int64_t revision)
 {
@@ -210,7 +253,7 @@
     else {
         free(fresh); /* the watch was faster */
     }
-    AprRecordSync_Push(core);
+    pass_on(core, true);
     while ((change = g_queue_pop_head(&ended)) != NULL) {
         if (change->applied) {
             end_change(core, change, APR_OK);
@@ -283,34 +326,10 @@
 
     if (offer_record(core, data, size, revision) == APR_OK &&
         core->record->version > before) {
-        AprRecordSync_Push(core);
+        pass_on(core, false);
     }
 }
 
-static void
-fill_record(const AprCore_t *core, AprMessage_t *message, char *text)
-{
-    message->type = APR_MSG_RECORD;
-    message->text.version = core->record->version;
-    message->text.store_revision = core->record->store_revision;
-    message->text.text = AprBytes_FromText(text);
-}
-
-/* Sends the record to all members. */
-void
-AprRecordSync_Push(AprCore_t *core)
-{
-    AprMessage_t message = {0};
-    char *text = AprRecord_ToJson(core->record);
-
-    if (text == NULL) {
-        return;
-    }
-    fill_record(core, &message, text);
-    AprLinks_Broadcast(core, &message);
-    free(text);
-}
-
 /* Sends the record to a peer that is behind. A removed member that renews
    gets no acknowledgement, so this is how it learns of its removal. */
 void
@@ -336,9 +355,14 @@
 AprRecordSync_OnMessage(AprCore_t *core, AprLink_t link,
                         const AprMessage_t *message)
 {
+    uint64_t before = core->record->version;
+
     if (message->type == APR_MSG_RECORD) {
         offer_record(core, message->text.text.data, message->text.text.size,
                      message->text.store_revision);
+        if (core->record->version > before) {
+            pass_on(core, false);
+        }
         return;
     }
     AprRecordSync_Offer(core, link, message->text.version);
