Trust no answers of a host that another one replaced at its address

Cause: the host at the end of a link this process opened was taken from the record, not from the handshake; a different host at the same address counted under the old name until the record changed. Ruled out: an ownership fault from it: acknowledgements and consents also carry the incarnation, which does not match. Change: a link whose handshake proves another host is marked and its messages of leases and consents are ignored. Conclusion: defence in depth; the incarnation check stays.

--- a/internal/core.h
+++ b/internal/core.h
@@ -109,6 +109,7 @@
     char address[APR_ADDRESS_SIZE];
     AprLink_t link;
     bool up;
+    bool mismatch; /* another host answers at the address */
     /* Back-pressure hints of this owner: the least urgent rank it takes. */
     int open_rank;
     struct timespec hint_until;
--- a/src/coordination/links.c
+++ b/src/coordination/links.c
@@ -95,11 +95,12 @@
         g_hash_table_replace(core->inbound, link_key(link), g_strdup(host));
         return; /* inbound: the other side asks for state */
     }
-    if (known->host[0] != '\0' && known->host[0] != ':' &&
-        strcmp(known->host, host) != 0) {
+    known->mismatch = known->host[0] != ':' && strcmp(known->host, host) != 0;
+    if (known->mismatch) {
         AprLog_Write(APR_LOG_WARN, "unexpected-host",
                      "address=%s expected=%s found=%s", known->address,
                      known->host, host);
+        return;
     }
     known->up = true;
     ask_for_state(core, link);
@@ -119,14 +120,15 @@
 }
 
 /* The host at the other end of a link, as its handshake proved it; NULL for a
-   link that is not up. */
+   link that is not up, or when another host answers at the address, for
+   instance after the host was replaced. */
 const char *
 AprLinks_HostOf(AprCore_t *core, AprLink_t link)
 {
     const AprHostLink_t *known = AprLinks_ById(core, link);
 
     if (known != NULL) {
-        return known->host;
+        return known->mismatch ? NULL : known->host;
     }
     return g_hash_table_lookup(core->inbound, link_key(link));
 }
