--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -97,6 +97,8 @@
 
 [security]
 peer_key = "$peer_key"
+caller_token = "${caller_token:-}"
+admin_token = "${admin_token:-}"
 
 [log]
 level = "${log_level:-info}"
