Test record changes and spread; let outsiders ask for news

Cause: nothing tested record_sync and config_sync under failures. The new property test found that a process outside the record (restarted, or waiting for its removal) that loses one message keeps an old record and configuration: it renews nothing, members do not push to it, and with the store down nobody tells the others what it alone knows.

Ruled out: sending the configuration with each renewal that gets no acknowledgement; it does not help two processes outside the record, and the test found it redundant after the present change. It was reverted.

--- a/internal/core.h
+++ b/internal/core.h
@@ -200,6 +200,7 @@
     struct timespec next_record_read;
     struct timespec next_config_read;
     struct timespec next_record_pull;
+    struct timespec next_outside_ask;
     struct timespec next_config_pull;
     struct timespec joined_at;
     struct timespec started_at;
@@ -264,6 +265,7 @@
                              const AprMessage_t *message);
 void AprConfigSync_OnWatch(AprCore_t *core, const char *data, size_t size);
 void AprConfigSync_Compare(AprCore_t *core, AprLink_t link, uint64_t digest);
+void AprConfigSync_Exchange(AprCore_t *core, AprLink_t link);
 uint64_t AprConfigSync_Digest(const AprCore_t *core);
 
 /* membership.c */
--- a/src/coordination/config_sync.c
+++ b/src/coordination/config_sync.c
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include "internal/core.h"
+#include "internal/sync_rules.h"
 
 #define READ_RETRY_MS 500
 #define PULL_INTERVAL_MS 100
@@ -29,7 +30,8 @@
             config->service, strlen(config->service), config->generation);
         core->generation = MAX(core->generation, config->generation);
     }
-    core->config_digest = digest;
+    core->config_digest =
+        apr_sync_rules.whole_digest ? digest : core->generation;
 }
 
 static void
@@ -93,7 +95,8 @@
                      config.service, APR_MAX_SERVICES);
         return false;
     }
-    if (config.generation <= core->services[index]->config.generation) {
+    if (config.generation <= core->services[index]->config.generation &&
+        apr_sync_rules.config_forward) {
         return false;
     }
     apply_config(core, index, &config);
@@ -220,6 +223,21 @@
     AprLinks_Send(core, link, &message);
 }
 
+/* Asks a peer for every service and sends it all that is known here: between
+   processes that exchange no renewals nobody else notices who is behind. */
+void
+AprConfigSync_Exchange(AprCore_t *core, AprLink_t link)
+{
+    AprMessage_t message = {0};
+
+    message.type = APR_MSG_CONFIG_GET;
+    message.text.version = core->generation;
+    AprLinks_Send(core, link, &message);
+    if (apr_sync_rules.tell_outside) {
+        send_all(core, link);
+    }
+}
+
 /* The digest that renewals carry. */
 uint64_t
 AprConfigSync_Digest(const AprCore_t *core)
--- a/src/coordination/record_sync.c
+++ b/src/coordination/record_sync.c
@@ -2,12 +2,17 @@
 #include <string.h>
 
 #include "internal/core.h"
+#include "internal/sync_rules.h"
 
 #define READ_RETRY_MS 250
 #define PULL_INTERVAL_MS 20
 #define CONFLICT_RETRY_MS 5
 #define UNKNOWN_RETRY_MS 20
 #define UNAVAILABLE_RETRY_MS 200
+#define OUTSIDE_ASK_MS 1000 /* bounds the traffic; news within 5 s */
+
+AprSyncRules_t apr_sync_rules = {true, true, true, true, true,
+                                 true, true, true, true};
 
 /* Tells every module that a newer record is in force. */
 static void
@@ -47,7 +52,9 @@
         return code;
     }
     fresh->store_revision = revision;
-    if (fresh->version > core->record->version) {
+    if (fresh->version > core->record->version ||
+        (!apr_sync_rules.record_forward &&
+         fresh->version < core->record->version)) {
         adopt(core, fresh);
         return APR_OK;
     }
@@ -92,7 +99,8 @@
         if (change->argument != argument) {
             continue;
         }
-        if (change->uncertain || (change->applied && core->change_busy)) {
+        if ((change->uncertain && apr_sync_rules.no_late_cancel) ||
+            (change->applied && core->change_busy)) {
             return false;
         }
         g_queue_delete_link(&core->changes, item);
@@ -173,6 +181,62 @@
     }
 }
 
+/* A link to any other member of the record or, while none is known, to any
+   seed address; NULL when there is none. */
+static AprHostLink_t *
+random_link(AprCore_t *core)
+{
+    const char *hosts[APR_MAX_MEMBERS + APR_MAX_SEEDS];
+    GHashTableIter iterator;
+    gpointer name;
+    int count = 0;
+
+    for (int i = 0; i < APR_MAX_MEMBERS; i++) {
+        const AprMemberEntry_t *member = &core->record->members[i];
+
+        if (member->state != APR_MEMBER_FREE &&
+            strcmp(member->host, core->settings.host) != 0) {
+            hosts[count++] = member->host;
+        }
+    }
+    g_hash_table_iter_init(&iterator, core->links);
+    while (core->record->version == 0 && count < APR_MAX_SEEDS &&
+           g_hash_table_iter_next(&iterator, &name, NULL)) {
+        hosts[count++] = name;
+    }
+    return count == 0
+               ? NULL
+               : AprLinks_ForHost(core, hosts[g_random_int_range(0, count)]);
+}
+
+/* A process outside the record renews no lease, and the members do not push
+   to it. Without asking, a lost message would leave it with an old record,
+   unable to join, and with an old configuration. The store tells it about a
+   record whose members it does not know; a peer helps while the store is
+   down. */
+static void
+ask_while_outside(AprCore_t *core, struct timespec now)
+{
+    AprMessage_t message = {0};
+    AprHostLink_t *link;
+
+    if (AprCore_IsMember(core) ||
+        AprTime_Before(now, core->next_outside_ask) ||
+        !apr_sync_rules.ask_outside) {
+        return;
+    }
+    core->next_outside_ask = AprTime_AddMs(now, OUTSIDE_ASK_MS);
+    AprRecordSync_Read(core);
+    link = random_link(core);
+    if (link == NULL) {
+        return;
+    }
+    message.type = APR_MSG_RECORD_GET;
+    message.text.version = core->record->version;
+    AprLinks_Send(core, link->link, &message);
+    AprConfigSync_Exchange(core, link->link);
+}
+
 /* Starts the next swap when one is due, and the first read of the record. */
 void
 AprRecordSync_Tick(AprCore_t *core)
@@ -180,6 +244,7 @@
     struct timespec now = AprCore_Now(core);
     bool need_read = core->change_needs_read || !core->record_known;
 
+    ask_while_outside(core, now);
     if (need_read && !AprTime_Before(now, core->next_record_read)) {
         core->next_record_read = AprTime_AddMs(now, READ_RETRY_MS);
         AprRecordSync_Read(core);
@@ -212,10 +277,10 @@
     }
     AprRecordSync_Push(core);
     while ((change = g_queue_pop_head(&ended)) != NULL) {
-        if (change->applied) {
+        if (change->applied || !apr_sync_rules.only_applied) {
             end_change(core, change, APR_OK);
         }
-        else {
+        else if (apr_sync_rules.keep_waiting) {
             g_queue_push_tail(&core->changes, change);
         }
     }
@@ -239,6 +304,11 @@
         change->uncertain |= change->applied && code == APR_E_UNKNOWN;
         change->applied = false;
     }
+    if (code == APR_E_UNKNOWN && !apr_sync_rules.settle_unknown) {
+        AprChange_t *change = g_queue_pop_head(&core->changes);
+
+        end_change(core, change, code);
+    }
     core->change_needs_read = true;
     core->next_record_read = now;
     core->change_retry_at = AprTime_AddMs(
@@ -331,7 +401,8 @@
     free(text);
 }
 
-/* Answers RECORD_GET when the asking process is behind, and takes RECORD. */
+/* Answers RECORD_GET when the asking process is behind, pulls when it is
+   ahead, and takes RECORD. */
 void
 AprRecordSync_OnMessage(AprCore_t *core, AprLink_t link,
                         const AprMessage_t *message)
@@ -342,6 +413,7 @@
         return;
     }
     AprRecordSync_Offer(core, link, message->text.version);
+    AprRecordSync_Compare(core, link, message->text.version);
 }
 
 /* Pulls the record from a peer that has a newer version. */
