Name the outcome in the stand-in backend's answers

Cause: path.direct of scripts/bench-path printed 0 ms. apricotload counts an answer without Apricot-Outcome as transport (broken), and the stand-in backend names an outcome only in its refusals: 2,551 of 2,551 direct requests were counted as transport.

Ruled out: the connection limit of 120 and the path prefix /v1/; neither changes that count. Counting answers without a header as answered in apricotload would hide broken answers of a router, and a test forbids it.

Change: an answer of a run carries Apricot-Outcome: answered. The router reads the header only with status 400 and above, so it sees no difference. A test runs the load client against the stand-in alone.

--- a/standins/lib/backend_server.c
+++ b/standins/lib/backend_server.c
@@ -218,6 +218,29 @@
     return true;
 }
 
+/* The answer names its outcome, because a load generator that calls the
+   backend server directly counts an answer without one as broken. */
+static enum MHD_Result
+answer_run(struct MHD_Connection *client, const Request_t *request,
+           int64_t count)
+{
+    json_t *object = json_pack(
+        "{s:s,s:s,s:s,s:I}", "service", request->service, "key", request->key,
+        "operation", request->operation, "count", (json_int_t)count);
+    char *text = json_dumps(object, JSON_COMPACT);
+    struct MHD_Response *response = MHD_create_response_from_buffer(
+        strlen(text), text, MHD_RESPMEM_MUST_COPY);
+    enum MHD_Result result;
+
+    MHD_add_response_header(response, "Apricot-Outcome", "answered");
+    MHD_add_response_header(response, "Content-Type", "application/json");
+    result = MHD_queue_response(client, MHD_HTTP_OK, response);
+    MHD_destroy_response(response);
+    free(text);
+    json_decref(object);
+    return result;
+}
+
 /* Runs an admitted request: the effect and its log line come first, so that a
    run that is cut off counts as one. The mutex is held. */
 static enum MHD_Result
@@ -240,11 +263,7 @@
         return refuse(client, MHD_HTTP_GATEWAY_TIMEOUT, "unknown",
                       "cancelled\n");
     }
-    return AprStandinHttp_Json(client, MHD_HTTP_OK,
-                               json_pack("{s:s,s:s,s:s,s:I}", "service",
-                                         request->service, "key", request->key,
-                                         "operation", request->operation,
-                                         "count", (json_int_t)count));
+    return answer_run(client, request, count);
 }
 
 /* The mutex is held. */
--- a/tests/test_load.c
+++ b/tests/test_load.c
@@ -13,6 +13,7 @@
 #include "internal/load_client.h"
 #include "internal/load_stats.h"
 #include "internal/workload.h"
+#include "standins/lib/backend_server.h"
 #include "tests/cutting_server.h"
 
 /* Guards against quantiles that are off by more than a bin, and against times
@@ -197,6 +198,40 @@
     stop_cutting_server(&server);
 }
 
+/* Guards against a baseline without answers: the load generator counts only
+   answers that name their outcome, so the stand-in has to name it. */
+static void
+test_backend_alone_answers(void **state)
+{
+    AprClock_t clock = AprClock_System();
+    AprBackendOptions_t options = AprBackendOptions_Default();
+    AprWorkload_t workload = {.service = "desk",
+                              .key_prefix = "job/",
+                              .caller = "test",
+                              .rate = 200,
+                              .duration_s = 0.5,
+                              .keys = 10,
+                              .connections = 2,
+                              .seed = 3};
+    AprBackendServer_t *server;
+    AprLoadStats_t stats;
+
+    (void)state;
+    options.services[options.service_count++] = "desk";
+    server = AprBackendServer_Start(&options);
+    assert_non_null(server);
+    AprWorkload_SetTargets(&workload, AprBackendServer_Address(server), NULL);
+    AprWorkload_SetRanks(&workload, "a:1:5000:list", NULL);
+    assert_true(AprLoadStats_Init(&stats, 1));
+    assert_int_equal(AprLoadClient_Run(&workload, &clock, &stats, NULL),
+                     APR_OK);
+    assert_true(stats.ranks[0].sent > 50);
+    assert_int_equal(stats.ranks[0].outcomes[APR_LOAD_ANSWERED],
+                     stats.ranks[0].sent);
+    AprLoadStats_Clear(&stats);
+    AprBackendServer_Stop(server);
+}
+
 int
 main(void)
 {
@@ -208,6 +243,7 @@
         cmocka_unit_test(test_uuid_version_7),
         cmocka_unit_test(test_outcomes_and_gap),
         cmocka_unit_test(test_each_request_is_sent_once),
+        cmocka_unit_test(test_backend_alone_answers),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
