Keep backend connections between idempotent calls

Cause: by default libcurl keeps four connections per running transfer, so a pause between calls closes connections that the next calls would reuse.

The tests for lost wake-ups stay. - A pool of easy handles: callgrind shows no fewer instructions in the test of the client, and processor time is within the noise.

Change: CURLMOPT_MAXCONNECTS, at most 32.

--- a/src/transport/backend_client.c
+++ b/src/transport/backend_client.c
@@ -9,6 +9,10 @@
 
 #define RING_CAPACITY 1024
 #define IDLE_POLL_MS 10000
+/* By default libcurl keeps four connections for each transfer that runs at the
+   time, so that a pause between calls closes those that the next calls would
+   reuse. A backend server has 6 slots, and few services share one process. */
+#define MAX_IDLE_CONNECTIONS 32L
 
 typedef enum CommandType_t { COMMAND_SUBMIT, COMMAND_CANCEL } CommandType_t;
 
@@ -248,6 +252,8 @@
     }
     curl_multi_setopt(client->multi, CURLMOPT_MAX_TOTAL_CONNECTIONS,
                       (long)max_connections);
+    curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS,
+                      MIN((long)max_connections, MAX_IDLE_CONNECTIONS));
     if (pthread_create(&client->thread, NULL, run, client) != 0) {
         goto error;
     }
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -1,5 +1,7 @@
+#include <poll.h>
 #include <pthread.h>
 #include <setjmp.h>
+#include <stdatomic.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -15,6 +17,8 @@
 
 #define PRODUCERS 4
 #define ITEMS_EACH 20000
+#define SINGLE_ITEMS 50000
+#define WAIT_MS 5000
 
 /* Guards against time arithmetic that leaves tv_nsec out of range. */
 static void
@@ -97,6 +101,72 @@
     AprRing_Free(ring);
 }
 
+typedef struct single_pushes_t {
+    AprRing_t *ring;
+    atomic_int taken;
+} single_pushes_t;
+
+/* Pushes each item only after the one before was taken, so that the reader is
+   about to sleep, asleep or just awake at each push and no later push wakes
+   it in place of one that did not. */
+static void *
+push_singly(void *argument)
+{
+    single_pushes_t *pushes = argument;
+
+    for (int i = 0; i < SINGLE_ITEMS; i++) {
+        AprRing_Push(pushes->ring, pushes);
+        while (atomic_load(&pushes->taken) <= i) {
+        }
+    }
+    return NULL;
+}
+
+static void
+take_all(single_pushes_t *pushes)
+{
+    while (AprRing_Pop(pushes->ring) != NULL) {
+        atomic_fetch_add(&pushes->taken, 1);
+    }
+}
+
+/* Guards against a push that does not wake a reader in AprRing_Wait. */
+static void
+test_ring_wait_misses_no_push(void **state)
+{
+    single_pushes_t pushes = {AprRing_New(4), 0};
+    pthread_t thread;
+
+    (void)state;
+    pthread_create(&thread, NULL, push_singly, &pushes);
+    while (atomic_load(&pushes.taken) < SINGLE_ITEMS) {
+        assert_true(AprRing_Wait(pushes.ring, WAIT_MS));
+        take_all(&pushes);
+    }
+    pthread_join(thread, NULL);
+    AprRing_Free(pushes.ring);
+}
+
+/* Guards against a push that does not wake a reader that polls the file
+   descriptor and calls AprRing_ClearWake. */
+static void
+test_ring_descriptor_misses_no_push(void **state)
+{
+    single_pushes_t pushes = {AprRing_New(4), 0};
+    struct pollfd descriptor = {AprRing_Fd(pushes.ring), POLLIN, 0};
+    pthread_t thread;
+
+    (void)state;
+    pthread_create(&thread, NULL, push_singly, &pushes);
+    while (atomic_load(&pushes.taken) < SINGLE_ITEMS) {
+        assert_int_equal(poll(&descriptor, 1, WAIT_MS), 1);
+        AprRing_ClearWake(pushes.ring);
+        take_all(&pushes);
+    }
+    pthread_join(thread, NULL);
+    AprRing_Free(pushes.ring);
+}
+
 /* Guards against samples of one name that are not listed together, which
    readers of the exposition format reject. */
 static void
@@ -149,6 +219,8 @@
         cmocka_unit_test(test_time_arithmetic),
         cmocka_unit_test(test_ring_refuses_when_full),
         cmocka_unit_test(test_ring_with_many_producers),
+        cmocka_unit_test(test_ring_wait_misses_no_push),
+        cmocka_unit_test(test_ring_descriptor_misses_no_push),
         cmocka_unit_test(test_metrics_text),
         cmocka_unit_test(test_error_carries_step_and_peer),
     };
