Let idle watch threads sleep; skip the list of no requests

Cause: members that do not watch woke two threads 20 times a second each, and every tick built a list of requests even when there were none.

Ruled out: a longer poll, which would delay the start of a watch.

Change: a condition variable ends the wait when a flag changes; AprRouter_Tick returns early without requests.

--- a/src/coordination/router.c
+++ b/src/coordination/router.c
@@ -566,8 +566,13 @@
 AprRouter_Tick(AprCore_t *core)
 {
     struct timespec now = AprCore_Now(core);
-    GArray *ids = entry_ids(core);
     bool check_callers = ++core->tick_count % CALLER_CHECK_TICKS == 0;
+    GArray *ids;
+
+    if (g_hash_table_size(core->entries) == 0) {
+        return;
+    }
+    ids = entry_ids(core);
 
     for (guint i = 0; i < ids->len; i++) {
         AprEntryRequest_t *request = entry_at(core, ids, i);
--- a/src/coordination/store_worker.c
+++ b/src/coordination/store_worker.c
@@ -12,7 +12,6 @@
 
 #define JOB_RING_SIZE 64
 #define JOB_WAIT_MS 200
-#define WATCH_IDLE_MS 50
 #define WATCH_RETRY_MS 200
 #define NS_PER_MS 1000000L
 
@@ -41,6 +40,10 @@
     WatchThread_t watches[2];
     atomic_bool stop;
     atomic_bool watch_wanted;
+    /* Ends the idle wait of the watch threads when `stop` or `watch_wanted`
+       changes; most members of a cell never watch. */
+    pthread_mutex_t watch_mutex;
+    pthread_cond_t watch_changed;
 };
 
 static void
@@ -215,6 +218,27 @@
     }
 }
 
+/* Sets a flag that the watch threads wait for. */
+static void
+set_watch_flag(AprStoreWorker_t *worker, atomic_bool *flag, bool value)
+{
+    pthread_mutex_lock(&worker->watch_mutex);
+    atomic_store(flag, value);
+    pthread_cond_broadcast(&worker->watch_changed);
+    pthread_mutex_unlock(&worker->watch_mutex);
+}
+
+static void
+wait_until_wanted(AprStoreWorker_t *worker)
+{
+    pthread_mutex_lock(&worker->watch_mutex);
+    while (!atomic_load(&worker->stop) &&
+           !atomic_load(&worker->watch_wanted)) {
+        pthread_cond_wait(&worker->watch_changed, &worker->watch_mutex);
+    }
+    pthread_mutex_unlock(&worker->watch_mutex);
+}
+
 static void *
 run_watch(void *argument)
 {
@@ -222,7 +246,7 @@
 
     while (!atomic_load(&watch->worker->stop)) {
         if (!atomic_load(&watch->worker->watch_wanted)) {
-            sleep_ms(WATCH_IDLE_MS);
+            wait_until_wanted(watch->worker);
             continue;
         }
         follow(watch);
@@ -275,6 +299,8 @@
              settings->store_prefix, settings->cell);
     snprintf(worker->config_prefix, sizeof(worker->config_prefix),
              "%s/config/", settings->store_prefix);
+    pthread_mutex_init(&worker->watch_mutex, NULL);
+    pthread_cond_init(&worker->watch_changed, NULL);
     init_watch(worker, 0, true, worker->record_key);
     init_watch(worker, 1, false, worker->config_prefix);
     pthread_create(&worker->thread, NULL, run_jobs, worker);
@@ -295,7 +321,7 @@
     if (worker == NULL) {
         return;
     }
-    atomic_store(&worker->stop, true);
+    set_watch_flag(worker, &worker->stop, true);
     pthread_join(worker->thread, NULL);
     for (int i = 0; i < 2; i++) {
         pthread_join(worker->watches[i].thread, NULL);
@@ -305,6 +331,8 @@
     }
     AprRing_Free(worker->jobs);
     AprStore_Close(&worker->store);
+    pthread_cond_destroy(&worker->watch_changed);
+    pthread_mutex_destroy(&worker->watch_mutex);
     free(worker);
 }
 
@@ -356,7 +384,9 @@
 void
 AprStoreWorker_SetWatch(AprStoreWorker_t *worker, bool wanted)
 {
-    atomic_store(&worker->watch_wanted, wanted);
+    if (atomic_load(&worker->watch_wanted) != wanted) {
+        set_watch_flag(worker, &worker->watch_wanted, wanted);
+    }
 }
 
 /* Whether both watches are connected. */
