Test routing under random failures; fix three faults it found

Cause: routing and the owner side had no test that combines failures. The new property test drives three real cores in virtual time, with doubles for the peer network, the backend client, the store and the HTTP entry.

Ruled out: duplicated requests in the model, because the session closes the connection on a replayed frame; answers are duplicated. Restarted processes are not modelled; frozen ones are removed and rejoin.

--- a/internal/entry.h
+++ b/internal/entry.h
@@ -53,6 +53,7 @@
     AprLink_t link;
     char peer[APR_NAME_SIZE]; /* host of the last owner that was tried */
     int tries;
+    bool may_have_run;               /* an earlier try has an unknown end */
     char last_reason[APR_NAME_SIZE]; /* why the last try did not run */
 
     /* Set by the core thread before the connection is resumed. */
--- a/src/coordination/owner.c
+++ b/src/coordination/owner.c
@@ -3,6 +3,7 @@
 
 #include "internal/core.h"
 #include "internal/owned_table.h"
+#include "internal/routing_rules.h"
 
 #define MAX_OWNED 65536
 #define HINT_MS 50 /* how long a refusal for lack of room is remembered */
@@ -85,14 +86,33 @@
     reply_with(core, reply, &answer);
 }
 
+/* Sends the requests that wait for an outcome back to their entries, because
+   the request with the same idempotency key did not run. */
 static void
-abort_outcome(AprCore_t *core, AprOwnedRequest_t *owned)
+end_repeats(AprCore_t *core, AprOutcome_t outcome)
 {
-    if (owned->outcome != APR_NO_OUTCOME &&
-        owned->state != APR_OWNED_WAITING) {
-        AprOutcomes_Abort(core->outcomes, owned->outcome);
+    for (uint32_t handle = 0; core->parked > 0 && handle < core->owned->len;
+         handle++) {
+        const AprOwnedRequest_t *owned = AprOwnedTable_Get(core, handle);
+
+        if (owned->state == APR_OWNED_WAITING && owned->outcome == outcome) {
+            AprOwner_EndAsMoved(core, handle, "repeat-after-not-run");
+        }
     }
+}
+
+/* Removes the outcome of a request that did not run. Its repeats end too: the
+   handle is used again, and they would get the answer of another request. */
+static void
+abort_outcome(AprCore_t *core, AprOwnedRequest_t *owned)
+{
+    AprOutcome_t outcome = owned->outcome;
+
     owned->outcome = APR_NO_OUTCOME;
+    if (outcome != APR_NO_OUTCOME && owned->state != APR_OWNED_WAITING) {
+        AprOutcomes_Abort(core->outcomes, outcome);
+        end_repeats(core, outcome);
+    }
 }
 
 static void
@@ -213,6 +233,12 @@
     AprOwner_Dispatch(core, owned->service);
 }
 
+static bool
+leaves_now(const AprCore_t *core)
+{
+    return apr_routing_rules.drain && AprMembership_RefusesWork(core);
+}
+
 /* The reason why this process cannot take a request now, or NULL. */
 static const char *
 refusal_reason(AprCore_t *core, int service, int partition)
@@ -220,14 +246,16 @@
     if (service < 0 || core->services[service]->queue == NULL) {
         return "service-not-here";
     }
-    if (partition < 0 || !AprOwner_Owns(core, service, partition)) {
+    if (partition < 0 || (apr_routing_rules.ownership &&
+                          !AprOwner_Owns(core, service, partition))) {
         return "not-owner";
     }
-    if (!AprLease_Valid(core->lease, AprCore_Now(core))) {
+    if (apr_routing_rules.lease &&
+        !AprLease_Valid(core->lease, AprCore_Now(core))) {
         AprMetric_Add(core->lease_refusals, 1);
         return "lease-expired";
     }
-    return AprMembership_RefusesWork(core) ? "draining" : NULL;
+    return leaves_now(core) ? "draining" : NULL;
 }
 
 static int
@@ -355,12 +383,16 @@
 {
     const AprServiceState_t *service = core->services[owned->service];
 
-    if (!AprOwner_Owns(core, owned->service, owned->partition)) {
+    if (apr_routing_rules.ownership &&
+        !AprOwner_Owns(core, owned->service, owned->partition)) {
         return "not-owner";
     }
-    if (!AprLease_Valid(core->lease, now)) {
+    if (apr_routing_rules.lease && !AprLease_Valid(core->lease, now)) {
         return "lease-expired";
     }
+    if (leaves_now(core)) {
+        return "draining"; /* it waited here since before the limit */
+    }
     return service->backend.alive ? NULL : "backend-lost";
 }
 
@@ -439,26 +471,20 @@
     }
 }
 
-/* Settles requests that waited for the outcome of another one with the same
-   idempotency key. */
+/* Answers the requests that waited for the outcome of another one with the
+   same idempotency key. */
 static void
-settle_waiting(AprCore_t *core, AprOutcome_t outcome, bool ran)
+answer_repeats(AprCore_t *core, AprOutcome_t outcome)
 {
     for (uint32_t handle = 0; core->parked > 0 && handle < core->owned->len;
          handle++) {
-        AprOwnedRequest_t *owned = AprOwnedTable_Get(core, handle);
+        const AprOwnedRequest_t *owned = AprOwnedTable_Get(core, handle);
 
-        if (owned->state != APR_OWNED_WAITING || owned->outcome != outcome) {
-            continue;
-        }
-        if (ran) {
+        if (owned->state == APR_OWNED_WAITING && owned->outcome == outcome) {
             answer_stored(core, &owned->reply,
                           AprOutcomes_Answer(core->outcomes, outcome));
             end_request(core, handle);
         }
-        else {
-            AprOwner_EndAsMoved(core, handle, "repeat-after-not-run");
-        }
     }
 }
 
@@ -482,9 +508,10 @@
         break;
     default:
         AprOutcomes_Abort(core->outcomes, owned->outcome);
-        break;
+        end_repeats(core, owned->outcome);
+        return;
     }
-    settle_waiting(core, owned->outcome, result->outcome != APR_NOT_RUN);
+    answer_repeats(core, owned->outcome);
 }
 
 /* A refused connection did not run anything; the entry tries the next owner
--- a/src/coordination/router.c
+++ b/src/coordination/router.c
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 
 #include "internal/core.h"
+#include "internal/routing_rules.h"
 
 #define DEFAULT_TIMEOUT_FACTOR 4
 #define MAX_TIMEOUT_MS 60000
@@ -73,14 +74,22 @@
 }
 
 /* Ends a request with the JSON body that names outcome, reason, step and
-   peer. */
+   peer. When an earlier try may have run, "not run" would be false although
+   the last try did not run. */
 static void
 complete_with_error(AprCore_t *core, AprEntryRequest_t *request,
                     AprOutcomeKind_t outcome, int status, AprStep_t step,
                     const char *reason, const char *peer, const char *detail)
 {
-    char *body = AprEntry_ErrorBody(outcome_name(outcome), reason,
-                                    AprStep_Name(step), peer, detail);
+    char *body;
+
+    if (outcome == APR_NOT_RUN && request->may_have_run &&
+        apr_routing_rules.may_have_run) {
+        outcome = APR_UNKNOWN;
+        status = 504;
+    }
+    body = AprEntry_ErrorBody(outcome_name(outcome), reason,
+                              AprStep_Name(step), peer, detail);
 
     request->outcome = outcome;
     request->status = status;
@@ -401,11 +410,13 @@
 {
     AprServiceState_t *service = core->services[request->service_index];
 
-    if (!request->idempotent ||
+    if ((!request->idempotent && apr_routing_rules.once) ||
         !AprTime_Before(AprCore_Now(core), request->deadline) ||
-        !AprRetryBudget_Spend(&service->retry_budget)) {
+        (!AprRetryBudget_Spend(&service->retry_budget) &&
+         apr_routing_rules.retry_budget)) {
         return false;
     }
+    request->may_have_run = true;
     route_later(core, request, reason);
     return true;
 }
--- /dev/null
+++ b/tests/core_doubles.h
@@ -0,0 +1,393 @@
+#ifndef APRICOT_TESTS_CORE_DOUBLES_H
+#define APRICOT_TESTS_CORE_DOUBLES_H
+
+/* Test doubles under the names of the library: peer network, backend client,
+   store worker and HTTP entry, all on the World of core_fixture.h. */
+#include "core_fixture.h"
+
+inline AprLink_t
+World::open(int node, const char *address)
+{
+    int to = atoi(strchr(address, ':') + 1) - 7000;
+
+    connections.push_back({node, to, next_link_++, APR_NO_LINK, false, true});
+    connect(int(connections.size()) - 1);
+    return connections.back().out;
+}
+
+inline void
+World::connect(int connection)
+{
+    post(connections[connection].from, uniform(1, 100),
+         [this, connection](AprCore_t *core, AprMessage_t *) {
+             Connection &link = connections[connection];
+             std::string from = core->settings.host;
+             std::string to = nodes[link.to].core->settings.host;
+             AprLink_t in = next_link_++;
+
+             if (!link.open || link.up) {
+                 return;
+             }
+             link.up = true;
+             link.in = in;
+             post(link.to, 0, [in, from](AprCore_t *peer, AprMessage_t *) {
+                 AprLinks_OnUp(peer, in, from.c_str());
+             });
+             AprLinks_OnUp(core, link.out, to.c_str());
+         });
+}
+
+/* Breaks a connection. Messages under way are lost; of the requests, the
+   sender learns of some that no byte was written. */
+inline void
+World::cut(int connection)
+{
+    Connection link = connections[connection];
+
+    if (!link.up) {
+        return;
+    }
+    counts["cut links"]++;
+    connections[connection].up = false;
+    for (auto it = events_.begin(); it != events_.end();) {
+        Event event = it->second;
+        if (event.connection != connection || event.message == nullptr) {
+            ++it;
+            continue;
+        }
+        it = events_.erase(it);
+        if (event.message->type == APR_MSG_REQUEST && chance(50)) {
+            counts["undelivered requests"]++;
+            post(
+                event.sender, 0,
+                [](AprCore_t *core, AprMessage_t *lost) {
+                    AprRouter_OnUndelivered(core, lost);
+                    AprMessage_Free(lost);
+                },
+                -1, event.message);
+        }
+        else {
+            AprMessage_Free(event.message);
+        }
+    }
+    auto down = [](AprLink_t handle) {
+        return [handle](AprCore_t *core, AprMessage_t *) {
+            AprLinks_OnDown(core, handle);
+            AprRouter_OnLinkDown(core, handle);
+        };
+    };
+    post(link.from, 0, down(link.out));
+    post(link.to, 0, down(link.in));
+    if (link.open) {
+        connect(connection);
+    }
+}
+
+inline void
+World::close(int node, AprLink_t handle)
+{
+    for (size_t i = 0; i < connections.size(); i++) {
+        if (connections[i].from == node && connections[i].out == handle) {
+            connections[i].open = false;
+            cut(int(i));
+        }
+    }
+}
+
+static void
+handle_message(AprCore_t *core, AprLink_t link, AprMessage_t *message)
+{
+    AprReplyTo_t reply = {false, link, 0};
+
+    switch (message->type) {
+    case APR_MSG_RENEW:
+    case APR_MSG_RENEW_ACK:
+        AprMembership_OnMessage(core, link, message);
+        break;
+    case APR_MSG_CONSENT:
+    case APR_MSG_CONSENT_ACK:
+    case APR_MSG_SUSPECT:
+        AprRemovalTask_OnMessage(core, link, message);
+        break;
+    case APR_MSG_RECORD_GET:
+    case APR_MSG_RECORD:
+        AprRecordSync_OnMessage(core, link, message);
+        break;
+    case APR_MSG_CONFIG_GET:
+    case APR_MSG_CONFIG:
+        AprConfigSync_OnMessage(core, link, message);
+        break;
+    case APR_MSG_REQUEST:
+        reply.id = message->request.id;
+        AprOwner_OnRequest(core, reply, message);
+        return; /* the owner side keeps the message */
+    case APR_MSG_ANSWER:
+        AprRouter_OnAnswer(core, message->answer.id, &message->answer);
+        break;
+    case APR_MSG_CANCEL:
+        reply.id = message->cancel.id;
+        AprOwner_OnCancel(core, reply);
+        break;
+    default:
+        AprHandover_OnMessage(core, link, message);
+        break;
+    }
+    AprMessage_Free(message);
+}
+
+/* Random delays reorder messages. Answers are also duplicated; a request is
+   not, because the session closes a connection on a replayed frame. */
+inline int
+World::send(int node, AprLink_t handle, AprMessage_t *message)
+{
+    for (size_t i = 0; i < connections.size(); i++) {
+        const Connection &link = connections[i];
+        bool outbound = link.from == node && link.out == handle;
+        bool traffic = message->type == APR_MSG_REQUEST ||
+                       message->type == APR_MSG_ANSWER;
+
+        if (!outbound && (link.to != node || link.in != handle || !link.up)) {
+            continue;
+        }
+        int to = outbound ? link.to : link.from;
+        AprLink_t receiving = outbound ? link.in : link.out;
+        if (!link.up) {
+            post(
+                node, 0,
+                [](AprCore_t *core, AprMessage_t *lost) {
+                    AprRouter_OnUndelivered(core, lost);
+                    AprMessage_Free(lost);
+                },
+                -1, message);
+            return APR_OK;
+        }
+        if (traffic && chance(lost_percent)) {
+            counts["lost messages"]++;
+            AprMessage_Free(message);
+            return APR_OK;
+        }
+        auto deliver = [receiving](AprCore_t *core, AprMessage_t *arrived) {
+            handle_message(core, receiving, arrived);
+        };
+        if (message->type == APR_MSG_ANSWER && chance(10)) {
+            counts["duplicated answers"]++;
+            post(to, uniform(0, 300), deliver, int(i),
+                 AprMessage_Copy(message), node);
+        }
+        post(to, uniform(0, chance(10) ? 100 : 10), deliver, int(i), message,
+             node);
+        return APR_OK;
+    }
+    return APR_E_CLOSED;
+}
+
+static void
+give_result(AprCore_t *core, AprStoreJobType_t type, int code,
+            const std::string &text, int64_t revision)
+{
+    AprStoreResult_t *result =
+        static_cast<AprStoreResult_t *>(calloc(1, sizeof(*result)));
+
+    result->type = type;
+    result->code = code;
+    result->revision = revision;
+    if (!text.empty()) {
+        result->data = strdup(text.c_str());
+        result->size = text.size();
+    }
+    core->store_ok = code == APR_OK || code == APR_E_CONFLICT;
+    if (type == APR_JOB_READ_CONFIG) {
+        AprConfigSync_OnStoreResult(core, result);
+    }
+    else {
+        AprRecordSync_OnStoreResult(core, result);
+    }
+    AprStoreResult_Free(result);
+}
+
+inline void
+World::read(int node, AprStoreJobType_t type)
+{
+    int code = store_down ? APR_E_UNAVAILABLE : APR_OK;
+    bool record = type == APR_JOB_READ_RECORD && code == APR_OK;
+    std::string text = record ? record_text : "";
+    int64_t read_revision = record ? revision : 0;
+
+    post(node, uniform(1, 10), [=](AprCore_t *core, AprMessage_t *) {
+        give_result(core, type, code, text, read_revision);
+    });
+}
+
+/* A compare-and-swap; the answer is lost at times. */
+inline void
+World::swap(int node, const std::string &text, int64_t expected)
+{
+    int code = store_down             ? APR_E_UNAVAILABLE
+               : expected != revision ? APR_E_CONFLICT
+                                      : APR_OK;
+
+    if (code == APR_OK) {
+        record_text = text;
+        revision++;
+    }
+    if (!store_down && chance(lost_percent)) {
+        counts["lost store answers"]++;
+        code = APR_E_UNKNOWN;
+    }
+    int64_t written = revision;
+    post(node, uniform(1, 10), [=](AprCore_t *core, AprMessage_t *) {
+        give_result(core, APR_JOB_SWAP_RECORD, code, "", written);
+    });
+}
+
+extern "C" {
+
+AprPeerNet_t *
+AprPeerNet_Start(const AprPeerSettings_t *, const AprClock_t *,
+                 const AprPeerEvents_t *, AprMetrics_t *, AprError_t *)
+{
+    return nullptr; /* the fixture starts no threads */
+}
+
+void
+AprPeerNet_Stop(AprPeerNet_t *)
+{
+}
+
+const char *
+AprPeerNet_Address(const AprPeerNet_t *)
+{
+    return "";
+}
+
+AprLink_t
+AprPeerNet_Open(AprPeerNet_t *net, const char *address)
+{
+    return World::current->open(net->node, address);
+}
+
+void
+AprPeerNet_Close(AprPeerNet_t *net, AprLink_t link)
+{
+    World::current->close(net->node, link);
+}
+
+int
+AprPeerNet_Send(AprPeerNet_t *net, AprLink_t link, AprMessage_t *message)
+{
+    return World::current->send(net->node, link, message);
+}
+
+AprBackendClient_t *
+AprBackendClient_Start(const AprClock_t *, int, size_t, AprBackendDone_t,
+                       void *, AprError_t *)
+{
+    return nullptr;
+}
+
+void
+AprBackendClient_Stop(AprBackendClient_t *)
+{
+}
+
+int
+AprBackendClient_Submit(AprBackendClient_t *client, AprBackendCall_t *call)
+{
+    World::current->on_submit(client->node, call);
+    return APR_OK;
+}
+
+void
+AprBackendClient_Cancel(AprBackendClient_t *client, uint64_t id)
+{
+    World::current->on_cancel(client->node, id);
+}
+
+void
+AprBackendCall_Free(AprBackendCall_t *call)
+{
+    AprMessage_Free(call->request);
+    free(call);
+}
+
+void
+AprBackendResult_Free(AprBackendResult_t *result)
+{
+    free(result->content_type);
+    free(result->body);
+    free(result);
+}
+
+AprStoreWorker_t *
+AprStoreWorker_Start(const AprSettings_t *, AprRing_t *, AprError_t *)
+{
+    return nullptr;
+}
+
+void
+AprStoreWorker_Stop(AprStoreWorker_t *)
+{
+}
+
+int
+AprStoreWorker_ReadRecord(AprStoreWorker_t *worker)
+{
+    World::current->read(worker->node, APR_JOB_READ_RECORD);
+    return APR_OK;
+}
+
+int
+AprStoreWorker_ReadConfig(AprStoreWorker_t *worker)
+{
+    World::current->read(worker->node, APR_JOB_READ_CONFIG);
+    return APR_OK;
+}
+
+int
+AprStoreWorker_SwapRecord(AprStoreWorker_t *worker, char *text,
+                          int64_t revision)
+{
+    World::current->swap(worker->node, text, revision);
+    free(text);
+    return APR_OK;
+}
+
+void
+AprStoreWorker_SetWatch(AprStoreWorker_t *, bool)
+{
+}
+
+bool
+AprStoreWorker_Watching(const AprStoreWorker_t *)
+{
+    return true;
+}
+
+void
+AprStoreResult_Free(AprStoreResult_t *result)
+{
+    free(result->data);
+    free(result);
+}
+
+void
+AprWatchEvent_Free(AprWatchEvent_t *)
+{
+}
+
+char *
+AprEntry_ErrorBody(const char *outcome, const char *reason, const char *,
+                   const char *, const char *)
+{
+    return strdup((std::string(outcome) + " " + reason).c_str());
+}
+
+void
+AprEntryRequest_Complete(AprEntryRequest_t *request)
+{
+    World::current->on_complete(request);
+}
+
+} // extern "C"
+
+#endif
