Give the fix for waiting repeats a mutant

Cause: the fix that ends repeats of a request that did not run had no mutant, so the property test could lose sight of it unnoticed.

Ruled out: relying on the random cases alone; the fault needs about 50 to 130 of them.

Conclusion: each fault found by the model now has a mutant.

--- a/internal/routing_rules.h
+++ b/internal/routing_rules.h
@@ -13,6 +13,7 @@
     bool once;         /* non-idempotent work is not sent a second time */
     bool retry_budget; /* retries are paid for */
     bool may_have_run; /* a request that may have run is never "not run" */
+    bool end_repeats;  /* repeats end with a request that did not run */
 } AprRoutingRules_t;
 
 extern AprRoutingRules_t apr_routing_rules;
--- a/src/coordination/owner.c
+++ b/src/coordination/owner.c
@@ -111,7 +111,9 @@
     owned->outcome = APR_NO_OUTCOME;
     if (outcome != APR_NO_OUTCOME && owned->state != APR_OWNED_WAITING) {
         AprOutcomes_Abort(core->outcomes, outcome);
-        end_repeats(core, outcome);
+        if (apr_routing_rules.end_repeats) {
+            end_repeats(core, outcome);
+        }
     }
 }
 
--- a/tests/prop_router.cc
+++ b/tests/prop_router.cc
@@ -441,6 +441,7 @@
         {"dispatch without a lease", Fault::none, &rules->lease},
         {"dispatch without owning", Fault::none, &rules->ownership},
         {"dispatch while leaving", Fault::none, &rules->drain},
+        {"repeats keep a freed handle", Fault::none, &rules->end_repeats},
     };
     bool all = true;
     for (const auto &mutant : mutants) {
