Keep operators' moves until they succeed; one move per partition

Two moves of one partition could also both be agreed and hold it in turn. Ruled out: retries in apricotctl; the owner knows when the move can start. Change: the owner keeps the request for 8 s and tries every 600 ms; a move holds only partitions that no other move has taken meanwhile.

--- a/internal/core.h
+++ b/internal/core.h
@@ -185,10 +185,11 @@
     struct timespec draining_since;
     bool drain_seen;
 
-    GHashTable *moves;    /* id -> AprHandover_t */
-    GHashTable *staged;   /* "move/partition" -> AprStaged_t */
-    GHashTable *removals; /* host -> AprRemovalAttempt_t */
-    bool removal_flush;   /* ready removals wait for others */
+    GArray *move_requests; /* AprMoveRequest_t of operators */
+    GHashTable *moves;     /* id -> AprHandover_t */
+    GHashTable *staged;    /* "move/partition" -> AprStaged_t */
+    GHashTable *removals;  /* host -> AprRemovalAttempt_t */
+    bool removal_flush;    /* ready removals wait for others */
     struct timespec removal_flush_at;
 
     bool store_ok;
@@ -328,6 +329,10 @@
 void AprHandover_OnIdle(AprCore_t *core, int service, int partition);
 int AprHandover_Start(AprCore_t *core, int service, AprMember_t to,
                       const uint16_t *partitions, int count);
+/* Moves a partition as an operator asked; tried again for some seconds while
+   it cannot be started or is aborted. */
+void AprHandover_Request(AprCore_t *core, int service, const char *to,
+                         uint16_t partition);
 /* Takes the outcomes staged for a partition that this process now owns.
    Returns false when there are none for this handover id. */
 bool AprHandover_TakeStaged(AprCore_t *core, int service, int partition,
--- a/src/coordination/admin.c
+++ b/src/coordination/admin.c
@@ -349,10 +349,7 @@
                     "this host does not own the key; ask its owner");
         return;
     }
-    if (AprHandover_Start(core, index, to, &partition, 1) != APR_OK) {
-        set_failure(request, STATUS_CONFLICT, "the move could not be started");
-        return;
-    }
+    AprHandover_Request(core, index, request->to, partition);
     set_ok(request);
 }
 
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -512,6 +512,7 @@
     g_hash_table_destroy(core->inbound);
     g_hash_table_destroy(core->entries);
     g_hash_table_destroy(core->removals);
+    g_array_free(core->move_requests, TRUE);
     g_hash_table_destroy(core->moves);
     g_hash_table_destroy(core->staged);
     g_ptr_array_free(core->owned, TRUE);
--- a/src/coordination/handover.c
+++ b/src/coordination/handover.c
@@ -7,6 +7,8 @@
 #define IDLE_TIMEOUT_MS 2000 /* in-flight work of a planned move */
 #define SEND_TIMEOUT_MS 1000
 #define SWAP_TIMEOUT_MS 500
+#define REQUEST_LIFETIME_MS 8000
+#define REQUEST_RETRY_MS 600 /* longer than a move waits for agreement */
 #define STAGED_LIFETIME_MS 30000
 #define CHUNK_BYTES (96 * 1024)
 #define CHUNK_ENTRIES 512
@@ -19,6 +21,15 @@
     MOVE_SWAPPING   /* the record is being changed */
 } MovePhase_t;
 
+/* A move that an operator asked for. */
+typedef struct AprMoveRequest_t {
+    int service;
+    char to[APR_NAME_SIZE];
+    uint16_t partition;
+    struct timespec next_try;
+    struct timespec give_up_at;
+} MoveRequest_t;
+
 /* A planned move of which this process is the source. */
 typedef struct AprHandover_t {
     uint64_t id;
@@ -68,6 +79,7 @@
 void
 AprHandover_Init(AprCore_t *core)
 {
+    core->move_requests = g_array_new(FALSE, FALSE, sizeof(MoveRequest_t));
     core->moves =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free);
     core->staged =
@@ -253,6 +265,24 @@
     }
 }
 
+/* Holds the partitions of a move. Those that another move has taken while the
+   receiver was asked are left out, so that each has one move at a time. */
+static void
+hold_partitions(AprCore_t *core, Move_t *move)
+{
+    int kept = 0;
+
+    for (int i = 0; i < move->count; i++) {
+        uint16_t partition = move->partitions[i];
+
+        if (may_move(core, move->service, partition)) {
+            core->services[move->service]->held_by[partition] = move->id;
+            move->partitions[kept++] = partition;
+        }
+    }
+    move->count = kept;
+}
+
 static void
 on_prepared(AprCore_t *core, const AprPrepareMessage_t *answer)
 {
@@ -268,8 +298,10 @@
     move->phase = MOVE_WAITING;
     move->held_at = AprCore_Now(core);
     move->give_up_at = AprTime_AddMs(move->held_at, IDLE_TIMEOUT_MS);
-    for (int i = 0; i < move->count; i++) {
-        core->services[move->service]->held_by[move->partitions[i]] = move->id;
+    hold_partitions(core, move);
+    if (move->count == 0) {
+        end_move(core, move, APR_E_STALE);
+        return;
     }
     send_when_idle(core, move);
 }
@@ -475,6 +507,46 @@
     g_list_free(moves);
 }
 
+/* Keeps an operator's request for a move. A single try would fail whenever the
+   partition is just being moved by the plan or the receiver is slow. */
+void
+AprHandover_Request(AprCore_t *core, int service, const char *to,
+                    uint16_t partition)
+{
+    MoveRequest_t request = {0};
+
+    request.service = service;
+    request.partition = partition;
+    request.next_try = AprCore_Now(core);
+    request.give_up_at = AprTime_AddMs(AprCore_Now(core), REQUEST_LIFETIME_MS);
+    g_strlcpy(request.to, to, sizeof(request.to));
+    g_array_append_val(core->move_requests, request);
+}
+
+/* Starts the requested moves that can be started; drops those that are done,
+   too old, or no longer possible. */
+static void
+serve_requests(AprCore_t *core, struct timespec now)
+{
+    for (guint i = 0; i < core->move_requests->len;) {
+        MoveRequest_t *request =
+            &g_array_index(core->move_requests, MoveRequest_t, i);
+        AprMember_t to = AprRecord_FindHost(core->record, request->to);
+
+        if (to == APR_NO_MEMBER || !AprTime_Before(now, request->give_up_at) ||
+            !AprOwner_Owns(core, request->service, request->partition)) {
+            g_array_remove_index(core->move_requests, i);
+            continue;
+        }
+        if (!AprTime_Before(now, request->next_try)) {
+            request->next_try = AprTime_AddMs(now, REQUEST_RETRY_MS);
+            AprHandover_Start(core, request->service, to, &request->partition,
+                              1);
+        }
+        i++;
+    }
+}
+
 /* Ends moves that take too long, so that their partitions are served again,
    and forgets staged outcomes whose move was aborted. */
 void
@@ -485,6 +557,7 @@
     gpointer value;
 
     expire_moves(core, now);
+    serve_requests(core, now);
     g_hash_table_iter_init(&iterator, core->staged);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const Staged_t *staged = value;
