Let a partition stay for 2 s after a planned move

Cause: apricotctl move failed now and then: the plan of the receiver, whose share was at the edge of its band, gave the partition away again before the command had seen it there (suspected from the plan, which gives the lowest index first; the failing run itself was not caught with a trace). Change: the plan leaves partitions that came by a planned move for 2 s, unless the host drains or has lost its backend server.

--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -9,6 +9,7 @@
 #define DRAIN_GIVE_UP_MS 8000 /* the store did not take the departure */
 #define MOVES_PER_PLAN 256
 #define MOVE_BATCH 32
+#define MIN_STAY_MS 2000 /* of a partition that came by a planned move */
 #define MAX_RENEWALS 8
 #define WITNESS_SPREAD_PER_MEMBER_MS 150
 #define WITNESS_SPREAD_MAX_MS 10000
@@ -494,6 +495,18 @@
     AprRecordSync_Change(core, apply_claim, claim_done, NULL);
 }
 
+/* A partition that came by a planned move stays for a while. The plan would
+   otherwise undo an operator's move before anybody can see it. */
+static bool
+has_settled(const AprCore_t *core, int index, int partition)
+{
+    const AprServiceState_t *service = core->services[index];
+
+    return service->owned_handover[partition] == 0 ||
+           AprTime_DiffMs(AprCore_Now(core),
+                          service->owned_since[partition]) >= MIN_STAY_MS;
+}
+
 /* Starts one move per receiver from the part of the plan whose source is this
    process. */
 static void
@@ -504,6 +517,9 @@
     AprMove_t moves[MOVES_PER_PLAN];
     AprMember_t self = AprCore_Self(core);
     int index = AprCore_FindService(core, name);
+    bool leaving =
+        core->record->members[self].state == APR_MEMBER_DRAINING ||
+        !((core->record->members[self].services >> record_service) & 1u);
     int count;
 
     if (index < 0) {
@@ -517,7 +533,8 @@
         int batch = 0;
 
         for (int i = 0; i < count && batch < MOVE_BATCH; i++) {
-            if (moves[i].from == self && moves[i].to == to) {
+            if (moves[i].from == self && moves[i].to == to &&
+                (leaving || has_settled(core, index, moves[i].partition))) {
                 partitions[batch++] = (uint16_t)moves[i].partition;
             }
         }
