Count the bytes of peer links; name outcomes in one place

Ruled out: the interface counters of the machine, which mix all processes. Change: apricot_peer_bytes_total by direction with a test; AprOutcomeKind_Name.

--- a/include/apricot/message.h
+++ b/include/apricot/message.h
@@ -146,6 +146,7 @@
 /* A deep copy that owns its bytes, for passing between threads. */
 AprMessage_t *AprMessage_Copy(const AprMessage_t *message);
 void AprMessage_Free(AprMessage_t *message);
+const char *AprOutcomeKind_Name(AprOutcomeKind_t outcome);
 const char *AprMessage_TypeName(AprMessageType_t type);
 AprBytes_t AprBytes_FromText(const char *text);
 
--- a/internal/peer_link.h
+++ b/internal/peer_link.h
@@ -28,6 +28,8 @@
     AprMetric_t *links_up;
     AprMetric_t *sent;
     AprMetric_t *received;
+    AprMetric_t *bytes_sent;
+    AprMetric_t *bytes_received;
     AprMetric_t *undelivered;
     AprMetric_t *refused_half_open;
     AprMetric_t *refused_limit;
--- a/src/coordination/router.c
+++ b/src/coordination/router.c
@@ -58,21 +58,6 @@
     AprEntryRequest_Complete(request);
 }
 
-static const char *
-outcome_name(AprOutcomeKind_t outcome)
-{
-    switch (outcome) {
-    case APR_ANSWERED:
-        return "answered";
-    case APR_UNKNOWN:
-        return "unknown";
-    case APR_REJECTED:
-        return "rejected";
-    default:
-        return "not-run";
-    }
-}
-
 /* Ends a request with the JSON body that names outcome, reason, step and
    peer. When an earlier try may have run, "not run" would be false although
    the last try did not run. */
@@ -88,7 +73,7 @@
         outcome = APR_UNKNOWN;
         status = 504;
     }
-    body = AprEntry_ErrorBody(outcome_name(outcome), reason,
+    body = AprEntry_ErrorBody(AprOutcomeKind_Name(outcome), reason,
                               AprStep_Name(step), peer, detail);
 
     request->outcome = outcome;
--- a/src/protocol/message.c
+++ b/src/protocol/message.c
@@ -325,3 +325,19 @@
         free(message);
     }
 }
+
+/* The outcome as callers see it; a moved request has not run. */
+const char *
+AprOutcomeKind_Name(AprOutcomeKind_t outcome)
+{
+    switch (outcome) {
+    case APR_ANSWERED:
+        return "answered";
+    case APR_UNKNOWN:
+        return "unknown";
+    case APR_REJECTED:
+        return "rejected";
+    default:
+        return "not-run";
+    }
+}
--- a/src/transport/http_entry.c
+++ b/src/transport/http_entry.c
@@ -282,21 +282,6 @@
     return result;
 }
 
-static const char *
-outcome_name(AprOutcomeKind_t outcome)
-{
-    switch (outcome) {
-    case APR_ANSWERED:
-        return "answered";
-    case APR_UNKNOWN:
-        return "unknown";
-    case APR_REJECTED:
-        return "rejected";
-    default:
-        return "not-run";
-    }
-}
-
 /* Suspends the connection first: the core thread may complete the request
    before this function returns. */
 static enum MHD_Result
@@ -383,8 +368,9 @@
         return hand_to_core(context, connection);
     }
     return send_response(context, connection, request->status,
-                         outcome_name(request->outcome), request->answer_type,
-                         request->answer_body, request->answer_size);
+                         AprOutcomeKind_Name(request->outcome),
+                         request->answer_type, request->answer_body,
+                         request->answer_size);
 }
 
 static void
--- a/src/transport/peer_link.c
+++ b/src/transport/peer_link.c
@@ -233,6 +233,7 @@
                                                            : APR_E_CLOSED;
         }
         link->written += (size_t)count;
+        AprMetric_Add(link->shared->counters.bytes_sent, count);
         link->last_sent = time_now(link);
         release_written(link);
     }
@@ -351,6 +352,7 @@
         if (count <= 0) {
             return APR_E_CLOSED;
         }
+        AprMetric_Add(link->shared->counters.bytes_received, count);
         link->last_received = time_now(link);
         AprSession_Push(link->session, buffer, (size_t)count);
         status = take_events(link);
--- a/src/transport/peer_net.c
+++ b/src/transport/peer_net.c
@@ -66,6 +66,11 @@
         "Messages on peer links; sent ones at least in part");
     counters->received = AprMetrics_Counter(
         metrics, "apricot_peer_messages_total", "direction=\"received\"", "");
+    counters->bytes_sent = AprMetrics_Counter(
+        metrics, "apricot_peer_bytes_total", "direction=\"sent\"",
+        "Bytes on the sockets of peer links, with headers and handshakes");
+    counters->bytes_received = AprMetrics_Counter(
+        metrics, "apricot_peer_bytes_total", "direction=\"received\"", "");
     counters->undelivered =
         AprMetrics_Counter(metrics, "apricot_peer_undelivered_total", NULL,
                            "Messages of which no byte was written");
--- a/tests/test_peer_net.c
+++ b/tests/test_peer_net.c
@@ -20,6 +20,7 @@
 #define FLOOD_BODY 30000
 #define LARGE_COUNT 20
 #define LARGE_BODY 700000
+#define PROBES_BYTES 100    /* three probes, if the machine is slow */
 #define FLOOD_FIRST_ID 1000 /* all ids take three bytes */
 
 static const char flood_body[LARGE_BODY];
@@ -300,6 +301,41 @@
     close(fd);
 }
 
+/* Guards against bytes on the sockets that are not counted, or counted twice:
+   what one side sends is what the other receives, and a message adds its whole
+   frame. */
+static void
+test_bytes_counted(void **state)
+{
+    static const char *name = "apricot_peer_bytes_total";
+    static const char *sent = "direction=\"sent\"";
+    static const char *received = "direction=\"received\"";
+    Node_t a, b;
+    AprLink_t link;
+    int64_t before;
+
+    (void)state;
+    link = start_linked(&a, &b);
+    before = AprPeerNode_Metric(&b, name, received);
+    assert_true(before > 0);
+    wait_metric(&a, name, sent, before);
+    assert_in_range(AprPeerNode_Metric(&a, name, sent), before,
+                    before + PROBES_BYTES);
+    before = AprPeerNode_Metric(&b, name, sent);
+    assert_true(before > 0);
+    assert_in_range(AprPeerNode_Metric(&a, name, received), before,
+                    before + PROBES_BYTES);
+    before = AprPeerNode_Metric(&b, name, received);
+    AprPeerNode_Send(&a, link, APR_MSG_REQUEST, 1, flood_body, FLOOD_BODY);
+    wait_for(&b, &b.messages, 1);
+    before += APR_FRAME_HEADER_SIZE + FLOOD_BODY;
+    assert_in_range(AprPeerNode_Metric(&b, name, received), before,
+                    before + 500);
+    wait_metric(&a, name, sent, AprPeerNode_Metric(&b, name, received));
+    AprPeerNode_Stop(&a);
+    AprPeerNode_Stop(&b);
+}
+
 int
 main(void)
 {
@@ -310,6 +346,7 @@
         cmocka_unit_test(test_undelivered_against_lost),
         cmocka_unit_test(test_control_before_data),
         cmocka_unit_test(test_full_queue_refuses),
+        cmocka_unit_test(test_bytes_counted),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
