Split membership.c by duty: membership, assignment, drain

Cause: the file had grown to 720 lines with three duties. Ruled out: nothing changes in behaviour; only the tick calls the parts. Change: assignment.c (offers, claims, planned moves), drain.c (drain and planned stop), AprCore_SelfIn for the lookup that three files need. Conclusion: easier to read.

--- a/internal/core.h
+++ b/internal/core.h
@@ -226,6 +226,7 @@
 struct timespec AprCore_Now(const AprCore_t *core);
 bool AprCore_IsMember(const AprCore_t *core);
 AprMember_t AprCore_Self(const AprCore_t *core);
+AprMember_t AprCore_SelfIn(const AprCore_t *core, const AprRecord_t *record);
 int AprCore_FindService(const AprCore_t *core, const char *name);
 int AprCore_AddService(AprCore_t *core, const char *name);
 
@@ -285,8 +286,15 @@
                                           const char *service);
 /* Assigns everything that has no owner in a record that is being changed. */
 void AprMembership_AssignUnowned(AprCore_t *core, AprRecord_t *record);
+
+/* assignment.c */
+void AprAssignment_Tick(AprCore_t *core, struct timespec now);
+
+/* drain.c */
+void AprDrain_Follow(AprCore_t *core, AprMember_t self, struct timespec now);
+void AprDrain_CheckFinished(AprCore_t *core, struct timespec now);
 /* Whether new work is refused because the planned stop is due. */
-bool AprMembership_RefusesWork(const AprCore_t *core);
+bool AprDrain_RefusesWork(const AprCore_t *core);
 
 /* removal_task.c */
 void AprRemovalTask_Tick(AprCore_t *core);
--- /dev/null
+++ b/src/coordination/assignment.c
@@ -0,0 +1,226 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "internal/core.h"
+
+#define BACKEND_SILENCE_MS 3500 /* three announcements missed, and some */
+#define PLAN_INTERVAL_MS 200
+#define MOVES_PER_PLAN 256
+#define MOVE_BATCH 32
+#define MIN_STAY_MS 2000 /* of a partition that came by a planned move */
+
+typedef struct Offer_t {
+    int service; /* index in AprCore_t.services */
+    bool offered;
+} Offer_t;
+
+static int
+apply_offer(AprCore_t *core, AprRecord_t *record, void *argument)
+{
+    const Offer_t *offer = argument;
+    const char *name = core->services[offer->service]->config.service;
+    AprMember_t self = AprCore_SelfIn(core, record);
+    int service;
+    bool is_offered;
+
+    if (self == APR_NO_MEMBER) {
+        return APR_E_STALE;
+    }
+    service = AprRecord_FindService(record, name);
+    if (service < 0) {
+        service = AprRecord_AddService(record, name);
+        if (service < 0) {
+            return service;
+        }
+    }
+    is_offered = (record->members[self].services >> service) & 1u;
+    if (is_offered == offer->offered) {
+        return APR_E_EXISTS;
+    }
+    return AprRecord_SetOffered(record, self, service, offer->offered);
+}
+
+static void
+offer_done(AprCore_t *core, int result, void *argument)
+{
+    Offer_t *offer = argument;
+
+    core->offer_changes &= ~(1u << offer->service);
+    if (result == APR_OK) {
+        AprLog_Write(APR_LOG_INFO, "service-offer", "service=%s offered=%d",
+                     core->services[offer->service]->config.service,
+                     offer->offered);
+    }
+    free(offer);
+}
+
+static bool
+offered_in_record(const AprCore_t *core, int index)
+{
+    AprMember_t self = AprCore_Self(core);
+    int service = AprRecord_FindService(core->record,
+                                        core->services[index]->config.service);
+
+    return self != APR_NO_MEMBER && service >= 0 &&
+           ((core->record->members[self].services >> service) & 1u);
+}
+
+/* Brings the record in line with the local backend server: a service is
+   offered while its backend is alive and its configuration is published. */
+static void
+update_offer(AprCore_t *core, int index, struct timespec now)
+{
+    AprServiceState_t *service = core->services[index];
+    Offer_t *offer;
+    bool wanted;
+
+    if (service->backend.alive &&
+        AprTime_DiffMs(now, service->backend.announced_at) >
+            BACKEND_SILENCE_MS) {
+        service->backend.alive = false;
+        AprLog_Write(APR_LOG_WARN, "backend-silent", "service=%s address=%s",
+                     service->config.service, service->backend.address);
+    }
+    wanted = service->backend.alive && service->config.generation > 0;
+    if (wanted == offered_in_record(core, index) ||
+        (core->offer_changes & (1u << index))) {
+        return;
+    }
+    offer = calloc(1, sizeof(*offer));
+    if (offer == NULL) {
+        return;
+    }
+    offer->service = index;
+    offer->offered = wanted;
+    core->offer_changes |= 1u << index;
+    AprRecordSync_Change(core, apply_offer, offer_done, offer);
+}
+
+static bool
+has_claimable(const AprCore_t *core, const AprRecord_t *record,
+              AprMember_t self)
+{
+    (void)core;
+    for (int i = 0; i < record->service_count; i++) {
+        if (!((record->members[self].services >> i) & 1u)) {
+            continue;
+        }
+        for (int p = 0; p < APR_PARTITIONS; p++) {
+            if (record->services[i].partitions[p].owner == APR_NO_MEMBER) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+static int
+apply_claim(AprCore_t *core, AprRecord_t *record, void *argument)
+{
+    AprMember_t self = AprCore_SelfIn(core, record);
+
+    (void)argument;
+    if (self == APR_NO_MEMBER) {
+        return APR_E_STALE;
+    }
+    if (!has_claimable(core, record, self)) {
+        return APR_E_EXISTS;
+    }
+    AprMembership_AssignUnowned(core, record);
+    return APR_OK;
+}
+
+static void
+claim_done(AprCore_t *core, int result, void *argument)
+{
+    (void)result;
+    (void)argument;
+    core->claim_change = false;
+}
+
+static void
+claim_unowned(AprCore_t *core)
+{
+    AprMember_t self = AprCore_Self(core);
+
+    if (core->claim_change || atomic_load(&core->draining) ||
+        !has_claimable(core, core->record, self)) {
+        return;
+    }
+    core->claim_change = true;
+    AprRecordSync_Change(core, apply_claim, claim_done, NULL);
+}
+
+/* A partition that came by a planned move stays for a while. The plan would
+   otherwise undo an operator's move before anybody can see it. */
+static bool
+has_settled(const AprCore_t *core, int index, int partition)
+{
+    const AprServiceState_t *service = core->services[index];
+
+    return service->owned_handover[partition] == 0 ||
+           AprTime_DiffMs(AprCore_Now(core),
+                          service->owned_since[partition]) >= MIN_STAY_MS;
+}
+
+/* Starts one move per receiver from the part of the plan whose source is this
+   process. */
+static void
+start_planned_moves(AprCore_t *core, int record_service)
+{
+    const char *name = core->record->services[record_service].name;
+    AprPlacementPolicy_t policy = AprMembership_Policy(core, name);
+    AprMove_t moves[MOVES_PER_PLAN];
+    AprMember_t self = AprCore_Self(core);
+    int index = AprCore_FindService(core, name);
+    bool leaving =
+        core->record->members[self].state == APR_MEMBER_DRAINING ||
+        !((core->record->members[self].services >> record_service) & 1u);
+    int count;
+
+    if (index < 0) {
+        return;
+    }
+    count = AprPlacement_Plan(core->record, record_service, &policy,
+                              AprClock_WallMs(&core->clock), moves,
+                              MOVES_PER_PLAN);
+    for (int to = 0; to < APR_MAX_MEMBERS; to++) {
+        uint16_t partitions[MOVE_BATCH];
+        int batch = 0;
+
+        for (int i = 0; i < count && batch < MOVE_BATCH; i++) {
+            if (moves[i].from == self && moves[i].to == to &&
+                (leaving || has_settled(core, index, moves[i].partition))) {
+                partitions[batch++] = (uint16_t)moves[i].partition;
+            }
+        }
+        if (batch > 0) {
+            AprHandover_Start(core, index, (AprMember_t)to, partitions, batch);
+        }
+    }
+}
+
+static void
+plan_moves(AprCore_t *core, struct timespec now)
+{
+    if (AprTime_Before(now, core->next_plan) || AprHandover_Active(core) > 0 ||
+        !AprLease_Valid(core->lease, now)) {
+        return;
+    }
+    core->next_plan = AprTime_AddMs(now, PLAN_INTERVAL_MS);
+    for (int i = 0; i < core->record->service_count; i++) {
+        start_planned_moves(core, i);
+    }
+}
+
+/* Brings the record in line with the local backend servers, claims what has no
+   owner and starts the moves of the plan. */
+void
+AprAssignment_Tick(AprCore_t *core, struct timespec now)
+{
+    for (int i = 0; i < core->service_count; i++) {
+        update_offer(core, i, now);
+    }
+    claim_unowned(core);
+    plan_moves(core, now);
+}
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -82,20 +82,27 @@
     return AprClock_Now(&core->clock);
 }
 
-/* This process's member handle in the newest record, or APR_NO_MEMBER when
-   its current incarnation is not in it. */
+/* This process's member handle in a record, or APR_NO_MEMBER when its current
+   incarnation is not in it. */
 AprMember_t
-AprCore_Self(const AprCore_t *core)
+AprCore_SelfIn(const AprCore_t *core, const AprRecord_t *record)
 {
-    AprMember_t self = AprRecord_FindHost(core->record, core->settings.host);
+    AprMember_t self = AprRecord_FindHost(record, core->settings.host);
 
     if (self == APR_NO_MEMBER ||
-        core->record->members[self].incarnation != core->incarnation) {
+        record->members[self].incarnation != core->incarnation) {
         return APR_NO_MEMBER;
     }
     return self;
 }
 
+/* This process's member handle in the newest record, or APR_NO_MEMBER. */
+AprMember_t
+AprCore_Self(const AprCore_t *core)
+{
+    return AprCore_SelfIn(core, core->record);
+}
+
 /* Whether this incarnation is in the newest record. */
 bool
 AprCore_IsMember(const AprCore_t *core)
--- a/src/coordination/owner.c
+++ b/src/coordination/owner.c
@@ -238,7 +238,7 @@
 static bool
 leaves_now(const AprCore_t *core)
 {
-    return apr_routing_rules.drain && AprMembership_RefusesWork(core);
+    return apr_routing_rules.drain && AprDrain_RefusesWork(core);
 }
 
 /* The reason why this process cannot take a request now, or NULL. */
