Use the core's own message dispatch in the property tests

Cause: two test fixtures held copies of the dispatch in core.c, so a mistake in the real one would not have shown in them. Ruled out: a shared copy under tests/. Change: AprCore_OnPeerMessage; the copies are gone. Conclusion: the tests run the production dispatch.

--- a/internal/core.h
+++ b/internal/core.h
@@ -223,6 +223,8 @@
 /* core.c */
 AprCore_t *AprCore_New(const AprSettings_t *settings, const AprClock_t *clock);
 void AprCore_Free(AprCore_t *core);
+void AprCore_OnPeerMessage(AprCore_t *core, AprLink_t link,
+                           AprMessage_t *message);
 struct timespec AprCore_Now(const AprCore_t *core);
 bool AprCore_IsMember(const AprCore_t *core);
 AprMember_t AprCore_Self(const AprCore_t *core);
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -158,8 +158,10 @@
     free(service);
 }
 
-static void
-handle_peer_message(AprCore_t *core, AprLink_t link, AprMessage_t *message)
+/* Hands a message of a peer to the module that it is for; takes the message.
+   Public for tests without a peer thread. */
+void
+AprCore_OnPeerMessage(AprCore_t *core, AprLink_t link, AprMessage_t *message)
 {
     AprReplyTo_t reply = {false, link, 0};
 
@@ -255,7 +257,7 @@
         AprRouter_OnLinkDown(core, event->link);
         break;
     case APR_EVENT_PEER_MESSAGE:
-        handle_peer_message(core, event->link, event->message);
+        AprCore_OnPeerMessage(core, event->link, event->message);
         break;
     case APR_EVENT_PEER_UNDELIVERED:
         AprRouter_OnUndelivered(core, event->message);
--- a/tests/core_doubles.h
+++ b/tests/core_doubles.h
@@ -94,47 +94,6 @@
     }
 }
 
-static void
-handle_message(AprCore_t *core, AprLink_t link, AprMessage_t *message)
-{
-    AprReplyTo_t reply = {false, link, 0};
-
-    switch (message->type) {
-    case APR_MSG_RENEW:
-    case APR_MSG_RENEW_ACK:
-        AprMembership_OnMessage(core, link, message);
-        break;
-    case APR_MSG_CONSENT:
-    case APR_MSG_CONSENT_ACK:
-    case APR_MSG_SUSPECT:
-        AprRemovalTask_OnMessage(core, link, message);
-        break;
-    case APR_MSG_RECORD_GET:
-    case APR_MSG_RECORD:
-        AprRecordSync_OnMessage(core, link, message);
-        break;
-    case APR_MSG_CONFIG_GET:
-    case APR_MSG_CONFIG:
-        AprConfigSync_OnMessage(core, link, message);
-        break;
-    case APR_MSG_REQUEST:
-        reply.id = message->request.id;
-        AprOwner_OnRequest(core, reply, message);
-        return; /* the owner side keeps the message */
-    case APR_MSG_ANSWER:
-        AprRouter_OnAnswer(core, message->answer.id, &message->answer);
-        break;
-    case APR_MSG_CANCEL:
-        reply.id = message->cancel.id;
-        AprOwner_OnCancel(core, reply);
-        break;
-    default:
-        AprHandover_OnMessage(core, link, message);
-        break;
-    }
-    AprMessage_Free(message);
-}
-
 /* Random delays reorder messages. Answers are also duplicated; a request is
    not, because the session closes a connection on a replayed frame. */
 inline int
@@ -167,7 +126,7 @@
             return APR_OK;
         }
         auto deliver = [receiving](AprCore_t *core, AprMessage_t *arrived) {
-            handle_message(core, receiving, arrived);
+            AprCore_OnPeerMessage(core, receiving, arrived);
         };
         if (message->type == APR_MSG_ANSWER && chance(10)) {
             counts["duplicated answers"]++;
--- a/tests/sync_doubles.h
+++ b/tests/sync_doubles.h
@@ -21,39 +21,6 @@
     return AprTime_FromMs(kWallMs + static_cast<Cell *>(context)->now_ms);
 }
 
-inline void
-deliver(AprCore_t *core, AprLink_t link, AprMessage_t *message)
-{
-    switch (message->type) {
-    case APR_MSG_RENEW:
-    case APR_MSG_RENEW_ACK:
-        AprMembership_OnMessage(core, link, message);
-        break;
-    case APR_MSG_CONSENT:
-    case APR_MSG_CONSENT_ACK:
-    case APR_MSG_SUSPECT:
-        AprRemovalTask_OnMessage(core, link, message);
-        break;
-    case APR_MSG_RECORD_GET:
-    case APR_MSG_RECORD:
-        AprRecordSync_OnMessage(core, link, message);
-        break;
-    case APR_MSG_CONFIG_GET:
-    case APR_MSG_CONFIG:
-        AprConfigSync_OnMessage(core, link, message);
-        break;
-    case APR_MSG_PREPARE:
-    case APR_MSG_PREPARE_ACK:
-    case APR_MSG_OUTCOMES:
-    case APR_MSG_OUTCOMES_ACK:
-        AprHandover_OnMessage(core, link, message);
-        break;
-    default:
-        break; /* no requests in this test */
-    }
-    AprMessage_Free(message);
-}
-
 inline void
 Cell::start(Process &process)
 {
@@ -214,7 +181,8 @@
     after_for(to, delay, [this, handle, kept](Process &peer) {
         auto now = links_.find(handle / 2);
         if (now != links_.end() && now->second.up) {
-            deliver(peer.core, handle ^ 1u, AprMessage_Copy(kept.get()));
+            AprCore_OnPeerMessage(peer.core, handle ^ 1u,
+                                  AprMessage_Copy(kept.get()));
         }
     });
 }
--- a/tests/sync_fixture.h
+++ b/tests/sync_fixture.h
@@ -146,6 +146,4 @@
     AprLink_t next_link_ = 1;
 };
 
-void deliver(AprCore_t *core, AprLink_t link, AprMessage_t *message);
-
 #endif
