Remove functions and fields that nothing uses

Cause: the last read of the change found two functions, a field that was only written and a constant without a use. Change: AprConfigSync_Digest, AprOwner_Queued, AprCore_t.joined_at and APR_ENTRY_DEFAULT_PEER are gone. Conclusion: no change in behaviour.

--- a/internal/core.h
+++ b/internal/core.h
@@ -206,7 +206,6 @@
     struct timespec next_record_pull;
     struct timespec next_outside_ask;
     struct timespec next_config_pull;
-    struct timespec joined_at;
     struct timespec started_at;
 
     AprMetric_t *late_answers;
@@ -274,7 +273,6 @@
 void AprConfigSync_OnWatch(AprCore_t *core, const char *data, size_t size);
 void AprConfigSync_Compare(AprCore_t *core, AprLink_t link, uint64_t digest);
 void AprConfigSync_Exchange(AprCore_t *core, AprLink_t link);
-uint64_t AprConfigSync_Digest(const AprCore_t *core);
 
 /* membership.c */
 void AprMembership_Tick(AprCore_t *core);
@@ -329,7 +327,6 @@
 void AprOwner_EndAsMoved(AprCore_t *core, uint32_t handle, const char *reason);
 bool AprOwner_InPartition(const AprOwnedRequest_t *owned, int service,
                           int partition);
-uint32_t AprOwner_Queued(const AprCore_t *core, int index);
 
 /* handover.c: planned moves */
 void AprHandover_Init(AprCore_t *core);
--- a/internal/entry.h
+++ b/internal/entry.h
@@ -13,7 +13,6 @@
 #include "apricot/settings.h"
 
 #define APR_ENTRY_MAX_BODY 65536
-#define APR_ENTRY_DEFAULT_PEER "entry"
 
 typedef enum AprEntryState_t {
     APR_ENTRY_ROUTING,   /* waits for an owner that can be reached */
--- a/src/coordination/config_sync.c
+++ b/src/coordination/config_sync.c
@@ -246,10 +246,3 @@
         send_all(core, link);
     }
 }
-
-/* The digest that renewals carry. */
-uint64_t
-AprConfigSync_Digest(const AprCore_t *core)
-{
-    return core->config_digest;
-}
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -110,7 +110,6 @@
     core->join_change = false;
     if (result == APR_OK) {
         core->membership = APR_MEMBERSHIP_MEMBER;
-        core->joined_at = AprCore_Now(core);
         AprLog_Write(APR_LOG_INFO, "joined",
                      "cell=%s incarnation=%" PRIu64 " version=%" PRIu64,
                      core->settings.cell, core->incarnation,
--- a/src/coordination/owner.c
+++ b/src/coordination/owner.c
@@ -709,17 +709,3 @@
         admit(core, handle);
     }
 }
-
-/* Requests that wait in all ranks of a service. */
-uint32_t
-AprOwner_Queued(const AprCore_t *core, int index)
-{
-    const AprServiceState_t *service = core->services[index];
-    uint32_t queued = 0;
-
-    for (int i = 0; service->queue != NULL && i < service->config.rank_count;
-         i++) {
-        queued += AprRankQueue_Size(service->queue->ranks, i);
-    }
-    return queued;
-}
