--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 CPPFLAGS = -D_GNU_SOURCE -Iinclude -I. $(shell pkg-config --cflags $(PACKAGES))
 CFLAGS = -std=c11 $(OPT) $(WARN) -pthread
 CXXFLAGS = -std=c++17 $(OPT) $(WARNXX) -pthread
-LDLIBS = $(shell pkg-config --libs $(PACKAGES)) -lstdc++ -lm -pthread
+LDLIBS = $(shell pkg-config --libs $(PACKAGES)) -lev -lhttp_parser -lstdc++ -lm -pthread
 
 LIB = $(BUILD)/libapricot.a
 LIB_C = $(sort $(wildcard src/*/*.c))
@@ -20,7 +20,9 @@
 LIB_OBJ = $(LIB_C:%.c=$(BUILD)/%.o) $(LIB_CC:%.cc=$(BUILD)/%.o)
 STANDIN_SHARED = $(sort $(wildcard standins/lib/*.c))
 STANDIN_OBJ = $(STANDIN_SHARED:%.c=$(BUILD)/%.o)
-PROGRAMS = $(patsubst programs/%.c,$(BUILD)/%,$(sort $(wildcard programs/*.c)))
+PLATFORM_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard platform/*.c)))
+PROGRAMS = $(patsubst programs/%.c,$(BUILD)/%,$(sort $(wildcard programs/*.c))) \
+    $(BUILD)/apricot-gateway
 STANDINS = $(patsubst standins/%.c,$(BUILD)/%,$(sort $(wildcard standins/*.c)))
 BENCHES = $(patsubst bench/%.c,$(BUILD)/bench/%,$(sort $(wildcard bench/*.c)))
 TESTS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(sort $(wildcard tests/test_*.c)))
@@ -53,6 +55,9 @@
 $(BUILD)/%: $(BUILD)/programs/%.o $(LIB)
 	@$(CC) $^ $(LDLIBS) -o $@
 
+$(BUILD)/apricot-gateway: $(PLATFORM_OBJ) $(LIB)
+	@$(CC) $^ $(LDLIBS) -o $@
+
 $(BUILD)/%: $(BUILD)/standins/%.o $(STANDIN_OBJ) $(LIB)
 	@$(CC) $^ $(LDLIBS) -o $@
 
--- /dev/null
+++ b/include/apricot/gateway_settings.h
@@ -0,0 +1,36 @@
+#ifndef APRICOT_GATEWAY_SETTINGS_H
+#define APRICOT_GATEWAY_SETTINGS_H
+
+#include "apricot/error.h"
+#include "apricot/log.h"
+#include "apricot/record.h"
+#include "apricot/route_table.h"
+
+/* Settings of one apricot-gateway process. */
+typedef struct AprGatewaySettings_t {
+    char host[APR_NAME_SIZE];
+    char failure_domain[APR_NAME_SIZE];
+    char listen_callers[APR_ADDRESS_SIZE];
+    char listen_peers[APR_ADDRESS_SIZE];
+    char listen_control[APR_ADDRESS_SIZE];
+    char listen_readiness[APR_ADDRESS_SIZE];
+    char listen_metrics[APR_ADDRESS_SIZE];
+    char backend_service[APR_ROUTE_NAME_SIZE];
+    char backend_address[APR_ADDRESS_SIZE];
+    double heartbeat_s;
+    char store_address[APR_ADDRESS_SIZE];
+    char store_prefix[APR_NAME_SIZE];
+    double hold_max_s;  /* longest grant that a backend server accepts */
+    double drain_s;     /* after a leave, until no request may start */
+    double stop_s;      /* from the stop signal until the process ends */
+    double retry_ratio; /* repeats per request, over all hosts */
+    double retry_extra; /* repeats in each window besides */
+    double retry_window_s;
+    AprLogLevel_t log_level;
+} AprGatewaySettings_t;
+
+int AprGatewaySettings_Load(const char *path, AprGatewaySettings_t *settings,
+                            AprError_t *error);
+char *AprGatewaySettings_Describe(void);
+
+#endif
--- /dev/null
+++ b/include/apricot/key_plan.h
@@ -0,0 +1,42 @@
+#ifndef APRICOT_KEY_PLAN_H
+#define APRICOT_KEY_PLAN_H
+
+#include "apricot/key_map.h"
+
+/* Plans who owns keys. Decisions only. */
+
+/* A host whose backend server may own keys. */
+typedef struct AprKeyCandidate_t {
+    AprKeyOwner_t owner;
+    double load; /* demand over capacity */
+    int slots;
+    int keys; /* that it owns */
+} AprKeyCandidate_t;
+
+#define APR_KEY_BUCKETS 4096
+#define APR_KEYS_PER_BUCKET (APR_KEY_COUNT / APR_KEY_BUCKETS)
+
+/* Demand by neighbouring keys, as milliseconds of service time a second. */
+typedef struct AprKeyDemand_t {
+    float bucket_ms[APR_KEY_BUCKETS];
+} AprKeyDemand_t;
+
+/* Keys that are to go to another host. */
+typedef struct AprKeyMove_t {
+    int first;
+    int last;
+    int to; /* index of the candidate */
+} AprKeyMove_t;
+
+int AprKeyPlan_Distribute(AprKeyMap_t *map, const char *host,
+                          const AprKeyCandidate_t *candidates, int count,
+                          const char *releasing_host);
+bool AprKeyPlan_Rebalance(const AprKeyMap_t *map, const char *host,
+                          double own_load, int own_slots,
+                          const AprKeyDemand_t *demand,
+                          const AprKeyCandidate_t *candidates, int count,
+                          AprKeyMove_t *move);
+void AprKeyDemand_Add(AprKeyDemand_t *demand, int key, double cost_ms);
+void AprKeyDemand_Decay(AprKeyDemand_t *demand, double factor);
+
+#endif
--- a/include/apricot/log.h
+++ b/include/apricot/log.h
@@ -1,6 +1,9 @@
 #ifndef APRICOT_LOG_H
 #define APRICOT_LOG_H
 
+/* Log file name that stands for standard output. */
+#define APR_LOG_STDOUT "stdout"
+
 typedef enum AprLogLevel_t {
     APR_LOG_ERROR,
     APR_LOG_WARN,
--- /dev/null
+++ b/internal/http_message.h
@@ -0,0 +1,67 @@
+#ifndef APRICOT_INTERNAL_HTTP_MESSAGE_H
+#define APRICOT_INTERNAL_HTTP_MESSAGE_H
+
+#include <http_parser.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "internal/stream.h"
+
+#define APR_HTTP_MAX_HEADERS 128
+
+/* Names and values are offsets into the text of the head. */
+typedef struct AprHttpHeader_t {
+    uint32_t name;
+    uint32_t name_size;
+    uint32_t value;
+    uint32_t value_size;
+} AprHttpHeader_t;
+
+/* Head of a request or an answer. */
+typedef struct AprHttpHead_t {
+    AprBuffer_t text;
+    AprHttpHeader_t headers[APR_HTTP_MAX_HEADERS];
+    int header_count;
+    char method[24];
+    uint32_t target; /* offset of the request target */
+    uint32_t target_size;
+    int status;
+    bool has_length;
+    uint64_t length;
+    bool chunked;
+    bool keep_alive;
+} AprHttpHead_t;
+
+typedef struct AprHttpParser_t AprHttpParser_t;
+
+/* Receives the parts of messages in order. Returning non-zero stops the
+   parser with APR_E_CLOSED. */
+typedef struct AprHttpHandler_t {
+    int (*on_head)(void *context, const AprHttpHead_t *head);
+    int (*on_body)(void *context, const char *data, size_t size);
+    int (*on_complete)(void *context);
+} AprHttpHandler_t;
+
+AprHttpParser_t *AprHttpParser_New(enum http_parser_type type,
+                                   const AprHttpHandler_t *handler,
+                                   void *context);
+void AprHttpParser_Free(AprHttpParser_t *parser);
+void AprHttpParser_Reset(AprHttpParser_t *parser);
+int AprHttpParser_Execute(AprHttpParser_t *parser, const char *data,
+                          size_t size, size_t *used);
+int AprHttpParser_Finish(AprHttpParser_t *parser);
+bool AprHttpParser_InMessage(const AprHttpParser_t *parser);
+bool AprHttpParser_InHead(const AprHttpParser_t *parser);
+void AprHttpParser_SetMaxHead(AprHttpParser_t *parser, size_t bytes);
+void AprHttpParser_Pause(AprHttpParser_t *parser, bool pause);
+
+const char *AprHttpHead_Find(const AprHttpHead_t *head, const char *name,
+                             size_t *size);
+int AprHttpHead_Copy(const AprHttpHead_t *head, const char *name, char *value,
+                     size_t size);
+bool AprHttpHeader_IsHopByHop(const AprHttpHead_t *head,
+                              const AprHttpHeader_t *header);
+const char *AprHttp_Reason(int status);
+
+#endif
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -59,7 +59,9 @@
 open_stream(log4c_appender_t *appender)
 {
     const char *name = log4c_appender_get_name(appender);
-    FILE *stream = strcmp(name, STDERR_NAME) == 0 ? stderr : fopen(name, "a");
+    FILE *stream = strcmp(name, STDERR_NAME) == 0      ? stderr
+                   : strcmp(name, APR_LOG_STDOUT) == 0 ? stdout
+                                                       : fopen(name, "a");
 
     if (stream == NULL) {
         return -1;
@@ -81,7 +83,9 @@
 {
     FILE *stream = log4c_appender_get_udata(appender);
 
-    return stream == stderr || stream == NULL ? 0 : fclose(stream);
+    return stream == stderr || stream == stdout || stream == NULL
+               ? 0
+               : fclose(stream);
 }
 
 static const log4c_appender_type_t line_appender = {
--- /dev/null
+++ b/src/gateway/gateway.c
@@ -0,0 +1,219 @@
+/* Assembly and life of one gateway process. */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "apricot/error.h"
+#include "apricot/log.h"
+#include "internal/gateway.h"
+
+/* Timers of all parts are checked this often. */
+#define TICK_S 0.05
+
+/* After the stop signal, callers are sent away for at least this time before
+   the process may end; they ask for readiness once a second. */
+#define STOP_MIN_MS 2600
+
+/* The process ends this long before it would be killed. */
+#define STOP_MARGIN_MS 400
+
+/* Milliseconds of the steady clock. */
+int64_t
+AprGateway_NowMs(const AprGateway_t *gateway)
+{
+    return AprTime_ToMs(AprClock_Now(&gateway->clock));
+}
+
+/* The budget of repeats of this process. */
+AprRetryBudget_t *
+AprGateway_RetryBudget(AprGateway_t *gateway)
+{
+    return &gateway->retries;
+}
+
+/* Adds one to a counter. */
+void
+AprGateway_Count(AprGateway_t *gateway, const char *name, const char *labels)
+{
+    AprMetric_t *metric =
+        AprMetrics_Counter(gateway->metrics, name, labels, "");
+
+    if (metric != NULL) {
+        AprMetric_Add(metric, 1);
+    }
+}
+
+/* Fills in the load of this host. */
+void
+AprGateway_Load(AprGateway_t *gateway, AprHostLoad_t *load)
+{
+    memset(load, 0, sizeof(*load));
+    AprBackend_Load(gateway->backend, load);
+    load->stopping = gateway->stopping_since_ms != 0;
+    load->revision = AprReplica_Revision(gateway->replica);
+}
+
+/* Whether callers may be sent here. */
+bool
+AprGateway_IsReady(const AprGateway_t *gateway)
+{
+    return gateway->routes != NULL && gateway->stopping_since_ms == 0 &&
+           AprReplica_IsLoaded(gateway->replica);
+}
+
+static void
+on_tick(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    AprGateway_t *gateway = watcher->data;
+
+    (void)loop;
+    (void)events;
+    AprReplica_Tick(gateway->replica);
+    AprLinks_Tick(gateway->links);
+    AprOwnership_Tick(gateway->ownership);
+    AprBackend_Tick(gateway->backend);
+    AprEntry_Tick(gateway->entry);
+}
+
+static void
+on_work(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    AprGateway_t *gateway = watcher->data;
+
+    (void)loop;
+    (void)events;
+    AprBackend_Tick(gateway->backend);
+}
+
+/* Ends the process once nothing is in flight. */
+static void
+on_stop_timer(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    AprGateway_t *gateway = watcher->data;
+    int64_t age_ms = AprGateway_NowMs(gateway) - gateway->stopping_since_ms;
+    int64_t limit_ms =
+        (int64_t)(gateway->settings.stop_s * 1000) - STOP_MARGIN_MS;
+    int busy =
+        AprEntry_Busy(gateway->entry) + AprLinks_InboundCalls(gateway->links);
+
+    (void)events;
+    if (age_ms < STOP_MIN_MS) {
+        return;
+    }
+    AprEntry_CloseIdle(gateway->entry);
+    if (busy == 0 || age_ms >= limit_ms) {
+        AprEntry_StopListening(gateway->entry);
+        AprLog_Write(APR_LOG_INFO, "stop", "in_flight=%d took_ms=%lld", busy,
+                     (long long)age_ms);
+        ev_break(loop, EVBREAK_ALL);
+    }
+}
+
+/* Creates the parts of a gateway; NULL when memory runs out. */
+AprGateway_t *
+AprGateway_New(struct ev_loop *loop, AprStreamSet_t *streams,
+               const AprGatewayOptions_t *options)
+{
+    AprGateway_t *gateway = calloc(1, sizeof(*gateway));
+
+    if (gateway == NULL) {
+        return NULL;
+    }
+    gateway->loop = loop;
+    gateway->streams = streams;
+    gateway->clock = AprClock_System();
+    gateway->settings = *options->settings;
+    gateway->names = options->names;
+    gateway->kv = options->kv;
+    gateway->config_key = options->config_key;
+    gateway->read_routes = options->read_routes;
+    AprRetryBudget_Init(&gateway->retries);
+    gateway->metrics = AprMetrics_New();
+    gateway->backend = AprBackend_New(gateway);
+    gateway->links = AprLinks_New(gateway);
+    gateway->members = AprMembers_New(gateway);
+    gateway->ownership = AprOwnership_New(gateway);
+    gateway->replica = AprReplica_New(gateway);
+    gateway->entry = AprEntry_New(gateway);
+    ev_timer_init(&gateway->tick, on_tick, TICK_S, TICK_S);
+    ev_timer_init(&gateway->work, on_work, 0.0, 0.0);
+    ev_timer_init(&gateway->stop_timer, on_stop_timer, TICK_S, TICK_S);
+    gateway->tick.data = gateway;
+    gateway->work.data = gateway;
+    gateway->stop_timer.data = gateway;
+    if (gateway->metrics == NULL || gateway->backend == NULL ||
+        gateway->links == NULL || gateway->members == NULL ||
+        gateway->ownership == NULL || gateway->replica == NULL ||
+        gateway->entry == NULL) {
+        AprGateway_Free(gateway);
+        return NULL;
+    }
+    return gateway;
+}
+
+/* Frees a gateway and closes its connections. */
+void
+AprGateway_Free(AprGateway_t *gateway)
+{
+    if (gateway == NULL) {
+        return;
+    }
+    ev_timer_stop(gateway->loop, &gateway->tick);
+    ev_timer_stop(gateway->loop, &gateway->stop_timer);
+    AprEntry_Free(gateway->entry);
+    AprLinks_Free(gateway->links);
+    AprBackend_Free(gateway->backend);
+    AprOwnership_Free(gateway->ownership);
+    AprReplica_Free(gateway->replica);
+    AprMembers_Free(gateway->members);
+    AprRouteTable_Free(gateway->routes);
+    AprMetrics_Free(gateway->metrics);
+    free(gateway);
+}
+
+/* Opens the listeners and begins to read the store. */
+int
+AprGateway_Start(AprGateway_t *gateway, AprError_t *error)
+{
+    const AprGatewaySettings_t *settings = &gateway->settings;
+
+    if (AprLinks_Listen(gateway->links, settings->listen_peers) != APR_OK) {
+        return AprError_Set(error, APR_E_IO, APR_STEP_PEER,
+                            settings->listen_peers, "cannot listen");
+    }
+    if (AprEntry_Listen(gateway->entry, settings->listen_callers) != APR_OK) {
+        return AprError_Set(error, APR_E_IO, APR_STEP_ENTRY,
+                            settings->listen_callers, "cannot listen");
+    }
+    ev_timer_start(gateway->loop, &gateway->tick);
+    AprReplica_Start(gateway->replica);
+    return APR_OK;
+}
+
+/* Begins a planned stop: requests in flight are finished. */
+void
+AprGateway_Stop(AprGateway_t *gateway)
+{
+    if (gateway->stopping_since_ms != 0) {
+        return;
+    }
+    gateway->stopping_since_ms = AprGateway_NowMs(gateway);
+    AprLog_Write(APR_LOG_INFO, "stopping", "in_flight=%d",
+                 AprEntry_Busy(gateway->entry));
+    ev_timer_start(gateway->loop, &gateway->stop_timer);
+}
+
+/* Takes over the settings that may change while the process runs; addresses
+   and names stay as they were at the start. */
+void
+AprGateway_Reload(AprGateway_t *gateway, const AprGatewaySettings_t *settings)
+{
+    gateway->settings.drain_s = settings->drain_s;
+    gateway->settings.stop_s = settings->stop_s;
+    gateway->settings.heartbeat_s = settings->heartbeat_s;
+    gateway->settings.retry_ratio = settings->retry_ratio;
+    gateway->settings.retry_extra = settings->retry_extra;
+    gateway->settings.retry_window_s = settings->retry_window_s;
+    AprLog_Write(APR_LOG_INFO, "reload", "drain_s=%g stop_s=%g",
+                 settings->drain_s, settings->stop_s);
+}
--- /dev/null
+++ b/src/gateway/gateway_settings.c
@@ -0,0 +1,110 @@
+#include "apricot/gateway_settings.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "internal/field_table.h"
+
+#define TEXT(member)                        \
+    offsetof(AprGatewaySettings_t, member), \
+        sizeof(((AprGatewaySettings_t *)NULL)->member)
+#define NUMBER(member) offsetof(AprGatewaySettings_t, member), 0
+#define ADDRESS_MAX (APR_ADDRESS_SIZE - 1)
+#define NAME_MAX_LENGTH (APR_NAME_SIZE - 1)
+#define CHARACTERS "characters"
+
+static const AprField_t fields[] = {
+    {NULL, "host", APR_FIELD_NAME, TEXT(host), 1, NAME_MAX_LENGTH, CHARACTERS,
+     NULL, "name of this host, unique in the installation", 0, 0},
+    {NULL, "failure_domain", APR_FIELD_NAME, TEXT(failure_domain), 1,
+     NAME_MAX_LENGTH, CHARACTERS, NULL, "zone that fails as a whole", 0, 0},
+    {"listen", "callers", APR_FIELD_ADDRESS, TEXT(listen_callers), 1,
+     ADDRESS_MAX, CHARACTERS, NULL, "IP:port for callers", 0, 0},
+    {"listen", "peers", APR_FIELD_ADDRESS, TEXT(listen_peers), 1, ADDRESS_MAX,
+     CHARACTERS, NULL, "IP:port for the gateways of other hosts", 0, 0},
+    {"listen", "control", APR_FIELD_ADDRESS, TEXT(listen_control), 1,
+     ADDRESS_MAX, CHARACTERS, NULL, "IP:port for the backend server", 0, 0},
+    {"listen", "readiness", APR_FIELD_ADDRESS, TEXT(listen_readiness), 1,
+     ADDRESS_MAX, CHARACTERS, NULL, "IP:port for readiness checks", 0, 0},
+    {"listen", "metrics", APR_FIELD_ADDRESS, TEXT(listen_metrics), 1,
+     ADDRESS_MAX, CHARACTERS, NULL, "IP:port for metrics and state", 0, 0},
+    {"backend", "service", APR_FIELD_NAME, TEXT(backend_service), 1,
+     APR_ROUTE_NAME_SIZE - 1, CHARACTERS, NULL,
+     "service of the backend server on this host", 0, 0},
+    {"backend", "address", APR_FIELD_ADDRESS, TEXT(backend_address), 1,
+     ADDRESS_MAX, CHARACTERS, NULL, "IP:port of the backend server", 0, 0},
+    {"backend", "heartbeat_s", APR_FIELD_DOUBLE, NUMBER(heartbeat_s), 0.05, 60,
+     "s", "1.0", "time between its heartbeats", 0, 0},
+    {"backend", "hold_max_s", APR_FIELD_DOUBLE, NUMBER(hold_max_s), 0.5, 600,
+     "s", "10", "longest grant that it accepts", 0, 0},
+    {"backend", "drain_s", APR_FIELD_DOUBLE, NUMBER(drain_s), 0.1, 600, "s",
+     "2", "time after it leaves until no request may reach it", 0, 0},
+    {"store", "address", APR_FIELD_ADDRESS, TEXT(store_address), 1,
+     ADDRESS_MAX, CHARACTERS, NULL, "IP:port of the store", 0, 0},
+    {"store", "prefix", APR_FIELD_TEXT, TEXT(store_prefix), 1, 32, CHARACTERS,
+     "apricot/", "start of every key that the gateways write", 0, 0},
+    {"stop", "grace_s", APR_FIELD_DOUBLE, NUMBER(stop_s), 0.5, 600, "s", "6",
+     "longest time from the stop signal to the end", 0, 0},
+    {"retry", "ratio", APR_FIELD_DOUBLE, NUMBER(retry_ratio), 0, 1, "", "0.2",
+     "repeats per request, over all hosts", 0, 0},
+    {"retry", "extra", APR_FIELD_DOUBLE, NUMBER(retry_extra), 0, 1e6,
+     "requests", "60", "repeats in each window besides", 0, 0},
+    {"retry", "window_s", APR_FIELD_DOUBLE, NUMBER(retry_window_s), 0.1, 3600,
+     "s", "10", "length of the window", 0, 0},
+    {"log", "level", APR_FIELD_LEVEL, TEXT(log_level), 1, 8, CHARACTERS,
+     "info", "error, warn, info or debug", 0, 0},
+};
+
+#define FIELD_COUNT ((int)(sizeof(fields) / sizeof(fields[0])))
+
+typedef struct LoadContext_t {
+    const char *path;
+    AprError_t *error;
+    bool failed;
+} LoadContext_t;
+
+/* Keeps the first fault; later ones often follow from it. */
+static void
+keep_first(void *context, int line, const char *field, const char *message)
+{
+    LoadContext_t *load = context;
+
+    if (!load->failed) {
+        load->failed = true;
+        AprError_Set(load->error, APR_E_INVALID, APR_STEP_SETTINGS, load->path,
+                     "%s:%d: %s: %s", load->path, line, field, message);
+    }
+}
+
+/* Reads and checks a settings file. Returns APR_OK, or APR_E_INVALID with the
+   file, the line, the field and the fix in one line of error->detail. */
+int
+AprGatewaySettings_Load(const char *path, AprGatewaySettings_t *settings,
+                        AprError_t *error)
+{
+    LoadContext_t load = {path, error, false};
+    AprFieldReader_t reader = {fields, FIELD_COUNT, false, keep_first, &load};
+    AprFieldLines_t lines;
+    AprError_t syntax;
+    AprTree_t *tree;
+    int line;
+
+    memset(settings, 0, sizeof(*settings));
+    AprFields_SetDefaults(fields, FIELD_COUNT, settings);
+    if (AprTree_ReadToml(path, &tree, &line, &syntax) != APR_OK) {
+        keep_first(&load, line, "file", syntax.detail);
+        return APR_E_INVALID;
+    }
+    AprFields_Read(&reader, tree, settings, &lines);
+    AprFields_RequireAll(&reader, &lines);
+    AprTree_Free(tree);
+    return load.failed ? APR_E_INVALID : APR_OK;
+}
+
+/* The unit, range and default of every field, one a line; allocated with
+   malloc. */
+char *
+AprGatewaySettings_Describe(void)
+{
+    return AprFields_Describe(fields, FIELD_COUNT);
+}
--- /dev/null
+++ b/src/protocol/link_frame.c
@@ -0,0 +1,449 @@
+#include "internal/link_frame.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <string.h>
+
+#include "apricot/error.h"
+
+static void
+pack_text(msgpack_packer *packer, const char *text)
+{
+    size_t size = text == NULL ? 0 : strlen(text);
+
+    msgpack_pack_str(packer, size);
+    msgpack_pack_str_body(packer, text == NULL ? "" : text, size);
+}
+
+static void
+pack_bytes(msgpack_packer *packer, const char *bytes, size_t size)
+{
+    msgpack_pack_bin(packer, size);
+    msgpack_pack_bin_body(packer, bytes == NULL ? "" : bytes, size);
+}
+
+static void
+pack_flag(msgpack_packer *packer, bool flag)
+{
+    if (flag) {
+        msgpack_pack_true(packer);
+    }
+    else {
+        msgpack_pack_false(packer);
+    }
+}
+
+#define LOAD_FIELDS 8
+
+static void
+pack_load(msgpack_packer *packer, const AprHostLoad_t *load)
+{
+    msgpack_pack_int64(packer, load->wait_ms);
+    msgpack_pack_int(packer, load->running);
+    msgpack_pack_int(packer, load->queued);
+    msgpack_pack_int(packer, load->slots);
+    msgpack_pack_int(packer, load->load_permille);
+    pack_flag(packer, load->open);
+    pack_flag(packer, load->stopping);
+    msgpack_pack_int64(packer, load->revision);
+}
+
+#define CALL_FIELDS 19
+
+/* Points in time become spans, since the clocks of two hosts differ. */
+static void
+pack_call(msgpack_packer *packer, const AprCallHead_t *call, int64_t now_ms)
+{
+    pack_text(packer, call->id);
+    pack_text(packer, call->method);
+    pack_text(packer, call->target);
+    pack_text(packer, call->headers);
+    pack_text(packer, call->service);
+    pack_text(packer, call->caller);
+    pack_text(packer, call->route);
+    pack_flag(packer, call->idempotent);
+    pack_flag(packer, call->has_deadline);
+    msgpack_pack_int(packer, call->rank);
+    msgpack_pack_int(packer, call->key);
+    msgpack_pack_int64(packer, now_ms - call->arrived_ms);
+    msgpack_pack_int64(packer, call->objective_ms - now_ms);
+    msgpack_pack_int64(packer, call->deadline_ms - now_ms);
+    pack_flag(packer, call->has_length);
+    msgpack_pack_uint64(packer, call->length);
+    msgpack_pack_uint64(packer, call->config_version);
+}
+
+static void
+pack_fields(msgpack_packer *packer, const AprLinkFrame_t *frame,
+            int64_t now_ms)
+{
+    switch (frame->type) {
+    case APR_LINK_HELLO:
+        msgpack_pack_array(packer, 3);
+        msgpack_pack_int(packer, frame->type);
+        msgpack_pack_int(packer, APR_LINK_VERSION);
+        pack_text(packer, frame->host);
+        break;
+    case APR_LINK_CALL:
+        msgpack_pack_array(packer, 2 + CALL_FIELDS);
+        msgpack_pack_int(packer, frame->type);
+        msgpack_pack_uint32(packer, frame->stream);
+        pack_call(packer, &frame->call, now_ms);
+        pack_bytes(packer, frame->data, frame->data_size);
+        pack_flag(packer, frame->end);
+        break;
+    case APR_LINK_ANSWER:
+        msgpack_pack_array(packer, 8 + LOAD_FIELDS);
+        msgpack_pack_int(packer, frame->type);
+        msgpack_pack_uint32(packer, frame->stream);
+        msgpack_pack_int(packer, frame->answer.status);
+        pack_text(packer, frame->answer.headers);
+        pack_flag(packer, frame->answer.has_length);
+        msgpack_pack_uint64(packer, frame->answer.length);
+        pack_bytes(packer, frame->data, frame->data_size);
+        pack_flag(packer, frame->end);
+        pack_load(packer, &frame->load);
+        break;
+    case APR_LINK_DATA:
+        msgpack_pack_array(packer, 4);
+        msgpack_pack_int(packer, frame->type);
+        msgpack_pack_uint32(packer, frame->stream);
+        pack_bytes(packer, frame->data, frame->data_size);
+        pack_flag(packer, frame->end);
+        break;
+    case APR_LINK_CANCEL:
+        msgpack_pack_array(packer, 2);
+        msgpack_pack_int(packer, frame->type);
+        msgpack_pack_uint32(packer, frame->stream);
+        break;
+    case APR_LINK_FAIL:
+        msgpack_pack_array(packer, 5 + LOAD_FIELDS);
+        msgpack_pack_int(packer, frame->type);
+        msgpack_pack_uint32(packer, frame->stream);
+        msgpack_pack_int(packer, (int)frame->failure.error);
+        pack_flag(packer, frame->failure.not_run);
+        msgpack_pack_int64(packer, frame->failure.retry_after_ms);
+        pack_load(packer, &frame->load);
+        break;
+    case APR_LINK_TAKEN:
+        msgpack_pack_array(packer, 3);
+        msgpack_pack_int(packer, frame->type);
+        msgpack_pack_uint32(packer, frame->stream);
+        msgpack_pack_uint64(packer, frame->taken);
+        break;
+    case APR_LINK_PING:
+    case APR_LINK_PONG:
+        msgpack_pack_array(packer, 2 + LOAD_FIELDS);
+        msgpack_pack_int(packer, frame->type);
+        msgpack_pack_int64(packer, frame->sequence);
+        pack_load(packer, &frame->load);
+        break;
+    case APR_LINK_RELEASE:
+        msgpack_pack_array(packer, 6);
+        msgpack_pack_int(packer, frame->type);
+        pack_text(packer, frame->service);
+        msgpack_pack_int(packer, frame->grant.first);
+        msgpack_pack_int(packer, frame->grant.last);
+        msgpack_pack_int64(packer, frame->grant.fence);
+        pack_text(packer, frame->grant.token);
+        break;
+    case APR_LINK_FETCH:
+    case APR_LINK_RENEW:
+        msgpack_pack_array(packer, 2);
+        msgpack_pack_int(packer, frame->type);
+        msgpack_pack_int64(packer, frame->sequence);
+        break;
+    case APR_LINK_ITEM:
+        msgpack_pack_array(packer, 8);
+        msgpack_pack_int(packer, frame->type);
+        pack_bytes(packer, frame->item.key, frame->item.key_size);
+        pack_bytes(packer, frame->item.value, frame->item.value_size);
+        msgpack_pack_int64(packer, frame->item.revision);
+        msgpack_pack_int64(packer, frame->item.lease);
+        pack_flag(packer, frame->item.removed);
+        pack_flag(packer, frame->item.last);
+        msgpack_pack_int64(packer, frame->item.complete);
+        break;
+    case APR_LINK_RENEWED:
+        msgpack_pack_array(packer, 3);
+        msgpack_pack_int(packer, frame->type);
+        msgpack_pack_int64(packer, frame->sequence);
+        msgpack_pack_int64(packer, frame->result);
+        break;
+    }
+}
+
+/* Encodes a frame and writes it to a stream. */
+void
+AprLinkFrame_Write(AprStream_t *stream, const AprLinkFrame_t *frame,
+                   int64_t now_ms)
+{
+    msgpack_sbuffer buffer;
+    msgpack_packer packer;
+    uint32_t size;
+
+    msgpack_sbuffer_init(&buffer);
+    msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+    pack_fields(&packer, frame, now_ms);
+    size = htonl((uint32_t)buffer.size);
+    AprStream_Write(stream, &size, sizeof(size));
+    AprStream_Write(stream, buffer.data, buffer.size);
+    msgpack_sbuffer_destroy(&buffer);
+}
+
+/* Reads the elements of an array in order; the first wrong type or missing
+   element sets `failed`. */
+typedef struct Reader_t {
+    const msgpack_object *next;
+    uint32_t left;
+    bool failed;
+} Reader_t;
+
+static const msgpack_object *
+take(Reader_t *reader)
+{
+    static const msgpack_object nil = {.type = MSGPACK_OBJECT_NIL};
+
+    if (reader->left == 0) {
+        reader->failed = true;
+        return &nil;
+    }
+    reader->left--;
+    return reader->next++;
+}
+
+static int64_t
+take_int(Reader_t *reader)
+{
+    const msgpack_object *object = take(reader);
+
+    if (object->type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
+        object->via.u64 <= INT64_MAX) {
+        return (int64_t)object->via.u64;
+    }
+    if (object->type == MSGPACK_OBJECT_NEGATIVE_INTEGER) {
+        return object->via.i64;
+    }
+    reader->failed = true;
+    return 0;
+}
+
+static bool
+take_flag(Reader_t *reader)
+{
+    const msgpack_object *object = take(reader);
+
+    if (object->type != MSGPACK_OBJECT_BOOLEAN) {
+        reader->failed = true;
+        return false;
+    }
+    return object->via.boolean;
+}
+
+static void
+take_bytes(Reader_t *reader, const char **bytes, size_t *size)
+{
+    const msgpack_object *object = take(reader);
+
+    *bytes = "";
+    *size = 0;
+    if (object->type == MSGPACK_OBJECT_BIN) {
+        *bytes = object->via.bin.ptr;
+        *size = object->via.bin.size;
+    }
+    else {
+        reader->failed = true;
+    }
+}
+
+static void
+take_text(Reader_t *reader, char *text, size_t capacity)
+{
+    const msgpack_object *object = take(reader);
+
+    text[0] = '\0';
+    if (object->type != MSGPACK_OBJECT_STR ||
+        object->via.str.size >= capacity) {
+        reader->failed = true;
+        return;
+    }
+    memcpy(text, object->via.str.ptr, object->via.str.size);
+    text[object->via.str.size] = '\0';
+}
+
+/* A text in the zone, so that it lives as long as the frame. */
+static char *
+take_long_text(Reader_t *reader, msgpack_zone *zone)
+{
+    const msgpack_object *object = take(reader);
+    char *text;
+
+    if (object->type != MSGPACK_OBJECT_STR) {
+        reader->failed = true;
+        return NULL;
+    }
+    text = msgpack_zone_malloc(zone, object->via.str.size + 1);
+    if (text == NULL) {
+        reader->failed = true;
+        return NULL;
+    }
+    memcpy(text, object->via.str.ptr, object->via.str.size);
+    text[object->via.str.size] = '\0';
+    return text;
+}
+
+static void
+take_load(Reader_t *reader, AprHostLoad_t *load)
+{
+    load->wait_ms = take_int(reader);
+    load->running = (int)take_int(reader);
+    load->queued = (int)take_int(reader);
+    load->slots = (int)take_int(reader);
+    load->load_permille = (int)take_int(reader);
+    load->open = take_flag(reader);
+    load->stopping = take_flag(reader);
+    load->revision = take_int(reader);
+}
+
+static void
+take_call(Reader_t *reader, msgpack_zone *zone, AprCallHead_t *call,
+          int64_t now_ms)
+{
+    take_text(reader, call->id, sizeof(call->id));
+    take_text(reader, call->method, sizeof(call->method));
+    call->target = take_long_text(reader, zone);
+    call->headers = take_long_text(reader, zone);
+    take_text(reader, call->service, sizeof(call->service));
+    take_text(reader, call->caller, sizeof(call->caller));
+    take_text(reader, call->route, sizeof(call->route));
+    call->idempotent = take_flag(reader);
+    call->has_deadline = take_flag(reader);
+    call->rank = (int)take_int(reader);
+    call->key = (int)take_int(reader);
+    call->arrived_ms = now_ms - take_int(reader);
+    call->objective_ms = now_ms + take_int(reader);
+    call->deadline_ms = now_ms + take_int(reader);
+    call->has_length = take_flag(reader);
+    call->length = (uint64_t)take_int(reader);
+    call->config_version = (uint64_t)take_int(reader);
+    if (call->rank < 0 || call->key < APR_NO_KEY ||
+        call->key >= APR_KEY_COUNT) {
+        reader->failed = true;
+    }
+}
+
+static void
+take_item(Reader_t *reader, AprItemFrame_t *item)
+{
+    take_bytes(reader, &item->key, &item->key_size);
+    take_bytes(reader, &item->value, &item->value_size);
+    item->revision = take_int(reader);
+    item->lease = take_int(reader);
+    item->removed = take_flag(reader);
+    item->last = take_flag(reader);
+    item->complete = take_int(reader);
+}
+
+static void
+take_fields(Reader_t *reader, msgpack_zone *zone, AprLinkFrame_t *frame,
+            int64_t now_ms)
+{
+    switch (frame->type) {
+    case APR_LINK_HELLO:
+        reader->failed |= take_int(reader) != APR_LINK_VERSION;
+        take_text(reader, frame->host, sizeof(frame->host));
+        break;
+    case APR_LINK_CALL:
+        frame->stream = (uint32_t)take_int(reader);
+        take_call(reader, zone, &frame->call, now_ms);
+        take_bytes(reader, &frame->data, &frame->data_size);
+        frame->end = take_flag(reader);
+        break;
+    case APR_LINK_ANSWER:
+        frame->stream = (uint32_t)take_int(reader);
+        frame->answer.status = (int)take_int(reader);
+        frame->answer.headers = take_long_text(reader, zone);
+        frame->answer.has_length = take_flag(reader);
+        frame->answer.length = (uint64_t)take_int(reader);
+        take_bytes(reader, &frame->data, &frame->data_size);
+        frame->end = take_flag(reader);
+        take_load(reader, &frame->load);
+        break;
+    case APR_LINK_DATA:
+        frame->stream = (uint32_t)take_int(reader);
+        take_bytes(reader, &frame->data, &frame->data_size);
+        frame->end = take_flag(reader);
+        break;
+    case APR_LINK_CANCEL:
+        frame->stream = (uint32_t)take_int(reader);
+        break;
+    case APR_LINK_FAIL: {
+        int64_t error;
+
+        frame->stream = (uint32_t)take_int(reader);
+        error = take_int(reader);
+        if (error < 0 || error >= APR_CALL_ERROR_COUNT) {
+            reader->failed = true;
+        }
+        frame->failure.error = (AprCallError_t)error;
+        frame->failure.not_run = take_flag(reader);
+        frame->failure.retry_after_ms = take_int(reader);
+        take_load(reader, &frame->load);
+        break;
+    }
+    case APR_LINK_TAKEN:
+        frame->stream = (uint32_t)take_int(reader);
+        frame->taken = (size_t)take_int(reader);
+        break;
+    case APR_LINK_PING:
+    case APR_LINK_PONG:
+        frame->sequence = take_int(reader);
+        take_load(reader, &frame->load);
+        break;
+    case APR_LINK_RELEASE:
+        take_text(reader, frame->service, sizeof(frame->service));
+        frame->grant.first = (int)take_int(reader);
+        frame->grant.last = (int)take_int(reader);
+        frame->grant.fence = take_int(reader);
+        take_text(reader, frame->grant.token, sizeof(frame->grant.token));
+        break;
+    case APR_LINK_FETCH:
+    case APR_LINK_RENEW:
+        frame->sequence = take_int(reader);
+        break;
+    case APR_LINK_ITEM:
+        take_item(reader, &frame->item);
+        break;
+    case APR_LINK_RENEWED:
+        frame->sequence = take_int(reader);
+        frame->result = take_int(reader);
+        break;
+    default:
+        reader->failed = true;
+        break;
+    }
+}
+
+/* Decodes the content of a frame. Texts are valid as long as `zone` and
+   `bytes`. Returns APR_E_PARSE when it is malformed. */
+int
+AprLinkFrame_Read(msgpack_zone *zone, const char *bytes, size_t size,
+                  AprLinkFrame_t *frame, int64_t now_ms)
+{
+    msgpack_object root;
+    size_t offset = 0;
+    Reader_t reader;
+
+    memset(frame, 0, sizeof(*frame));
+    if (msgpack_unpack(bytes, size, &offset, zone, &root) !=
+            MSGPACK_UNPACK_SUCCESS ||
+        root.type != MSGPACK_OBJECT_ARRAY || root.via.array.size == 0) {
+        return APR_E_PARSE;
+    }
+    reader.next = root.via.array.ptr;
+    reader.left = root.via.array.size;
+    reader.failed = false;
+    frame->type = (AprLinkType_t)take_int(&reader);
+    take_fields(&reader, zone, frame, now_ms);
+    return reader.failed ? APR_E_PARSE : APR_OK;
+}
--- /dev/null
+++ b/src/state/admission.c
@@ -0,0 +1,345 @@
+#include "apricot/admission.h"
+
+#include <string.h>
+
+/* Share of the starts that each rank with waiting work gets at least, so that
+   a flood of urgent work does not starve the others. */
+#define FLOOR_SHARE 0.15
+
+/* Weight of a new measurement in the mean service time of a kind. */
+#define COST_WEIGHT 0.1
+
+/* Before the first measurement the service time is taken as this part of the
+   time until the objective. */
+#define COST_PRIOR 0.33
+
+/* Work that can only be answered after its objective is still queued while
+   its expected answer comes before this part of the time until its deadline;
+   the rest is the margin for slower runs. */
+#define LATE_SHARE 0.8
+
+/* A run that takes longer than expected is expected to take this part of its
+   mean service time more. */
+#define OVERDUE_SHARE 0.3
+
+/* Range of the time after which a refused caller may return. */
+#define RETRY_AFTER_MIN_MS 20
+#define RETRY_AFTER_MAX_MS 2000
+
+/* Starts empty in front of a backend server with this many slots. */
+void
+AprAdmission_Init(AprAdmission_t *admission, int slots)
+{
+    memset(admission, 0, sizeof(*admission));
+    admission->slots = slots < 1 ? 1 : slots;
+    if (admission->slots > APR_ADMISSION_MAX_SLOTS) {
+        admission->slots = APR_ADMISSION_MAX_SLOTS;
+    }
+}
+
+static const AprKindCost_t *
+find_cost(const AprAdmission_t *admission, uint32_t kind)
+{
+    for (uint32_t i = 0; i < APR_ADMISSION_MAX_KINDS; i++) {
+        const AprKindCost_t *cost =
+            &admission->costs[(kind + i) % APR_ADMISSION_MAX_KINDS];
+
+        if (cost->kind == kind || cost->kind == 0) {
+            return cost;
+        }
+    }
+    return &admission->costs[kind % APR_ADMISSION_MAX_KINDS];
+}
+
+/* Expected service time of a kind in milliseconds; `span_ms` is the time
+   until the objective of its requests. */
+double
+AprAdmission_CostMs(const AprAdmission_t *admission, uint32_t kind,
+                    int64_t span_ms)
+{
+    const AprKindCost_t *cost = find_cost(admission, kind);
+
+    if (cost->kind == kind) {
+        return cost->mean_ms;
+    }
+    return COST_PRIOR * (double)(span_ms > 0 ? span_ms : 0);
+}
+
+static bool
+is_late(const AprWork_t *work, int64_t now_ms)
+{
+    return now_ms + (int64_t)work->cost_ms > work->objective_ms;
+}
+
+/* Whether `left` starts before `right`: work that can meet its objective
+   first, then by rank, then by the time of its objective. */
+static bool
+goes_before(const AprWork_t *left, const AprWork_t *right, int64_t now_ms)
+{
+    bool left_late = is_late(left, now_ms);
+    bool right_late = is_late(right, now_ms);
+
+    if (left_late != right_late) {
+        return right_late;
+    }
+    if (left->rank != right->rank) {
+        return left->rank < right->rank;
+    }
+    if (left->objective_ms != right->objective_ms) {
+        return left->objective_ms < right->objective_ms;
+    }
+    return left->arrived_ms < right->arrived_ms;
+}
+
+static double
+remaining_ms(const AprRunning_t *running, int64_t now_ms)
+{
+    double left = running->cost_ms - (double)(now_ms - running->started_ms);
+    double overdue = OVERDUE_SHARE * running->cost_ms;
+
+    return left > overdue ? left : overdue;
+}
+
+static int
+earliest(const double *free_at, int slots)
+{
+    int best = 0;
+
+    for (int i = 1; i < slots; i++) {
+        if (free_at[i] < free_at[best]) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+/* Expected time until `work` starts, with all queued work ahead of it. */
+static double
+expected_wait(const AprAdmission_t *admission, const AprWork_t *work,
+              int64_t now_ms)
+{
+    double free_at[APR_ADMISSION_MAX_SLOTS] = {0};
+    int slots = admission->slots;
+
+    for (int i = 0; i < admission->running_count; i++) {
+        int slot = i < slots ? i : earliest(free_at, slots);
+
+        free_at[slot] += remaining_ms(&admission->running[i], now_ms);
+    }
+    for (int i = 0; i < admission->queue_count; i++) {
+        const AprWork_t *other = &admission->queue[i];
+
+        if (other->id != work->id && goes_before(other, work, now_ms)) {
+            free_at[earliest(free_at, slots)] += other->cost_ms;
+        }
+    }
+    return free_at[earliest(free_at, slots)];
+}
+
+static bool
+is_hopeless(const AprWork_t *work, int64_t now_ms, double wait_ms)
+{
+    double end_ms = (double)now_ms + wait_ms + work->cost_ms;
+    double span_ms = (double)(work->deadline_ms - work->arrived_ms);
+
+    if (end_ms <= (double)work->objective_ms &&
+        end_ms <= (double)work->deadline_ms) {
+        return false;
+    }
+    return end_ms > (double)work->arrived_ms + LATE_SHARE * span_ms;
+}
+
+static int64_t
+retry_after(const AprWork_t *work, int64_t now_ms, double wait_ms)
+{
+    double target_ms = (double)(work->objective_ms - now_ms) - work->cost_ms;
+    double after = wait_ms - (target_ms > 0 ? target_ms : 0);
+
+    if (after < RETRY_AFTER_MIN_MS) {
+        after = RETRY_AFTER_MIN_MS;
+    }
+    if (after > RETRY_AFTER_MAX_MS) {
+        after = RETRY_AFTER_MAX_MS;
+    }
+    return (int64_t)after;
+}
+
+/* Queues work, or refuses it when it is not expected to be answered in time.
+   Admitted work starts through AprAdmission_Next. */
+AprAdmissionVerdict_t
+AprAdmission_Offer(AprAdmission_t *admission, AprWork_t *work, int64_t now_ms)
+{
+    AprAdmissionVerdict_t verdict = {false, 0, 0};
+    double wait;
+
+    if (work->rank >= APR_ADMISSION_MAX_RANKS) {
+        work->rank = APR_ADMISSION_MAX_RANKS - 1;
+    }
+    work->cost_ms = AprAdmission_CostMs(admission, work->kind,
+                                        work->objective_ms - work->arrived_ms);
+    wait = expected_wait(admission, work, now_ms);
+    verdict.wait_ms = (int64_t)wait;
+    verdict.admitted = admission->queue_count < APR_ADMISSION_MAX_QUEUE &&
+                       !is_hopeless(work, now_ms, wait);
+    if (verdict.admitted) {
+        admission->queue[admission->queue_count++] = *work;
+    }
+    else {
+        verdict.retry_after_ms = retry_after(work, now_ms, wait);
+    }
+    return verdict;
+}
+
+static void
+remove_at(AprAdmission_t *admission, int index)
+{
+    admission->queue[index] = admission->queue[--admission->queue_count];
+}
+
+/* Withdraws queued work; false when it is not queued. */
+bool
+AprAdmission_Remove(AprAdmission_t *admission, uint64_t id)
+{
+    for (int i = 0; i < admission->queue_count; i++) {
+        if (admission->queue[i].id == id) {
+            remove_at(admission, i);
+            return true;
+        }
+    }
+    return false;
+}
+
+static int
+first_of_rank(const AprAdmission_t *admission, int rank, int64_t now_ms)
+{
+    int best = -1;
+
+    for (int i = 0; i < admission->queue_count; i++) {
+        const AprWork_t *work = &admission->queue[i];
+
+        if (rank >= 0 && work->rank != rank) {
+            continue;
+        }
+        if (best < 0 || goes_before(work, &admission->queue[best], now_ms)) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+/* A rank whose floor entitles it to the next start, or -1. */
+static int
+rank_below_floor(AprAdmission_t *admission)
+{
+    bool waiting[APR_ADMISSION_MAX_RANKS] = {false};
+    int best = -1;
+
+    for (int i = 0; i < admission->queue_count; i++) {
+        waiting[admission->queue[i].rank] = true;
+    }
+    for (int i = 0; i < APR_ADMISSION_MAX_RANKS; i++) {
+        if (!waiting[i]) {
+            admission->floor_credit[i] = 0;
+            continue;
+        }
+        admission->floor_credit[i] += FLOOR_SHARE;
+        if (admission->floor_credit[i] >= 1.0 &&
+            (best < 0 ||
+             admission->floor_credit[i] > admission->floor_credit[best])) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+/* Takes the work that starts now; false when no slot is free or nothing
+   waits. */
+bool
+AprAdmission_Next(AprAdmission_t *admission, int64_t now_ms, AprWork_t *work)
+{
+    AprRunning_t *running;
+    int index;
+
+    if (admission->closed || admission->queue_count == 0 ||
+        admission->running_count >= admission->slots) {
+        return false;
+    }
+    index = first_of_rank(admission, rank_below_floor(admission), now_ms);
+    *work = admission->queue[index];
+    admission->floor_credit[work->rank] = 0;
+    remove_at(admission, index);
+    running = &admission->running[admission->running_count++];
+    running->id = work->id;
+    running->kind = work->kind;
+    running->started_ms = now_ms;
+    running->cost_ms = work->cost_ms;
+    return true;
+}
+
+/* Takes queued work that is no longer expected to be answered in time, so
+   that its caller learns of it at once; false when there is none. */
+bool
+AprAdmission_NextHopeless(AprAdmission_t *admission, int64_t now_ms,
+                          AprWork_t *work, AprAdmissionVerdict_t *verdict)
+{
+    for (int i = 0; i < admission->queue_count; i++) {
+        double wait = expected_wait(admission, &admission->queue[i], now_ms);
+
+        if (is_hopeless(&admission->queue[i], now_ms, wait)) {
+            *work = admission->queue[i];
+            verdict->admitted = false;
+            verdict->wait_ms = (int64_t)wait;
+            verdict->retry_after_ms = retry_after(work, now_ms, wait);
+            remove_at(admission, i);
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+learn_cost(AprAdmission_t *admission, uint32_t kind, double took_ms)
+{
+    AprKindCost_t *cost = (AprKindCost_t *)find_cost(admission, kind);
+
+    if (cost->kind != kind) {
+        cost->kind = kind;
+        cost->mean_ms = took_ms;
+        return;
+    }
+    cost->mean_ms += COST_WEIGHT * (took_ms - cost->mean_ms);
+}
+
+/* Frees the slot of started work. `measured` tells that the time it took is
+   that of a whole run. */
+void
+AprAdmission_Done(AprAdmission_t *admission, uint64_t id, int64_t now_ms,
+                  bool measured)
+{
+    for (int i = 0; i < admission->running_count; i++) {
+        AprRunning_t *running = &admission->running[i];
+
+        if (running->id != id) {
+            continue;
+        }
+        if (measured) {
+            learn_cost(admission, running->kind,
+                       (double)(now_ms - running->started_ms));
+        }
+        *running = admission->running[--admission->running_count];
+        return;
+    }
+}
+
+/* Expected time until new work of a rank would start. */
+int64_t
+AprAdmission_WaitMs(const AprAdmission_t *admission, int rank, int64_t now_ms)
+{
+    AprWork_t probe = {0};
+
+    probe.rank = rank;
+    probe.arrived_ms = now_ms;
+    probe.objective_ms = INT64_MAX / 2;
+    probe.deadline_ms = INT64_MAX / 2;
+    return (int64_t)expected_wait(admission, &probe, now_ms);
+}
--- /dev/null
+++ b/src/state/grant_book.c
@@ -0,0 +1,232 @@
+#include "apricot/grant_book.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A backend server's clock may run this much slow, so that it holds a grant
+   for longer than it was given. */
+#define SLOW_CLOCK_PERCENT 2
+
+/* Added to each wait for the end of a grant, for timers that fire early and
+   for requests that begin in the last moment. */
+#define GRANT_END_MARGIN_MS 100
+
+/* Starts without authority. Grants of an earlier process of this host may
+   still be in force. */
+void
+AprGrantBook_Init(AprGrantBook_t *book, const char *host, int64_t hold_ms,
+                  int64_t now_ms)
+{
+    memset(book, 0, sizeof(*book));
+    g_strlcpy(book->host, host, sizeof(book->host));
+    book->hold_ms = hold_ms;
+    book->authority_until_ms = now_ms;
+    book->grants_end_ms = AprGrant_LatestEnd(now_ms, hold_ms);
+}
+
+/* The time at which a grant given at `granted_ms` has certainly ended. */
+int64_t
+AprGrant_LatestEnd(int64_t granted_ms, int64_t hold_ms)
+{
+    return granted_ms + hold_ms + hold_ms * SLOW_CLOCK_PERCENT / 100 +
+           GRANT_END_MARGIN_MS;
+}
+
+/* Keeps the handover token of released keys for the grant with the given
+   fencing token. The oldest token is dropped when the book is full. */
+void
+AprGrantBook_AddToken(AprGrantBook_t *book, const AprGrant_t *grant)
+{
+    for (int i = 0; i < book->token_count; i++) {
+        AprGrant_t *entry = &book->tokens[i];
+
+        if (entry->first == grant->first && entry->last == grant->last) {
+            *entry = *grant;
+            return;
+        }
+    }
+    if (book->token_count == APR_MAX_TOKENS) {
+        memmove(book->tokens, book->tokens + 1,
+                (APR_MAX_TOKENS - 1) * sizeof(*book->tokens));
+        book->token_count--;
+    }
+    book->tokens[book->token_count++] = *grant;
+}
+
+/* The token that covers a key of a range; tokens of earlier grants do not
+   count. */
+static const AprGrant_t *
+find_token(const AprGrantBook_t *book, const AprKeyRange_t *range, int key)
+{
+    for (int i = book->token_count - 1; i >= 0; i--) {
+        const AprGrant_t *token = &book->tokens[i];
+
+        if (token->fence == range->fence && token->first <= key &&
+            key <= token->last) {
+            return token;
+        }
+    }
+    return NULL;
+}
+
+static const AprPendingRange_t *
+find_pending(const AprPendingRange_t *pending, int count, int64_t fence)
+{
+    for (int i = 0; i < count; i++) {
+        if (pending[i].fence == fence) {
+            return &pending[i];
+        }
+    }
+    return NULL;
+}
+
+/* Notes a change of the key map: from now on the last holders of the ranges
+   that this host received get no more grants. */
+void
+AprGrantBook_Observe(AprGrantBook_t *book, const AprKeyMap_t *map,
+                     int64_t now_ms)
+{
+    AprPendingRange_t earlier[APR_MAX_PENDING];
+    int earlier_count = book->pending_count;
+
+    memcpy(earlier, book->pending, sizeof(earlier));
+    book->pending_count = 0;
+    for (int i = 0; i < map->count; i++) {
+        const AprKeyRange_t *range = &map->ranges[i];
+        const AprPendingRange_t *known;
+        AprPendingRange_t *entry;
+
+        if (range->releasing_host[0] == '\0' ||
+            strcmp(range->host, book->host) != 0 ||
+            book->pending_count == APR_MAX_PENDING) {
+            continue;
+        }
+        known = find_pending(earlier, earlier_count, range->fence);
+        entry = &book->pending[book->pending_count++];
+        entry->fence = range->fence;
+        entry->seen_ms = known == NULL ? now_ms : known->seen_ms;
+    }
+}
+
+/* Whether no grant of an earlier owner of the range can be in force. */
+static bool
+is_free(const AprGrantBook_t *book, const AprKeyRange_t *range, int64_t now_ms)
+{
+    const AprPendingRange_t *entry;
+
+    if (range->releasing_host[0] == '\0') {
+        return true;
+    }
+    entry = find_pending(book->pending, book->pending_count, range->fence);
+    return entry != NULL &&
+           now_ms >= AprGrant_LatestEnd(entry->seen_ms, book->hold_ms);
+}
+
+/* Whether a key may be granted to the owner that the map names. */
+bool
+AprGrantBook_MayServe(const AprGrantBook_t *book, const AprKeyRange_t *range,
+                      int key, int64_t now_ms)
+{
+    return is_free(book, range, now_ms) ||
+           find_token(book, range, key) != NULL;
+}
+
+static bool
+add_grant(AprGrant_t *grants, int *count, int capacity, int first, int last,
+          int64_t fence, const char *token)
+{
+    AprGrant_t *grant;
+
+    if (*count == capacity) {
+        return false;
+    }
+    grant = &grants[(*count)++];
+    grant->first = first;
+    grant->last = last;
+    grant->fence = fence;
+    g_strlcpy(grant->token, token, sizeof(grant->token));
+    return true;
+}
+
+/* Grants the parts of a range whose tokens arrived, and the rest only when
+   the last holder's grant has run out. */
+static bool
+add_range(const AprGrantBook_t *book, const AprKeyRange_t *range,
+          bool holder_ended, AprGrant_t *grants, int *count, int capacity)
+{
+    int key = range->first;
+
+    while (key <= range->last) {
+        const AprGrant_t *token = find_token(book, range, key);
+        int end = key;
+
+        if (token != NULL) {
+            end = token->last < range->last ? token->last : range->last;
+            if (!add_grant(grants, count, capacity, key, end, range->fence,
+                           token->token)) {
+                return false;
+            }
+        }
+        else {
+            while (end < range->last &&
+                   find_token(book, range, end + 1) == NULL) {
+                end++;
+            }
+            if (holder_ended && !add_grant(grants, count, capacity, key, end,
+                                           range->fence, "")) {
+                return false;
+            }
+        }
+        key = end + 1;
+    }
+    return true;
+}
+
+/* Lists what the backend server of this host is to hold from a heartbeat that
+   arrived at `now_ms` on. Returns the number of grants, or -1 when nothing may
+   be renewed: without authority, or when the list is longer than
+   `capacity`. */
+int
+AprGrantBook_Renew(AprGrantBook_t *book, const AprKeyMap_t *map,
+                   const AprBackendLife_t *life, int64_t now_ms,
+                   AprGrant_t *grants, int capacity)
+{
+    int count = 0;
+
+    if (now_ms >= book->authority_until_ms) {
+        return -1;
+    }
+    for (int i = 0; i < map->count; i++) {
+        const AprKeyRange_t *range = &map->ranges[i];
+
+        if (strcmp(range->host, book->host) != 0 ||
+            !AprBackendLife_Equal(&range->owner, life)) {
+            continue;
+        }
+        if (!add_range(book, range, is_free(book, range, now_ms), grants,
+                       &count, capacity)) {
+            return -1;
+        }
+    }
+    if (count > 0) {
+        int64_t end_ms = AprGrant_LatestEnd(now_ms, book->hold_ms);
+
+        if (end_ms > book->grants_end_ms) {
+            book->grants_end_ms = end_ms;
+        }
+    }
+    return count;
+}
+
+/* Frees the lists of a heartbeat. */
+void
+AprBeat_Free(AprBeat_t *beat)
+{
+    free(beat->held);
+    free(beat->released);
+    beat->held = NULL;
+    beat->released = NULL;
+    beat->held_count = 0;
+    beat->released_count = 0;
+}
--- /dev/null
+++ b/src/transport/http_message.c
@@ -0,0 +1,384 @@
+#include "internal/http_message.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "apricot/error.h"
+
+#define DEFAULT_MAX_HEAD 65536
+
+struct AprHttpParser_t {
+    http_parser parser;
+    const AprHttpHandler_t *handler;
+    void *context;
+    AprHttpHead_t head;
+    size_t max_head;
+    bool in_message;
+    bool in_head;
+    bool in_value;
+    int error;
+};
+
+static int
+keep_text(AprHttpParser_t *parser, const char *data, size_t size)
+{
+    if (AprBuffer_Size(&parser->head.text) + size > parser->max_head) {
+        parser->error = APR_E_TOO_LARGE;
+        return 1;
+    }
+    if (AprBuffer_Append(&parser->head.text, data, size) != APR_OK) {
+        parser->error = APR_E_NOMEM;
+        return 1;
+    }
+    return 0;
+}
+
+static int
+on_begin(http_parser *raw)
+{
+    AprHttpParser_t *parser = raw->data;
+
+    AprBuffer_Consume(&parser->head.text, AprBuffer_Size(&parser->head.text));
+    parser->head.header_count = 0;
+    parser->head.target_size = 0;
+    parser->in_message = true;
+    parser->in_head = true;
+    parser->in_value = true;
+    return 0;
+}
+
+static int
+on_url(http_parser *raw, const char *data, size_t size)
+{
+    AprHttpParser_t *parser = raw->data;
+
+    if (parser->head.target_size == 0) {
+        parser->head.target = (uint32_t)AprBuffer_Size(&parser->head.text);
+    }
+    parser->head.target_size += (uint32_t)size;
+    return keep_text(parser, data, size);
+}
+
+static int
+on_field(http_parser *raw, const char *data, size_t size)
+{
+    AprHttpParser_t *parser = raw->data;
+    AprHttpHead_t *head = &parser->head;
+    AprHttpHeader_t *header;
+
+    if (!parser->in_head) {
+        return 0; /* a trailer */
+    }
+    if (parser->in_value) {
+        if (head->header_count == APR_HTTP_MAX_HEADERS) {
+            parser->error = APR_E_TOO_LARGE;
+            return 1;
+        }
+        header = &head->headers[head->header_count++];
+        memset(header, 0, sizeof(*header));
+        header->name = (uint32_t)AprBuffer_Size(&head->text);
+        parser->in_value = false;
+    }
+    header = &head->headers[head->header_count - 1];
+    header->name_size += (uint32_t)size;
+    return keep_text(parser, data, size);
+}
+
+static int
+on_value(http_parser *raw, const char *data, size_t size)
+{
+    AprHttpParser_t *parser = raw->data;
+    AprHttpHead_t *head = &parser->head;
+    AprHttpHeader_t *header;
+
+    if (!parser->in_head || head->header_count == 0) {
+        return 0;
+    }
+    header = &head->headers[head->header_count - 1];
+    if (!parser->in_value) {
+        header->value = (uint32_t)AprBuffer_Size(&head->text);
+        parser->in_value = true;
+    }
+    header->value_size += (uint32_t)size;
+    return keep_text(parser, data, size);
+}
+
+static bool
+has_bad_framing(const http_parser *raw)
+{
+    return (raw->flags & F_CHUNKED) != 0 &&
+           (raw->flags & F_CONTENTLENGTH) != 0;
+}
+
+static int
+on_headers_complete(http_parser *raw)
+{
+    AprHttpParser_t *parser = raw->data;
+    AprHttpHead_t *head = &parser->head;
+
+    parser->in_head = false;
+    if (has_bad_framing(raw)) {
+        parser->error = APR_E_PARSE;
+        return -1;
+    }
+    head->chunked = (raw->flags & F_CHUNKED) != 0;
+    head->has_length = (raw->flags & F_CONTENTLENGTH) != 0;
+    head->length = head->has_length ? raw->content_length : 0;
+    head->status = (int)raw->status_code;
+    head->keep_alive = http_should_keep_alive(raw) != 0;
+    if (raw->type == HTTP_REQUEST) {
+        const char *method = http_method_str((enum http_method)raw->method);
+
+        strncpy(head->method, method, sizeof(head->method) - 1);
+        if (raw->method == HTTP_CONNECT || raw->upgrade) {
+            raw->upgrade = 0;
+        }
+    }
+    if (parser->handler->on_head(parser->context, head) != 0) {
+        parser->error = APR_E_CLOSED;
+        return -1;
+    }
+    return 0;
+}
+
+static int
+on_body(http_parser *raw, const char *data, size_t size)
+{
+    AprHttpParser_t *parser = raw->data;
+
+    if (parser->handler->on_body(parser->context, data, size) != 0) {
+        parser->error = APR_E_CLOSED;
+        return 1;
+    }
+    return 0;
+}
+
+static int
+on_complete(http_parser *raw)
+{
+    AprHttpParser_t *parser = raw->data;
+
+    parser->in_message = false;
+    raw->upgrade = 0;
+    if (parser->handler->on_complete(parser->context) != 0) {
+        parser->error = APR_E_CLOSED;
+        return 1;
+    }
+    return 0;
+}
+
+static const http_parser_settings callbacks = {
+    .on_message_begin = on_begin,
+    .on_url = on_url,
+    .on_header_field = on_field,
+    .on_header_value = on_value,
+    .on_headers_complete = on_headers_complete,
+    .on_body = on_body,
+    .on_message_complete = on_complete,
+};
+
+/* Creates a parser of requests or answers; NULL when memory runs out. */
+AprHttpParser_t *
+AprHttpParser_New(enum http_parser_type type, const AprHttpHandler_t *handler,
+                  void *context)
+{
+    AprHttpParser_t *parser = calloc(1, sizeof(*parser));
+
+    if (parser != NULL) {
+        http_parser_init(&parser->parser, type);
+        parser->parser.data = parser;
+        parser->handler = handler;
+        parser->context = context;
+        parser->max_head = DEFAULT_MAX_HEAD;
+    }
+    return parser;
+}
+
+/* Frees a parser; NULL is ignored. */
+void
+AprHttpParser_Free(AprHttpParser_t *parser)
+{
+    if (parser != NULL) {
+        AprBuffer_Free(&parser->head.text);
+        free(parser);
+    }
+}
+
+/* Forgets a message that was read in part. */
+void
+AprHttpParser_Reset(AprHttpParser_t *parser)
+{
+    http_parser_init(&parser->parser, parser->parser.type);
+    parser->in_message = false;
+    parser->in_head = false;
+    parser->error = APR_OK;
+}
+
+/* Parses bytes; *used tells how many. Returns APR_OK also when the parser was
+   paused before the end, APR_E_PARSE for a malformed message, APR_E_TOO_LARGE
+   for a head over the limit and APR_E_CLOSED when the handler stopped it. */
+int
+AprHttpParser_Execute(AprHttpParser_t *parser, const char *data, size_t size,
+                      size_t *used)
+{
+    *used = http_parser_execute(&parser->parser, &callbacks, data, size);
+    if (parser->error != APR_OK) {
+        return parser->error;
+    }
+    switch (HTTP_PARSER_ERRNO(&parser->parser)) {
+    case HPE_OK:
+    case HPE_PAUSED:
+        return APR_OK;
+    case HPE_HEADER_OVERFLOW:
+        return APR_E_TOO_LARGE;
+    default:
+        return APR_E_PARSE;
+    }
+}
+
+/* Tells that the connection ended. Completes an answer that ends with its
+   connection; returns APR_E_PARSE when a message was cut. */
+int
+AprHttpParser_Finish(AprHttpParser_t *parser)
+{
+    size_t used;
+
+    if (!parser->in_message) {
+        return APR_OK;
+    }
+    if (AprHttpParser_Execute(parser, NULL, 0, &used) != APR_OK) {
+        return APR_E_PARSE;
+    }
+    return parser->in_message ? APR_E_PARSE : APR_OK;
+}
+
+/* Whether a message has begun and is not complete. */
+bool
+AprHttpParser_InMessage(const AprHttpParser_t *parser)
+{
+    return parser->in_message;
+}
+
+/* Whether the head of a message has begun and is not complete. */
+bool
+AprHttpParser_InHead(const AprHttpParser_t *parser)
+{
+    return parser->in_head;
+}
+
+/* Sets the limit of a head in bytes. */
+void
+AprHttpParser_SetMaxHead(AprHttpParser_t *parser, size_t bytes)
+{
+    parser->max_head = bytes;
+}
+
+/* Stops parsing after the current callback, or resumes. */
+void
+AprHttpParser_Pause(AprHttpParser_t *parser, bool pause)
+{
+    http_parser_pause(&parser->parser, pause ? 1 : 0);
+}
+
+/* Finds a header by name; NULL when it is missing. The value is not
+   terminated. */
+const char *
+AprHttpHead_Find(const AprHttpHead_t *head, const char *name, size_t *size)
+{
+    const char *text = AprBuffer_Data(&head->text);
+    size_t length = strlen(name);
+
+    for (int i = 0; i < head->header_count; i++) {
+        const AprHttpHeader_t *header = &head->headers[i];
+
+        if (header->name_size == length &&
+            strncasecmp(text + header->name, name, length) == 0) {
+            *size = header->value_size;
+            return text + header->value;
+        }
+    }
+    return NULL;
+}
+
+/* Copies the value of a header as text. Returns APR_E_NOT_FOUND, or
+   APR_E_TOO_LARGE when it does not fit. */
+int
+AprHttpHead_Copy(const AprHttpHead_t *head, const char *name, char *value,
+                 size_t size)
+{
+    size_t length = 0;
+    const char *found = AprHttpHead_Find(head, name, &length);
+
+    value[0] = '\0';
+    if (found == NULL) {
+        return APR_E_NOT_FOUND;
+    }
+    if (length >= size) {
+        return APR_E_TOO_LARGE;
+    }
+    memcpy(value, found, length);
+    value[length] = '\0';
+    return APR_OK;
+}
+
+static bool
+list_names(const char *list, size_t list_size, const char *name,
+           size_t name_size)
+{
+    size_t at = 0;
+
+    while (at < list_size) {
+        size_t end = at;
+
+        while (end < list_size && list[end] != ',') {
+            end++;
+        }
+        while (at < end && list[at] == ' ') {
+            at++;
+        }
+        if (end - at >= name_size &&
+            strncasecmp(list + at, name, name_size) == 0 &&
+            (end - at == name_size || list[at + name_size] == ' ')) {
+            return true;
+        }
+        at = end + 1;
+    }
+    return false;
+}
+
+/* Whether a header concerns one connection only and is not passed on; the
+   names that the Connection header lists are among them. */
+bool
+AprHttpHeader_IsHopByHop(const AprHttpHead_t *head,
+                         const AprHttpHeader_t *header)
+{
+    static const char *const names[] = {
+        "Connection", "Keep-Alive",     "Proxy-Connection",
+        "TE",         "Trailer",        "Transfer-Encoding",
+        "Upgrade",    "Content-Length", "Expect",
+    };
+    const char *text = AprBuffer_Data(&head->text);
+    const char *name = text + header->name;
+    size_t size = 0;
+    const char *connection;
+
+    for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+        if (strlen(names[i]) == header->name_size &&
+            strncasecmp(names[i], name, header->name_size) == 0) {
+            return true;
+        }
+    }
+    connection = AprHttpHead_Find(head, "Connection", &size);
+    return connection != NULL &&
+           list_names(connection, size, name, header->name_size);
+}
+
+/* The reason phrase of a status. */
+const char *
+AprHttp_Reason(int status)
+{
+    const char *reason = http_status_str((enum http_status)status);
+
+    return strcmp(reason, "<unknown>") == 0 ? "Status" : reason;
+}
--- /dev/null
+++ b/src/transport/http_service.c
@@ -0,0 +1,236 @@
+#include "internal/http_service.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "apricot/error.h"
+#include "internal/http_message.h"
+
+/* Longer bodies end the connection. */
+#define MAX_BODY (1024 * 1024)
+
+struct AprHttpCall_t {
+    AprHttpService_t *service;
+    AprStream_t *stream; /* NULL: the caller left */
+    AprHttpParser_t *parser;
+    char method[24];
+    char *path;
+    AprBuffer_t body;
+    bool keep_alive;
+    bool waiting; /* for its answer */
+    bool parsing;
+    AprHttpCall_t *next;
+};
+
+struct AprHttpService_t {
+    AprStreamSet_t *streams;
+    AprHttpServe_t serve;
+    void *context;
+    int fd;
+    ev_io listener;
+    AprHttpCall_t *calls; /* one for each connection */
+};
+
+static void
+free_call(AprHttpCall_t *call)
+{
+    AprHttpCall_t **at = &call->service->calls;
+
+    while (*at != call) {
+        at = &(*at)->next;
+    }
+    *at = call->next;
+    AprHttpParser_Free(call->parser);
+    AprBuffer_Free(&call->body);
+    free(call->path);
+    free(call);
+}
+
+static void
+release(AprHttpCall_t *call)
+{
+    if (call->stream == NULL && !call->waiting && !call->parsing) {
+        free_call(call);
+    }
+}
+
+/* Answers a call; `body` is copied. */
+void
+AprHttpCall_Reply(AprHttpCall_t *call, int status, const char *type,
+                  const char *body, size_t size)
+{
+    AprBuffer_t text = {0};
+
+    call->waiting = false;
+    if (call->stream != NULL) {
+        AprBuffer_Print(&text, "HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n",
+                        status, AprHttp_Reason(status), size);
+        if (size > 0) {
+            AprBuffer_Print(&text, "Content-Type: %s\r\n", type);
+        }
+        AprBuffer_Print(&text, "%s\r\n",
+                        call->keep_alive ? "" : "Connection: close\r\n");
+        AprBuffer_Append(&text, body, size);
+        AprStream_Write(call->stream, AprBuffer_Data(&text),
+                        AprBuffer_Size(&text));
+        AprBuffer_Free(&text);
+        AprHttpParser_Pause(call->parser, false);
+        AprStream_ReadPause(call->stream, false);
+        if (!call->keep_alive) {
+            AprStream_CloseAfterFlush(call->stream);
+            call->stream = NULL;
+        }
+    }
+    release(call);
+}
+
+static int
+on_head(void *context, const AprHttpHead_t *head)
+{
+    AprHttpCall_t *call = context;
+
+    memcpy(call->method, head->method, sizeof(call->method));
+    free(call->path);
+    call->path =
+        strndup(AprBuffer_Data(&head->text) + head->target, head->target_size);
+    call->keep_alive = head->keep_alive;
+    AprBuffer_Free(&call->body);
+    return call->path == NULL ? 1 : 0;
+}
+
+static int
+on_body(void *context, const char *data, size_t size)
+{
+    AprHttpCall_t *call = context;
+
+    return AprBuffer_Size(&call->body) + size > MAX_BODY ||
+                   AprBuffer_Append(&call->body, data, size) != APR_OK
+               ? 1
+               : 0;
+}
+
+static int
+on_complete(void *context)
+{
+    AprHttpCall_t *call = context;
+    AprHttpService_t *service = call->service;
+
+    call->waiting = true;
+    AprBuffer_Append(&call->body, "", 1); /* so that it ends with a NUL */
+    service->serve(service->context, call, call->method, call->path,
+                   AprBuffer_Data(&call->body),
+                   AprBuffer_Size(&call->body) - 1);
+    return 0;
+}
+
+static const AprHttpHandler_t http_handler = {on_head, on_body, on_complete};
+
+static void
+on_data(void *context, const char *data, size_t size)
+{
+    AprHttpCall_t *call = context;
+    size_t used;
+    int result;
+
+    call->parsing = true;
+    result = AprHttpParser_Execute(call->parser, data, size, &used);
+    call->parsing = false;
+    if (result != APR_OK && call->stream != NULL) {
+        AprStream_Close(call->stream);
+        call->stream = NULL;
+    }
+    if (call->waiting && call->stream != NULL) {
+        AprStream_ReadPause(call->stream, true);
+    }
+    release(call);
+}
+
+static void
+on_close(void *context, int error)
+{
+    AprHttpCall_t *call = context;
+
+    (void)error;
+    call->stream = NULL;
+    release(call);
+}
+
+static const AprStreamHandler_t stream_handler = {on_data, on_close, NULL};
+
+static void
+on_accept(struct ev_loop *loop, ev_io *watcher, int events)
+{
+    AprHttpService_t *service = watcher->data;
+    int fd;
+
+    (void)loop;
+    (void)events;
+    while ((fd = accept(service->fd, NULL, NULL)) >= 0) {
+        AprHttpCall_t *call = calloc(1, sizeof(*call));
+
+        if (call == NULL) {
+            close(fd);
+            return;
+        }
+        call->service = service;
+        call->next = service->calls;
+        service->calls = call;
+        call->parser = AprHttpParser_New(HTTP_REQUEST, &http_handler, call);
+        call->stream =
+            AprStream_Open(service->streams, fd, &stream_handler, call);
+        if (call->parser == NULL || call->stream == NULL) {
+            if (call->stream != NULL) {
+                AprStream_Close(call->stream);
+                call->stream = NULL;
+            }
+            free_call(call);
+        }
+    }
+}
+
+/* Opens a service at "IP:port"; NULL when that fails. */
+AprHttpService_t *
+AprHttpService_New(AprStreamSet_t *streams, const char *address,
+                   AprHttpServe_t serve, void *context)
+{
+    AprHttpService_t *service = calloc(1, sizeof(*service));
+
+    if (service == NULL) {
+        return NULL;
+    }
+    service->streams = streams;
+    service->serve = serve;
+    service->context = context;
+    service->fd = AprStream_Listen(address);
+    if (service->fd < 0) {
+        free(service);
+        return NULL;
+    }
+    ev_io_init(&service->listener, on_accept, service->fd, EV_READ);
+    service->listener.data = service;
+    ev_io_start(streams->loop, &service->listener);
+    return service;
+}
+
+/* Closes a service and its connections. */
+void
+AprHttpService_Free(AprHttpService_t *service)
+{
+    if (service == NULL) {
+        return;
+    }
+    ev_io_stop(service->streams->loop, &service->listener);
+    close(service->fd);
+    while (service->calls != NULL) {
+        AprHttpCall_t *call = service->calls;
+
+        if (call->stream != NULL) {
+            AprStream_Close(call->stream);
+            call->stream = NULL;
+        }
+        free_call(call);
+    }
+    free(service);
+}
