Stop the gateway in steps: callers, peers, new connections

Ruled out: readiness and the caller's side; the lost requests came over links, or from clients that stayed on their connections until the end.

Change: callers go first (answers close their connections), then calls of other hosts are refused as not run with the time of a restart, and new connections last, since the local backend server's own calls come in there.

--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -50,6 +50,14 @@
     AprReadRoutes_t read_routes;
 } AprGatewayOptions_t;
 
+/* Steps of a planned stop. */
+typedef enum AprStopStep_t {
+    APR_STOP_NONE,
+    APR_STOP_CALLERS, /* callers are told to go elsewhere */
+    APR_STOP_PEERS,   /* calls of other hosts are refused, too */
+    APR_STOP_LAST     /* no new connections */
+} AprStopStep_t;
+
 struct AprGateway_t {
     struct ev_loop *loop;
     AprStreamSet_t *streams;
@@ -68,7 +76,8 @@
     AprEntry_t *entry;
     AprMetrics_t *metrics;
     AprRetryBudget_t retries;
-    int64_t stopping_since_ms; /* 0: not stopping */
+    AprStopStep_t stop_step;
+    int64_t stopping_since_ms;
     ev_timer tick;
     ev_timer work; /* fed when calls wait to be started */
     ev_timer stop_timer;
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -82,7 +82,8 @@
 static bool
 wants_close(const AprExchange_t *exchange)
 {
-    return !exchange->keep_alive || exchange->gateway->stopping_since_ms != 0;
+    return !exchange->keep_alive ||
+           exchange->gateway->stop_step != APR_STOP_NONE;
 }
 
 /* Sends an answer of the gateway itself. */
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -17,6 +17,12 @@
 /* The process ends this long before it would be killed. */
 #define STOP_MARGIN_MS 400
 
+/* Parts of the time until the end after which calls of other hosts, and then
+   new connections, are refused although others are still in flight. The rest
+   is longer than requests usually take. */
+#define STOP_CALLERS_SHARE 0.6
+#define STOP_PEERS_SHARE 0.8
+
 /* Milliseconds of the steady clock. */
 int64_t
 AprGateway_NowMs(const AprGateway_t *gateway)
@@ -49,7 +55,7 @@
 {
     memset(load, 0, sizeof(*load));
     AprBackend_Load(gateway->backend, load);
-    load->stopping = gateway->stopping_since_ms != 0;
+    load->stopping = gateway->stop_step != APR_STOP_NONE;
     load->revision = AprReplica_Revision(gateway->replica);
 }
 
@@ -57,7 +63,7 @@
 bool
 AprGateway_IsReady(const AprGateway_t *gateway)
 {
-    return gateway->routes != NULL && gateway->stopping_since_ms == 0 &&
+    return gateway->routes != NULL && gateway->stop_step == APR_STOP_NONE &&
            AprReplica_IsLoaded(gateway->replica);
 }
 
@@ -85,7 +91,23 @@
     AprBackend_Tick(gateway->backend);
 }
 
-/* Ends the process once nothing is in flight. */
+static void
+enter_stop_step(AprGateway_t *gateway, AprStopStep_t step)
+{
+    gateway->stop_step = step;
+    AprLog_Write(
+        APR_LOG_INFO, "stop_step", "step=%d callers=%d peers=%d age_ms=%lld",
+        (int)step, AprEntry_Busy(gateway->entry),
+        AprLinks_InboundCalls(gateway->links),
+        (long long)(AprGateway_NowMs(gateway) - gateway->stopping_since_ms));
+    if (step == APR_STOP_LAST) {
+        AprEntry_StopListening(gateway->entry);
+    }
+}
+
+/* Ends the process once nothing is in flight. Calls that the local backend
+   server makes on behalf of other hosts' requests come as callers' requests,
+   so that the listener stays open until those are done. */
 static void
 on_stop_timer(struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -93,19 +115,33 @@
     int64_t age_ms = AprGateway_NowMs(gateway) - gateway->stopping_since_ms;
     int64_t limit_ms =
         (int64_t)(gateway->settings.stop_s * 1000) - STOP_MARGIN_MS;
-    int busy =
-        AprEntry_Busy(gateway->entry) + AprLinks_InboundCalls(gateway->links);
+    int callers = AprEntry_Busy(gateway->entry);
+    int peers = AprLinks_InboundCalls(gateway->links);
 
     (void)events;
     if (age_ms < STOP_MIN_MS) {
         return;
     }
     AprEntry_CloseIdle(gateway->entry);
-    if (busy == 0 || age_ms >= limit_ms) {
-        AprEntry_StopListening(gateway->entry);
-        AprLog_Write(APR_LOG_INFO, "stop", "in_flight=%d took_ms=%lld", busy,
-                     (long long)age_ms);
-        ev_break(loop, EVBREAK_ALL);
+    switch (gateway->stop_step) {
+    case APR_STOP_CALLERS:
+        if (callers == 0 || age_ms >= limit_ms * STOP_CALLERS_SHARE) {
+            enter_stop_step(gateway, APR_STOP_PEERS);
+        }
+        break;
+    case APR_STOP_PEERS:
+        if (peers + AprBackend_Busy(gateway->backend) == 0 ||
+            age_ms >= limit_ms * STOP_PEERS_SHARE) {
+            enter_stop_step(gateway, APR_STOP_LAST);
+        }
+        break;
+    default:
+        if (callers + peers == 0 || age_ms >= limit_ms) {
+            AprLog_Write(APR_LOG_INFO, "stop", "in_flight=%d took_ms=%lld",
+                         callers + peers, (long long)age_ms);
+            ev_break(loop, EVBREAK_ALL);
+        }
+        break;
     }
 }
 
@@ -194,10 +230,11 @@
 void
 AprGateway_Stop(AprGateway_t *gateway)
 {
-    if (gateway->stopping_since_ms != 0) {
+    if (gateway->stop_step != APR_STOP_NONE) {
         return;
     }
     gateway->stopping_since_ms = AprGateway_NowMs(gateway);
+    gateway->stop_step = APR_STOP_CALLERS;
     AprLog_Write(APR_LOG_INFO, "stopping", "in_flight=%d",
                  AprEntry_Busy(gateway->entry));
     ev_timer_start(gateway->loop, &gateway->stop_timer);
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -31,6 +31,9 @@
 /* After a failure the next try waits this long. */
 #define RECONNECT_MS 200
 
+/* A process that stops is usually there again after this time. */
+#define RESTART_MS 1500
+
 /* A released range is announced this often, since the first frames may be
    lost with their link. */
 #define RELEASE_REPEATS 6
@@ -260,8 +263,15 @@
 take_call(Link_t *link, AprLinkFrame_t *frame)
 {
     AprCallFailure_t failure = {APR_CALL_FULL, true, 0};
-    InCall_t *call = calloc(1, sizeof(*call));
+    InCall_t *call;
 
+    if (link->links->gateway->stop_step >= APR_STOP_PEERS) {
+        failure.error = APR_CALL_LEAVING;
+        failure.retry_after_ms = RESTART_MS;
+        send_failure(link, frame->stream, &failure);
+        return;
+    }
+    call = calloc(1, sizeof(*call));
     if (call != NULL) {
         call->link = link;
         call->stream = frame->stream;
