Keep calls in tables by id; fix uses of freed memory in the gateway

Cause: the linter showed lists whose elements were freed while a loop or a callback still held them. Three were real: a caller's connection freed by pop_finished and read by AprEntry_Settle, a malformed request doing the same, and a failing link whose failed call cancelled others of the same link while they were taken off its list.

Change: calls of links and of the backend server lie in hash tables by stream and id, dead links are freed with the next tick, and functions that may free a connection return whether it lives.

--- a/internal/backend_conn.h
+++ b/internal/backend_conn.h
@@ -1,6 +1,8 @@
 #ifndef APRICOT_INTERNAL_BACKEND_CONN_H
 #define APRICOT_INTERNAL_BACKEND_CONN_H
 
+#include <glib.h>
+
 #include "internal/call.h"
 #include "internal/gateway.h"
 #include "internal/http_message.h"
@@ -23,7 +25,7 @@
 /* A request for the local backend server, waiting or running. */
 struct AprBackendCall_t {
     AprBackend_t *backend;
-    uint64_t id;
+    gint64 id;
     AprCallHead_t head;
     AprBuffer_t body; /* kept until the call is sent, or whole if small */
     bool body_complete;
@@ -35,7 +37,6 @@
     AprBackendConn_t *conn; /* NULL while it waits */
     AprCallSink_t sink;
     void *context;
-    AprBackendCall_t *next;
 };
 
 /* A connection to the local backend server; it carries one call at a time. */
--- a/internal/exchange.h
+++ b/internal/exchange.h
@@ -61,7 +61,7 @@
 };
 
 AprExchange_t *AprExchange_New(AprGateway_t *gateway, AprCaller_t *caller,
-                               const AprHttpHead_t *head);
+                               const AprHttpHead_t *http);
 void AprExchange_Free(AprExchange_t *exchange);
 /* The caller left. */
 void AprExchange_Abandon(AprExchange_t *exchange);
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -1,5 +1,6 @@
 /* Calls of the local backend server: admission, dispatch and answers. */
 
+#include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -39,7 +40,7 @@
     int refusals; /* in a row */
     int64_t refused_since_ms;
     uint64_t next_id;
-    AprBackendCall_t *calls;
+    GHashTable *calls; /* by id */
     AprBackendConn_t *conns;
     double demand_ms; /* service time asked for in the averaging span */
     int64_t demand_at_ms;
@@ -57,6 +58,16 @@
     return hash == 0 ? 1 : hash;
 }
 
+static void
+dispose_call(gpointer data)
+{
+    AprBackendCall_t *call = data;
+
+    AprBuffer_Free(&call->body);
+    AprCallHead_Clear(&call->head);
+    free(call);
+}
+
 /* Creates the state without a known backend server. */
 AprBackend_t *
 AprBackend_New(AprGateway_t *gateway)
@@ -66,28 +77,16 @@
     if (backend != NULL) {
         backend->gateway = gateway;
         AprAdmission_Init(&backend->admission, DEFAULT_SLOTS);
+        backend->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+                                               NULL, dispose_call);
     }
     return backend;
 }
 
-static void
-unlink_call(AprBackendCall_t *call)
-{
-    AprBackendCall_t **at = &call->backend->calls;
-
-    while (*at != call) {
-        at = &(*at)->next;
-    }
-    *at = call->next;
-}
-
 static void
 free_call(AprBackendCall_t *call)
 {
-    unlink_call(call);
-    AprBuffer_Free(&call->body);
-    AprCallHead_Clear(&call->head);
-    free(call);
+    g_hash_table_remove(call->backend->calls, &call->id);
 }
 
 static void pump(AprBackend_t *backend);
@@ -98,7 +97,7 @@
 {
     AprBackend_t *backend = call->backend;
 
-    AprAdmission_Done(&backend->admission, call->id,
+    AprAdmission_Done(&backend->admission, (uint64_t)call->id,
                       AprGateway_NowMs(backend->gateway), measured);
     free_call(call);
     pump(backend);
@@ -252,14 +251,11 @@
 }
 
 static AprBackendCall_t *
-find_call(AprBackend_t *backend, uint64_t id)
+find_call(AprBackend_t *backend, uint64_t work_id)
 {
-    AprBackendCall_t *call = backend->calls;
+    gint64 id = (gint64)work_id;
 
-    while (call != NULL && call->id != id) {
-        call = call->next;
-    }
-    return call;
+    return g_hash_table_lookup(backend->calls, &id);
 }
 
 static void
@@ -370,7 +366,7 @@
     AprBackendCall_t *call = context;
     AprBackend_t *backend = call->backend;
 
-    if (AprAdmission_Remove(&backend->admission, call->id)) {
+    if (AprAdmission_Remove(&backend->admission, (uint64_t)call->id)) {
         free_call(call);
         return;
     }
@@ -467,12 +463,11 @@
         return NULL;
     }
     call->backend = backend;
-    call->id = ++backend->next_id;
+    call->id = (gint64)++backend->next_id;
     call->submitted_ms = AprGateway_NowMs(backend->gateway);
     call->body_complete = end;
     call->body_kept = end;
-    call->next = backend->calls;
-    backend->calls = call;
+    g_hash_table_insert(backend->calls, &call->id, call);
     return call;
 }
 
@@ -610,30 +605,35 @@
         AprBackend_IsOpen(backend) && !backend->leaving && !backend->gone;
 }
 
+/* Whether the backend server did not answer a call by its deadline. */
+static gboolean
+is_overdue(gpointer key, gpointer value, gpointer data)
+{
+    const AprBackendCall_t *call = value;
+    const int64_t *now_ms = data;
+
+    (void)key;
+    return call->conn != NULL && !call->conn->answered &&
+           *now_ms > call->head.deadline_ms + ANSWER_GRACE_MS;
+}
+
 /* Starts waiting work, and ends calls whose backend server did not answer by
    their deadline. */
 void
 AprBackend_Tick(AprBackend_t *backend)
 {
     int64_t now_ms = AprGateway_NowMs(backend->gateway);
-    AprBackendCall_t *call = backend->calls;
-
-    while (call != NULL) {
-        AprBackendCall_t *next = call->next;
+    AprBackendCall_t *call;
 
-        if (call->conn != NULL &&
-            now_ms > call->head.deadline_ms + ANSWER_GRACE_MS &&
-            !call->conn->answered) {
-            AprBackendConn_t *conn = call->conn;
-            AprCallFailure_t failure = {APR_CALL_TIMEOUT, false, 0};
+    while ((call = g_hash_table_find(backend->calls, is_overdue, &now_ms)) !=
+           NULL) {
+        AprBackendConn_t *conn = call->conn;
+        AprCallFailure_t failure = {APR_CALL_TIMEOUT, false, 0};
 
-            conn->call = NULL;
-            call->conn = NULL;
-            remove_conn(conn);
-            fail_call(call, &failure);
-            next = backend->calls;
-        }
-        call = next;
+        conn->call = NULL;
+        call->conn = NULL;
+        remove_conn(conn);
+        fail_call(call, &failure);
     }
     for (AprBackendConn_t *conn = backend->conns; conn != NULL;) {
         AprBackendConn_t *next = conn->next;
@@ -654,10 +654,11 @@
         return;
     }
     while (backend->conns != NULL) {
-        remove_conn(backend->conns);
-    }
-    while (backend->calls != NULL) {
-        free_call(backend->calls);
+        AprBackendConn_t *conn = backend->conns;
+
+        backend->conns = conn->next;
+        AprBackendConn_Free(conn);
     }
+    g_hash_table_destroy(backend->calls);
     free(backend);
 }
--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -53,7 +53,7 @@
 }
 
 static void
-free_caller(AprCaller_t *caller)
+unlink_caller(AprCaller_t *caller)
 {
     AprCaller_t **at = &caller->entry->callers;
 
@@ -61,6 +61,12 @@
         at = &(*at)->next;
     }
     *at = caller->next;
+}
+
+/* The caller is no longer in the list. */
+static void
+free_caller(AprCaller_t *caller)
+{
     AprHttpParser_Free(caller->parser);
     free(caller);
 }
@@ -96,13 +102,15 @@
         }
         caller->stream = NULL;
     }
+    unlink_caller(caller);
     drop_exchanges(caller);
     if (!caller->parsing) {
         free_caller(caller);
     }
 }
 
-static void
+/* Ends answered requests; false when that ended the connection. */
+static bool
 pop_finished(AprCaller_t *caller)
 {
     while (caller->first != NULL && caller->first->answered_whole &&
@@ -119,13 +127,14 @@
         AprExchange_Free(exchange);
         if (close) {
             close_caller(caller, false);
-            return;
+            return false;
         }
         if (caller->first != NULL) {
             AprExchange_FlushHeld(caller->first);
         }
     }
     caller->idle_since_ms = AprGateway_NowMs(caller->entry->gateway);
+    return true;
 }
 
 /* Called when an exchange has its whole answer. May free the caller, so that
@@ -144,8 +153,8 @@
         first->close_after = true;
         caller->reading = NULL;
     }
-    pop_finished(caller);
-    if (!caller->closed && caller->paused && caller->count < MAX_PIPELINED) {
+    if (pop_finished(caller) && caller->paused &&
+        caller->count < MAX_PIPELINED) {
         caller->paused = false;
         AprStream_ReadPause(caller->stream, false);
     }
@@ -218,7 +227,9 @@
 
 static const AprHttpHandler_t http_handler = {on_head, on_body, on_complete};
 
-static void
+/* Answers bytes that are no request; false when that ended the
+   connection. */
+static bool
 reject_malformed(AprCaller_t *caller, int result)
 {
     bool too_large = result == APR_E_TOO_LARGE;
@@ -226,16 +237,19 @@
     AprLog_Write(APR_LOG_INFO, "request_malformed", "step=entry error=%s",
                  AprError_Name(result));
     if (caller->reading != NULL && !caller->reading->answered_whole) {
+        caller->parsing = true;
         AprExchange_Reject(caller->reading, 400, "malformed body");
-        return;
+        caller->parsing = false;
+        return true;
     }
     if (caller->first == NULL) {
         AprExchange_WriteError(caller->stream, too_large ? 431 : 400);
         close_caller(caller, false);
-        return;
+        return false;
     }
     /* Answers to the requests before it are still due. */
     caller->last->close_after = true;
+    return true;
 }
 
 static void
@@ -255,11 +269,8 @@
         free_caller(caller);
         return;
     }
-    if (result != APR_OK) {
-        reject_malformed(caller, result);
-        if (caller->closed) {
-            return;
-        }
+    if (result != APR_OK && !reject_malformed(caller, result)) {
+        return;
     }
     if (caller->count >= MAX_PIPELINED && !caller->paused) {
         caller->paused = true;
@@ -416,8 +427,11 @@
         return;
     }
     AprEntry_StopListening(entry);
-    while (entry->callers != NULL) {
-        close_caller(entry->callers, false);
+    for (AprCaller_t *caller = entry->callers; caller != NULL;) {
+        AprCaller_t *next = caller->next;
+
+        close_caller(caller, false);
+        caller = next;
     }
     free(entry);
 }
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -43,18 +43,16 @@
 /* A call of this host at another one. */
 typedef struct OutCall_t {
     Link_t *link;
-    uint32_t stream;
+    gint stream;
     AprCallSink_t sink;
     void *context;
-    struct OutCall_t *next;
 } OutCall_t;
 
 /* A call of another host at the backend server here. */
 typedef struct InCall_t {
     Link_t *link;
-    uint32_t stream;
+    gint stream;
     AprCallRef_t ref;
-    struct InCall_t *next;
 } InCall_t;
 
 struct Link_t {
@@ -68,12 +66,8 @@
     int64_t heard_ms;
     int64_t pinged_ms;
     int64_t failed_ms; /* 0: the last try did not fail */
-    uint32_t next_stream;
-    OutCall_t *out_calls;
-    int out_count;
-    InCall_t *in_calls;
-    bool reading;
-    bool broken; /* freed or reset after the present read */
+    gint next_stream;
+    GHashTable *calls; /* by stream: OutCall_t, or InCall_t if inbound */
     Link_t *next;
 };
 
@@ -89,6 +83,7 @@
     AprGateway_t *gateway;
     Link_t *outbound;
     Link_t *inbound;
+    Link_t *dead; /* freed with the next tick, when nothing refers to them */
     Release_t *releases;
     ev_io listener;
     int listen_fd;
@@ -146,13 +141,7 @@
 static void
 remove_in_call(InCall_t *call)
 {
-    InCall_t **at = &call->link->in_calls;
-
-    while (*at != call) {
-        at = &(*at)->next;
-    }
-    *at = call->next;
-    free(call);
+    g_hash_table_remove(call->link->calls, &call->stream);
 }
 
 static void
@@ -162,7 +151,7 @@
     AprLinkFrame_t frame = {0};
 
     frame.type = APR_LINK_ANSWER;
-    frame.stream = call->stream;
+    frame.stream = (uint32_t)call->stream;
     frame.answer = *head;
     AprGateway_Load(call->link->links->gateway, &frame.load);
     send_frame(call->link, &frame);
@@ -193,7 +182,7 @@
 {
     InCall_t *call = context;
 
-    send_data(call->link, call->stream, data, size, false);
+    send_data(call->link, (uint32_t)call->stream, data, size, false);
 }
 
 static void
@@ -201,7 +190,7 @@
 {
     InCall_t *call = context;
 
-    send_data(call->link, call->stream, "", 0, true);
+    send_data(call->link, (uint32_t)call->stream, "", 0, true);
     remove_in_call(call);
 }
 
@@ -222,7 +211,7 @@
 {
     InCall_t *call = context;
 
-    send_failure(call->link, call->stream, failure);
+    send_failure(call->link, (uint32_t)call->stream, failure);
     remove_in_call(call);
 }
 
@@ -242,7 +231,7 @@
 {
     InCall_t *call = context;
 
-    send_taken(call->link, call->stream, size);
+    send_taken(call->link, (uint32_t)call->stream, size);
 }
 
 static const AprCallSink_t in_sink = {in_answer, in_data, in_end, in_fail,
@@ -251,12 +240,7 @@
 static InCall_t *
 find_in_call(Link_t *link, uint32_t stream)
 {
-    InCall_t *call = link->in_calls;
-
-    while (call != NULL && call->stream != stream) {
-        call = call->next;
-    }
-    return call;
+    return link->inbound ? g_hash_table_lookup(link->calls, &stream) : NULL;
 }
 
 static void
@@ -274,9 +258,8 @@
     call = calloc(1, sizeof(*call));
     if (call != NULL) {
         call->link = link;
-        call->stream = frame->stream;
-        call->next = link->in_calls;
-        link->in_calls = call;
+        call->stream = (gint)frame->stream;
+        g_hash_table_replace(link->calls, &call->stream, call);
         if (AprBackend_Submit(link->links->gateway->backend, &frame->call,
                               frame->data, frame->data_size, frame->end,
                               &in_sink, call, &call->ref, &failure)) {
@@ -290,11 +273,17 @@
 static void
 cancel_in_calls(Link_t *link)
 {
-    while (link->in_calls != NULL) {
-        InCall_t *call = link->in_calls;
+    GHashTableIter calls;
+    gpointer value;
 
-        call->ref.ops->cancel(call->ref.call);
-        remove_in_call(call);
+    g_hash_table_iter_init(&calls, link->calls);
+    while (g_hash_table_iter_next(&calls, NULL, &value)) {
+        AprCallRef_t ref = ((InCall_t *)value)->ref;
+
+        /* A free slot may end others on this link. */
+        g_hash_table_iter_remove(&calls);
+        ref.ops->cancel(ref.call);
+        g_hash_table_iter_init(&calls, link->calls);
     }
 }
 
@@ -303,25 +292,13 @@
 static OutCall_t *
 find_out_call(Link_t *link, uint32_t stream)
 {
-    OutCall_t *call = link->out_calls;
-
-    while (call != NULL && call->stream != stream) {
-        call = call->next;
-    }
-    return call;
+    return link->inbound ? NULL : g_hash_table_lookup(link->calls, &stream);
 }
 
 static void
 remove_out_call(OutCall_t *call)
 {
-    OutCall_t **at = &call->link->out_calls;
-
-    while (*at != call) {
-        at = &(*at)->next;
-    }
-    *at = call->next;
-    call->link->out_count--;
-    free(call);
+    g_hash_table_remove(call->link->calls, &call->stream);
 }
 
 static void
@@ -349,7 +326,7 @@
 {
     OutCall_t *call = context;
 
-    send_data(call->link, call->stream, data, size, end);
+    send_data(call->link, (uint32_t)call->stream, data, size, end);
 }
 
 static void
@@ -357,7 +334,7 @@
 {
     OutCall_t *call = context;
 
-    send_taken(call->link, call->stream, size);
+    send_taken(call->link, (uint32_t)call->stream, size);
 }
 
 static void
@@ -367,7 +344,7 @@
     AprLinkFrame_t frame = {0};
 
     frame.type = APR_LINK_CANCEL;
-    frame.stream = call->stream;
+    frame.stream = (uint32_t)call->stream;
     send_frame(call->link, &frame);
     remove_out_call(call);
 }
@@ -523,9 +500,16 @@
 free_link(Link_t *link)
 {
     AprBuffer_Free(&link->in);
+    g_hash_table_destroy(link->calls);
     free(link);
 }
 
+static GHashTable *
+new_call_table(void)
+{
+    return g_hash_table_new_full(g_int_hash, g_int_equal, NULL, free);
+}
+
 static void
 unlink_link(Link_t **list, Link_t *link)
 {
@@ -541,7 +525,8 @@
     AprLinks_t *links = link->links;
     int64_t now_ms = now_of(links);
 
-    while (!link->broken && AprBuffer_Size(&link->in) >= sizeof(uint32_t)) {
+    while (link->stream != NULL &&
+           AprBuffer_Size(&link->in) >= sizeof(uint32_t)) {
         const char *bytes = AprBuffer_Data(&link->in);
         AprLinkFrame_t frame;
         uint32_t size;
@@ -563,6 +548,9 @@
         }
         take_frame(link, &frame);
         msgpack_zone_clear(&links->zone);
+        if (link->stream == NULL) {
+            return;
+        }
         AprBuffer_Consume(&link->in, sizeof(size) + size);
     }
 }
@@ -578,18 +566,7 @@
         link_fail(link, "out of memory");
         return;
     }
-    link->reading = true;
     read_frames(link);
-    link->reading = false;
-    if (link->broken) {
-        link->broken = false;
-        if (link->inbound) {
-            free_link(link);
-        }
-        else {
-            AprBuffer_Free(&link->in);
-        }
-    }
 }
 
 static void
@@ -603,45 +580,60 @@
 
 static const AprStreamHandler_t stream_handler = {on_data, on_close, NULL};
 
-/* Ends a link; its calls fail. An outbound link is opened again by the next
-   call, an inbound one is freed. */
 static void
-link_fail(Link_t *link, const char *reason)
+close_stream(Link_t *link, const char *reason)
 {
-    AprLinks_t *links = link->links;
-    bool connecting = link->stream != NULL ? AprStream_Connecting(link->stream)
-                                           : !link->established;
-    AprCallFailure_t failure = {
-        connecting ? APR_CALL_UNREACHABLE : APR_CALL_BROKEN, connecting, 0};
-
     if (link->stream != NULL) {
         AprStream_Close(link->stream);
         link->stream = NULL;
     }
     AprLog_Write(APR_LOG_INFO, "link_lost", "peer=%s inbound=%d reason=%s",
                  link->host, link->inbound, reason);
-    link->failed_ms = now_of(links);
-    if (link->inbound) {
-        cancel_in_calls(link);
-        unlink_link(&links->inbound, link);
-        if (link->reading) {
-            link->broken = true;
-        }
-        else {
-            free_link(link);
-        }
-        return;
-    }
-    AprMembers_NoteFailure(links->gateway->members, link->host);
+    link->failed_ms = now_of(link->links);
+}
+
+/* Ends a link that another host opened; its calls are cancelled. */
+static void
+fail_inbound(Link_t *link, const char *reason)
+{
+    close_stream(link, reason);
+    cancel_in_calls(link);
+    unlink_link(&link->links->inbound, link);
+    link->next = link->links->dead;
+    link->links->dead = link;
+}
+
+/* Ends a link that this host opened; its calls fail. The next call opens it
+   again. */
+static void
+fail_outbound(Link_t *link, const char *reason)
+{
+    bool connecting = link->stream != NULL ? AprStream_Connecting(link->stream)
+                                           : !link->established;
+    AprCallFailure_t failure = {
+        connecting ? APR_CALL_UNREACHABLE : APR_CALL_BROKEN, connecting, 0};
+    GHashTableIter calls;
+    gpointer value;
+
+    close_stream(link, reason);
+    AprMembers_NoteFailure(link->links->gateway->members, link->host);
     link->established = false;
-    if (link->reading) {
-        link->broken = true;
+    /* A failed call may lead to the end of others on this link. */
+    g_hash_table_iter_init(&calls, link->calls);
+    while (g_hash_table_iter_next(&calls, NULL, &value)) {
+        fail_out_call(value, &failure);
+        g_hash_table_iter_init(&calls, link->calls);
     }
-    else {
-        AprBuffer_Free(&link->in);
+}
+
+static void
+link_fail(Link_t *link, const char *reason)
+{
+    if (link->inbound) {
+        fail_inbound(link, reason);
     }
-    while (link->out_calls != NULL) {
-        fail_out_call(link->out_calls, &failure);
+    else {
+        fail_outbound(link, reason);
     }
 }
 
@@ -676,14 +668,15 @@
             return NULL;
         }
         link->links = links;
+        link->calls = new_call_table();
         g_strlcpy(link->host, host, sizeof(link->host));
         link->next = links->outbound;
         links->outbound = link;
     }
-    if (link->broken ||
-        (link->failed_ms != 0 && now_ms - link->failed_ms < RECONNECT_MS)) {
+    if (link->failed_ms != 0 && now_ms - link->failed_ms < RECONNECT_MS) {
         return NULL;
     }
+    AprBuffer_Free(&link->in);
     link->stream = AprStream_Connect(links->gateway->streams, member->address,
                                      &stream_handler, link);
     if (link->stream == NULL) {
@@ -724,15 +717,14 @@
     call->stream = ++link->next_stream;
     call->sink = *sink;
     call->context = context;
-    call->next = link->out_calls;
-    link->out_calls = call;
-    if (link->out_count++ == 0) {
+    g_hash_table_insert(link->calls, &call->stream, call);
+    if (g_hash_table_size(link->calls) == 1) {
         /* The time of silence counts from the first call in flight. */
         link->heard_ms = now_of(links);
         link->pinged_ms = link->heard_ms;
     }
     frame.type = APR_LINK_CALL;
-    frame.stream = call->stream;
+    frame.stream = (uint32_t)call->stream;
     frame.call = *head;
     frame.data = data;
     frame.data_size = first;
@@ -752,7 +744,7 @@
 {
     const Link_t *link = find_link(links, host);
 
-    return link == NULL ? 0 : link->out_count;
+    return link == NULL ? 0 : (int)g_hash_table_size(link->calls);
 }
 
 static void
@@ -880,18 +872,18 @@
 check_link(Link_t *link, int64_t now_ms)
 {
     int64_t silent_ms = now_ms - link->heard_ms;
-    bool busy = link->out_count > 0;
+    bool busy = g_hash_table_size(link->calls) > 0;
 
     if (AprStream_Connecting(link->stream)) {
         if (now_ms - link->opened_ms > CONNECT_TIMEOUT_MS) {
-            link_fail(link, "connect timeout");
+            fail_outbound(link, "connect timeout");
         }
         return;
     }
     if ((busy || link->pinged_ms > link->heard_ms) &&
         silent_ms > SILENT_AFTER_MS &&
         now_ms - link->pinged_ms > PING_AFTER_MS) {
-        link_fail(link, "silent");
+        fail_outbound(link, "silent");
         return;
     }
     if (silent_ms > (busy ? PING_AFTER_MS : IDLE_PING_MS) &&
@@ -920,6 +912,17 @@
     }
 }
 
+static void
+free_dead(AprLinks_t *links)
+{
+    while (links->dead != NULL) {
+        Link_t *link = links->dead;
+
+        links->dead = link->next;
+        free_link(link);
+    }
+}
+
 /* Probes silent links and gives up dead ones. Called several times a
    second. */
 void
@@ -927,6 +930,7 @@
 {
     int64_t now_ms = now_of(links);
 
+    free_dead(links);
     for (Link_t *link = links->outbound; link != NULL; link = link->next) {
         if (link->stream != NULL) {
             check_link(link, now_ms);
@@ -946,10 +950,7 @@
 
     for (const Link_t *link = links->inbound; link != NULL;
          link = link->next) {
-        for (const InCall_t *call = link->in_calls; call != NULL;
-             call = call->next) {
-            count++;
-        }
+        count += (int)g_hash_table_size(link->calls);
     }
     return count;
 }
@@ -971,11 +972,12 @@
         }
         link->links = links;
         link->inbound = true;
+        link->calls = new_call_table();
         link->heard_ms = now_of(links);
         link->stream =
             AprStream_Open(links->gateway->streams, fd, &stream_handler, link);
         if (link->stream == NULL) {
-            free(link);
+            free_link(link);
             return;
         }
         link->next = links->inbound;
@@ -1005,15 +1007,20 @@
         return;
     }
     while (links->inbound != NULL) {
-        link_fail(links->inbound, "stopping");
+        Link_t *link = links->inbound;
+
+        links->inbound = link->next;
+        cancel_in_calls(link);
+        if (link->stream != NULL) {
+            AprStream_Close(link->stream);
+        }
+        free_link(link);
     }
+    free_dead(links);
     while (links->outbound != NULL) {
         Link_t *link = links->outbound;
 
         links->outbound = link->next;
-        while (link->out_calls != NULL) {
-            remove_out_call(link->out_calls);
-        }
         if (link->stream != NULL) {
             AprStream_Close(link->stream);
         }
--- a/src/state/key_plan.c
+++ b/src/state/key_plan.c
@@ -193,13 +193,15 @@
         AprKeyMove_t cut = {0, 0, to};
         double carried;
         double density;
+        int keys;
 
         if (strcmp(range->host, host) != 0 ||
             range->releasing_host[0] != '\0') {
             continue;
         }
         carried = cut_range(demand, range, i % 2 == 1, wanted, &cut);
-        density = carried / (cut.last - cut.first + 1 + APR_KEYS_PER_BUCKET);
+        keys = cut.last - cut.first + 1 + APR_KEYS_PER_BUCKET;
+        density = carried / keys;
         if (carried > wanted / 4 && density > best_density) {
             best_density = density;
             *move = cut;
--- a/src/transport/http_service.c
+++ b/src/transport/http_service.c
@@ -33,6 +33,18 @@
     AprHttpCall_t *calls; /* one for each connection */
 };
 
+static void
+dispose_call(AprHttpCall_t *call)
+{
+    if (call->stream != NULL) {
+        AprStream_Close(call->stream);
+    }
+    AprHttpParser_Free(call->parser);
+    AprBuffer_Free(&call->body);
+    free(call->path);
+    free(call);
+}
+
 static void
 free_call(AprHttpCall_t *call)
 {
@@ -42,10 +54,7 @@
         at = &(*at)->next;
     }
     *at = call->next;
-    AprHttpParser_Free(call->parser);
-    AprBuffer_Free(&call->body);
-    free(call->path);
-    free(call);
+    dispose_call(call);
 }
 
 static void
@@ -181,10 +190,6 @@
         call->stream =
             AprStream_Open(service->streams, fd, &stream_handler, call);
         if (call->parser == NULL || call->stream == NULL) {
-            if (call->stream != NULL) {
-                AprStream_Close(call->stream);
-                call->stream = NULL;
-            }
             free_call(call);
         }
     }
@@ -226,11 +231,8 @@
     while (service->calls != NULL) {
         AprHttpCall_t *call = service->calls;
 
-        if (call->stream != NULL) {
-            AprStream_Close(call->stream);
-            call->stream = NULL;
-        }
-        free_call(call);
+        service->calls = call->next;
+        dispose_call(call);
     }
     free(service);
 }
