Carry grants through outages of the store; rebalance in several moves

Change: while a majority of hosts reports that the store does not answer them, nobody can take keys over, and a host keeps its authority; before a host is removed, the others are asked whether they hear it. A plan moves up to six ranges to several hosts and forgets the demand that it moved.

Ruled out: a longer time of authority, which would delay the takeover of a lost host's keys by as much.

--- a/include/apricot/key_plan.h
+++ b/include/apricot/key_plan.h
@@ -21,21 +21,12 @@
     float bucket_ms[APR_KEY_BUCKETS];
 } AprKeyDemand_t;
 
-/* Keys that are to go to another host. */
-typedef struct AprKeyMove_t {
-    int first;
-    int last;
-    int to; /* index of the candidate */
-} AprKeyMove_t;
-
 int AprKeyPlan_Distribute(AprKeyMap_t *map, const char *host,
                           const AprKeyCandidate_t *candidates, int count,
                           const char *releasing_host);
-bool AprKeyPlan_Rebalance(const AprKeyMap_t *map, const char *host,
-                          double own_load, int own_slots,
-                          const AprKeyDemand_t *demand,
-                          const AprKeyCandidate_t *candidates, int count,
-                          AprKeyMove_t *move);
+int AprKeyPlan_Rebalance(AprKeyMap_t *map, const char *host, double *own_load,
+                         int own_slots, AprKeyDemand_t *demand,
+                         AprKeyCandidate_t *candidates, int count);
 void AprKeyDemand_Add(AprKeyDemand_t *demand, int key, double cost_ms);
 void AprKeyDemand_Decay(AprKeyDemand_t *demand, double factor);
 
--- a/internal/authority.h
+++ b/internal/authority.h
@@ -16,4 +16,11 @@
 /* Bridges two failed renewals. */
 #define APR_AUTHORITY_MS 2500
 
+/* While the store answers most hosts not at all, nobody can take keys over. A
+   host then grants for this time after the reports of a majority, ... */
+#define APR_WITNESS_MS 1500
+
+/* ... but no longer than this after its last renewal. */
+#define APR_WITNESS_MAX_MS 60000
+
 #endif
--- a/internal/exchange.h
+++ b/internal/exchange.h
@@ -46,6 +46,7 @@
     bool submitted;
     bool may_have_run;
     int tries;
+    AprCallFailure_t last_failure; /* of the last try */
     char tried[APR_MAX_TRIES][APR_NAME_SIZE];
     AprCallRef_t ref; /* of the present try */
     AprBuffer_t held; /* answer bytes behind an earlier request */
--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -109,6 +109,7 @@
 void AprBackend_Tick(AprBackend_t *backend);
 void AprBackend_Load(const AprBackend_t *backend, AprHostLoad_t *load);
 double AprBackend_Demand(const AprBackend_t *backend);
+void AprBackend_ScaleDemand(AprBackend_t *backend, double factor);
 const AprBackendLife_t *AprBackend_Life(const AprBackend_t *backend);
 bool AprBackend_IsOpen(const AprBackend_t *backend);
 bool AprBackend_IsGone(const AprBackend_t *backend);
@@ -127,8 +128,12 @@
                       const AprGrant_t *grant);
 bool AprLinks_Renew(AprLinks_t *links, const char *host, int64_t lease);
 void AprLinks_Fetch(AprLinks_t *links, const char *host, int64_t revision);
+/* Milliseconds since bytes came from a host; -1: never. */
+int64_t AprLinks_HeardAge(const AprLinks_t *links, const char *host);
 bool AprLinks_IsAlive(const AprLinks_t *links, const char *host);
 void AprLinks_Probe(AprLinks_t *links, const char *host);
+/* Asks a host whether it hears another one. */
+void AprLinks_Ask(AprLinks_t *links, const char *host, const char *about);
 void AprLinks_Tick(AprLinks_t *links);
 int AprLinks_InboundCalls(const AprLinks_t *links);
 void AprLinks_AnswerRenew(AprLinks_t *links, const char *host, int64_t lease,
@@ -147,9 +152,10 @@
     int64_t unlisted_ms; /* since when it is not */
     int64_t lease;
     int64_t revision;
-    AprHostLoad_t load; /* last heard */
-    int64_t load_ms;    /* when; 0: never */
-    int64_t failed_ms;  /* last failure to reach it; 0: none */
+    AprHostLoad_t load;         /* last heard */
+    int64_t load_ms;            /* when; 0: never */
+    int64_t failed_ms;          /* last failure to reach it; 0: none */
+    int64_t heard_elsewhere_ms; /* last time another host said to hear it */
 } AprHost_t;
 
 AprMembers_t *AprMembers_New(AprGateway_t *gateway);
@@ -161,6 +167,11 @@
 AprHost_t *AprMembers_At(AprMembers_t *members, int index);
 void AprMembers_NoteLoad(AprMembers_t *members, const char *host,
                          const AprHostLoad_t *load);
+/* A time since which most hosts report that the store does not answer them;
+   0 when that is not so. */
+int64_t AprMembers_StoreLostSince(AprMembers_t *members);
+void AprMembers_NoteHeard(AprMembers_t *members, const char *host,
+                          int64_t age_ms);
 void AprMembers_NoteFailure(AprMembers_t *members, const char *host);
 char *AprMembers_OwnEntry(const AprGateway_t *gateway);
 /* The host for a request that any backend server of a service can take;
--- a/internal/link_frame.h
+++ b/internal/link_frame.h
@@ -28,7 +28,9 @@
     APR_LINK_FETCH,
     APR_LINK_ITEM,
     APR_LINK_RENEW,
-    APR_LINK_RENEWED
+    APR_LINK_RENEWED,
+    APR_LINK_ASK,
+    APR_LINK_HEARD
 } AprLinkType_t;
 
 /* Load and knowledge of a process, sent along with pings and answers. */
@@ -40,6 +42,7 @@
     int load_permille; /* demand over capacity */
     bool open;         /* its backend server takes work */
     bool stopping;     /* the process is about to end */
+    bool store_lost;   /* the store does not answer this host */
     int64_t revision;  /* of the store, up to which it knows all items */
 } AprHostLoad_t;
 
@@ -60,16 +63,16 @@
 typedef struct AprLinkFrame_t {
     AprLinkType_t type;
     uint32_t stream;
-    char host[APR_NAME_SIZE]; /* HELLO */
+    char host[APR_NAME_SIZE]; /* HELLO, ASK, HEARD */
     AprCallHead_t call;       /* CALL; times are spans left */
     AprAnswerHead_t answer;   /* ANSWER */
     const char *data;         /* DATA, CALL, ANSWER */
     size_t data_size;
     bool end;
-    AprCallFailure_t failure;          /* FAIL */
-    size_t taken;                      /* TAKEN */
-    int64_t sequence;                  /* PING, PONG, FETCH, RENEW, RENEWED */
-    int64_t result;                    /* RENEWED: age of the answer, or -1 */
+    AprCallFailure_t failure; /* FAIL */
+    size_t taken;             /* TAKEN */
+    int64_t sequence;         /* PING, PONG, FETCH, RENEW, RENEWED */
+    int64_t result; /* RENEWED: -1 if not renewed; HEARD: age, -1 if never */
     AprHostLoad_t load;                /* PING, PONG, ANSWER, FAIL */
     char service[APR_ROUTE_NAME_SIZE]; /* RELEASE */
     AprGrant_t grant;                  /* RELEASE */
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -408,6 +408,13 @@
            (DEMAND_SPAN_MS * backend->admission.slots);
 }
 
+/* Forgets part of the demand, that of keys which go to other hosts. */
+void
+AprBackend_ScaleDemand(AprBackend_t *backend, double factor)
+{
+    backend->demand_ms *= factor;
+}
+
 static bool
 check_place(AprBackend_t *backend, const AprCallHead_t *head,
             AprCallFailure_t *failure)
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -205,6 +205,7 @@
                          failure->error != APR_CALL_UNREACHABLE;
 
     exchange->ref.call = NULL;
+    exchange->last_failure = *failure;
     if (!failure->not_run) {
         exchange->may_have_run = true;
     }
@@ -354,7 +355,8 @@
     bool sent;
 
     if (!choose_host(exchange, host)) {
-        refuse(exchange, &failure);
+        refuse(exchange,
+               exchange->tries > 0 ? &exchange->last_failure : &failure);
         return;
     }
     exchange->tries++;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -56,6 +56,7 @@
     memset(load, 0, sizeof(*load));
     AprBackend_Load(gateway->backend, load);
     load->stopping = gateway->stop_step != APR_STOP_NONE;
+    load->store_lost = !AprReplica_StoreWorks(gateway->replica);
     load->revision = AprReplica_Revision(gateway->replica);
 }
 
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -443,6 +443,17 @@
     send_frame(context, &frame);
 }
 
+static void
+answer_ask(Link_t *link, const char *about)
+{
+    AprLinkFrame_t frame = {0};
+
+    frame.type = APR_LINK_HEARD;
+    g_strlcpy(frame.host, about, sizeof(frame.host));
+    frame.result = AprLinks_HeardAge(link->links, about);
+    send_frame(link, &frame);
+}
+
 static void
 take_frame(Link_t *link, AprLinkFrame_t *frame)
 {
@@ -490,6 +501,12 @@
     case APR_LINK_RENEW:
         AprReplica_RenewFor(gateway->replica, link->host, frame->sequence);
         break;
+    case APR_LINK_ASK:
+        answer_ask(link, frame->host);
+        break;
+    case APR_LINK_HEARD:
+        AprMembers_NoteHeard(gateway->members, frame->host, frame->result);
+        break;
     case APR_LINK_RENEWED:
         AprReplica_Renewed(gateway->replica, frame->sequence, frame->result);
         break;
@@ -834,25 +851,45 @@
     send_frame(link, &frame);
 }
 
+/* Milliseconds since bytes came from a host on a link that is still open; -1
+   when there is none. */
+int64_t
+AprLinks_HeardAge(const AprLinks_t *links, const char *host)
+{
+    const Link_t *link = find_link(links, host);
+    int64_t heard_ms = link != NULL && link->established ? link->heard_ms : -1;
+
+    for (link = links->inbound; link != NULL; link = link->next) {
+        if (strcmp(link->host, host) == 0 && link->heard_ms > heard_ms) {
+            heard_ms = link->heard_ms;
+        }
+    }
+    return heard_ms < 0 ? -1 : now_of(links) - heard_ms;
+}
+
 /* Whether bytes came from a host within the time after which silence counts
    as a failure. */
 bool
 AprLinks_IsAlive(const AprLinks_t *links, const char *host)
 {
-    int64_t now_ms = now_of(links);
-    const Link_t *link = find_link(links, host);
+    int64_t age_ms = AprLinks_HeardAge(links, host);
 
-    if (link != NULL && link->established &&
-        now_ms - link->heard_ms < SILENT_AFTER_MS) {
-        return true;
-    }
-    for (link = links->inbound; link != NULL; link = link->next) {
-        if (strcmp(link->host, host) == 0 &&
-            now_ms - link->heard_ms < SILENT_AFTER_MS) {
-            return true;
-        }
+    return age_ms >= 0 && age_ms < SILENT_AFTER_MS;
+}
+
+/* Asks a host whether it hears another one; the answer is noted in the
+   table of members. */
+void
+AprLinks_Ask(AprLinks_t *links, const char *host, const char *about)
+{
+    Link_t *link = open_link(links, host);
+    AprLinkFrame_t frame = {0};
+
+    if (link != NULL) {
+        frame.type = APR_LINK_ASK;
+        g_strlcpy(frame.host, about, sizeof(frame.host));
+        send_frame(link, &frame);
     }
-    return false;
 }
 
 /* Finds out whether a host can be reached. */
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -205,6 +205,61 @@
     }
 }
 
+/* Notes that another host heard a host so many milliseconds ago. */
+void
+AprMembers_NoteHeard(AprMembers_t *members, const char *host, int64_t age_ms)
+{
+    AprHost_t *member = AprMembers_Find(members, host);
+    int64_t heard_ms = AprGateway_NowMs(members->gateway) - age_ms;
+
+    if (member != NULL && age_ms >= 0 &&
+        heard_ms > member->heard_elsewhere_ms) {
+        member->heard_elsewhere_ms = heard_ms;
+    }
+}
+
+static int
+later_first(const void *left, const void *right)
+{
+    int64_t difference = *(const int64_t *)right - *(const int64_t *)left;
+
+    return (difference > 0) - (difference < 0);
+}
+
+/* When most of the known hosts, this one included, report that the store does
+   not answer them: the time of the oldest of the reports that make up the
+   majority. 0 when there is no such majority. */
+int64_t
+AprMembers_StoreLostSince(AprMembers_t *members)
+{
+    int64_t *reports = g_new0(int64_t, (gsize)members->count + 1);
+    int64_t now_ms = AprGateway_NowMs(members->gateway);
+    int known = 0;
+    int count = 0;
+    int64_t since_ms = 0;
+
+    for (int i = 0; i < members->count; i++) {
+        const AprHost_t *member = &members->members[i];
+
+        if (!member->listed && now_ms - member->unlisted_ms > FORGET_MS) {
+            continue;
+        }
+        known++;
+        if (strcmp(member->host, members->gateway->settings.host) == 0) {
+            reports[count++] = now_ms;
+        }
+        else if (member->load_ms != 0 && member->load.store_lost) {
+            reports[count++] = member->load_ms;
+        }
+    }
+    if (count * 2 > known) {
+        qsort(reports, (size_t)count, sizeof(*reports), later_first);
+        since_ms = reports[known / 2];
+    }
+    g_free(reports);
+    return since_ms;
+}
+
 /* Notes that a host could not be reached. */
 void
 AprMembers_NoteFailure(AprMembers_t *members, const char *host)
--- a/src/gateway/ownership.c
+++ b/src/gateway/ownership.c
@@ -34,9 +34,9 @@
    to announce themselves. */
 #define FIRST_PLAN_MS 2500
 
-/* Pause between two moves of one host for the sake of balance, in which the
+/* Pause between two plans of one host for the sake of balance, in which the
    loads settle. */
-#define REBALANCE_PAUSE_MS 4000
+#define REBALANCE_PAUSE_MS 1200
 
 /* Demand by key fades by this factor with each tick of a second. */
 #define DEMAND_DECAY 0.75
@@ -45,6 +45,11 @@
 /* A report of another host's load is used for this time. */
 #define LOAD_FRESH_MS 3000
 
+/* A missing host that another host heard within this time is not removed;
+   the others are asked this often. */
+#define HEARD_MS 2000
+#define ASK_INTERVAL_MS 500
+
 #define MAX_GRANTS 1024
 #define MAX_CANDIDATES 2048
 #define MAX_MAPS 64
@@ -87,6 +92,7 @@
     char condition_keys[MAX_CONDITIONS][KEY_SIZE];
     int condition_count;
     int64_t rebalanced_ms;
+    int64_t asked_ms;
     int64_t started_ms;
     AprRemovalQueue_t removals;
 };
@@ -550,40 +556,39 @@
     return true;
 }
 
-/* Moves part of the own keys to a host with less load. */
+/* Moves part of the own keys to hosts with less load. */
 static bool
 rebalance(AprOwnership_t *ownership)
 {
     static AprKeyCandidate_t candidates[MAX_CANDIDATES];
     AprGateway_t *gateway = ownership->gateway;
     ServiceMap_t *entry = own_map(ownership);
-    int64_t now_ms = now_of(ownership);
+    double before = AprBackend_Demand(gateway->backend);
+    double after = before;
     AprHostLoad_t load = {0};
-    AprKeyMove_t move;
     AprKeyMap_t map;
     int count;
+    int moves;
 
     if (entry == NULL || own_keys(ownership) == 0 ||
-        now_ms - ownership->rebalanced_ms < REBALANCE_PAUSE_MS) {
+        now_of(ownership) - ownership->rebalanced_ms < REBALANCE_PAUSE_MS ||
+        AprKeyMap_Copy(&map, &entry->map) != APR_OK) {
         return false;
     }
     count = list_candidates(ownership, own_host(ownership), candidates,
                             MAX_CANDIDATES);
     AprBackend_Load(gateway->backend, &load);
-    if (!AprKeyPlan_Rebalance(&entry->map, own_host(ownership),
-                              AprBackend_Demand(gateway->backend), load.slots,
-                              &ownership->demand, candidates, count, &move) ||
-        AprKeyMap_Copy(&map, &entry->map) != APR_OK) {
+    moves = AprKeyPlan_Rebalance(&map, own_host(ownership), &after, load.slots,
+                                 &ownership->demand, candidates, count);
+    if (moves == 0) {
+        AprKeyMap_Free(&map);
         return false;
     }
-    AprKeyMap_Assign(&map, move.first, move.last, &candidates[move.to].owner,
-                     own_host(ownership));
-    ownership->rebalanced_ms = now_ms;
+    ownership->rebalanced_ms = now_of(ownership);
+    AprBackend_ScaleDemand(gateway->backend, after / before);
     AprLog_Write(APR_LOG_INFO, "rebalance",
-                 "first=%d last=%d to=%s own_load=%.2f other_load=%.2f",
-                 move.first, move.last, candidates[move.to].owner.host,
-                 AprBackend_Demand(gateway->backend),
-                 candidates[move.to].load);
+                 "moves=%d load_before=%.2f load_after=%.2f", moves, before,
+                 after);
     send_change(ownership, &map, "rebalance", NULL, 0);
     return true;
 }
@@ -825,6 +830,35 @@
                      condition_count);
 }
 
+/* Whether this host or another one heard a host a moment ago. */
+static bool
+is_heard(AprOwnership_t *ownership, const AprHost_t *member, const char *host)
+{
+    return AprLinks_IsAlive(ownership->gateway->links, host) ||
+           (member != NULL && member->heard_elsewhere_ms != 0 &&
+            now_of(ownership) - member->heard_elsewhere_ms < HEARD_MS);
+}
+
+/* Asks all hosts whether they hear one that is missing here. */
+static void
+ask_about(AprOwnership_t *ownership, const char *host)
+{
+    AprGateway_t *gateway = ownership->gateway;
+    int64_t now_ms = now_of(ownership);
+
+    if (now_ms - ownership->asked_ms < ASK_INTERVAL_MS) {
+        return;
+    }
+    ownership->asked_ms = now_ms;
+    for (int i = 0; i < AprMembers_Count(gateway->members); i++) {
+        const AprHost_t *other = AprMembers_At(gateway->members, i);
+
+        if (other->listed && strcmp(other->host, own_host(ownership)) != 0) {
+            AprLinks_Ask(gateway->links, other->host, host);
+        }
+    }
+}
+
 static void
 plan_lost_hosts(AprOwnership_t *ownership)
 {
@@ -849,7 +883,11 @@
         if (member != NULL) {
             AprLinks_Probe(gateway->links, host);
         }
-        if (!AprLinks_IsAlive(gateway->links, host)) {
+        if (is_heard(ownership, member, host)) {
+            AprRemovalQueue_Cancel(&ownership->removals, host);
+        }
+        else {
+            ask_about(ownership, host);
             AprRemovalQueue_Add(&ownership->removals, host,
                                 member == NULL ? 0 : member->lease,
                                 now_of(ownership));
--- a/src/gateway/replica.c
+++ b/src/gateway/replica.c
@@ -79,6 +79,7 @@
     bool renewing;
     int64_t sent_ms; /* of the present lease call */
     int64_t relay_sent_ms;
+    int64_t renewed_ms; /* last successful renewal; 0: none */
     int relay_index;
     bool republish;
     char *written; /* entry that the store has */
@@ -431,6 +432,7 @@
 static void
 extend_authority(AprReplica_t *replica, int64_t sent_ms)
 {
+    replica->renewed_ms = sent_ms;
     AprOwnership_Authorize(replica->gateway->ownership,
                            sent_ms + APR_AUTHORITY_MS);
 }
@@ -754,6 +756,32 @@
     g_free(key);
 }
 
+/* Keeps the authority to grant keys through an outage of the store: while it
+   answers most hosts not at all, nobody can take the keys over. */
+static void
+use_witnesses(AprReplica_t *replica)
+{
+    AprGateway_t *gateway = replica->gateway;
+    int64_t now_ms = now_of(replica);
+    int64_t since_ms;
+
+    if (replica->renewed_ms == 0 || AprReplica_StoreWorks(replica) ||
+        now_ms - replica->renewed_ms > APR_WITNESS_MAX_MS) {
+        return;
+    }
+    for (int i = 0; i < AprMembers_Count(gateway->members); i++) {
+        const AprHost_t *member = AprMembers_At(gateway->members, i);
+
+        if (strcmp(member->host, gateway->settings.host) != 0) {
+            AprLinks_Probe(gateway->links, member->host);
+        }
+    }
+    since_ms = AprMembers_StoreLostSince(gateway->members);
+    if (since_ms != 0) {
+        AprOwnership_Authorize(gateway->ownership, since_ms + APR_WITNESS_MS);
+    }
+}
+
 /* Fetches items from a host that knows more, after a while in which the own
    watches did not bring them. */
 static void
@@ -797,6 +825,7 @@
         drive_lease(replica);
     }
     catch_up(replica);
+    use_witnesses(replica);
 }
 
 /* Begins to read the store. */
--- a/src/protocol/link_frame.c
+++ b/src/protocol/link_frame.c
@@ -33,7 +33,7 @@
     }
 }
 
-#define LOAD_FIELDS 8
+#define LOAD_FIELDS 9
 
 static void
 pack_load(msgpack_packer *packer, const AprHostLoad_t *load)
@@ -45,6 +45,7 @@
     msgpack_pack_int(packer, load->load_permille);
     pack_flag(packer, load->open);
     pack_flag(packer, load->stopping);
+    pack_flag(packer, load->store_lost);
     msgpack_pack_int64(packer, load->revision);
 }
 
@@ -164,6 +165,17 @@
         pack_flag(packer, frame->item.last);
         msgpack_pack_int64(packer, frame->item.complete);
         break;
+    case APR_LINK_ASK:
+        msgpack_pack_array(packer, 2);
+        msgpack_pack_int(packer, frame->type);
+        pack_text(packer, frame->host);
+        break;
+    case APR_LINK_HEARD:
+        msgpack_pack_array(packer, 3);
+        msgpack_pack_int(packer, frame->type);
+        pack_text(packer, frame->host);
+        msgpack_pack_int64(packer, frame->result);
+        break;
     case APR_LINK_RENEWED:
         msgpack_pack_array(packer, 3);
         msgpack_pack_int(packer, frame->type);
@@ -302,6 +314,7 @@
     load->load_permille = (int)take_int(reader);
     load->open = take_flag(reader);
     load->stopping = take_flag(reader);
+    load->store_lost = take_flag(reader);
     load->revision = take_int(reader);
 }
 
@@ -414,6 +427,13 @@
     case APR_LINK_ITEM:
         take_item(reader, &frame->item);
         break;
+    case APR_LINK_ASK:
+        take_text(reader, frame->host, sizeof(frame->host));
+        break;
+    case APR_LINK_HEARD:
+        take_text(reader, frame->host, sizeof(frame->host));
+        frame->result = take_int(reader);
+        break;
     case APR_LINK_RENEWED:
         frame->sequence = take_int(reader);
         frame->result = take_int(reader);
--- a/src/state/key_plan.c
+++ b/src/state/key_plan.c
@@ -8,14 +8,20 @@
 #define MIN_SPARE 0.05
 
 /* A host gives keys away when its load is above this, ... */
-#define REBALANCE_LOAD 0.7
+#define REBALANCE_LOAD 0.6
 
-/* ... exceeds that of the least loaded host by this, ... */
-#define REBALANCE_GAP 0.25
+/* ... and exceeds that of the least loaded host by this. */
+#define REBALANCE_GAP 0.2
 
-/* ... and moves at most this part of its demand at a time, so that a wrong
-   estimate does not swap the roles of the two hosts. */
-#define REBALANCE_SHARE 0.4
+/* Moves of one plan; each one is a further range to be kept by everyone. */
+#define REBALANCE_MOVES 6
+
+/* Keys that are to go to another host. */
+typedef struct Move_t {
+    int first;
+    int last;
+    double demand;
+} Move_t;
 
 /* Adds the expected service time of a request for a key. */
 void
@@ -104,7 +110,7 @@
    returns the demand it carries. */
 static double
 cut_range(const AprKeyDemand_t *demand, const AprKeyRange_t *range,
-          bool from_end, double wanted, AprKeyMove_t *move)
+          bool from_end, double wanted, Move_t *move)
 {
     int step = from_end ? -1 : 1;
     int bucket = (from_end ? range->last : range->first) / APR_KEYS_PER_BUCKET;
@@ -153,45 +159,32 @@
     return best;
 }
 
-/* Chooses keys of an overloaded host that are to go to the least loaded
-   candidate: the part of one of its ranges that carries the demand to be
-   moved with the fewest keys. Returns false when no move is worth while. */
-bool
-AprKeyPlan_Rebalance(const AprKeyMap_t *map, const char *host, double own_load,
-                     int own_slots, const AprKeyDemand_t *demand,
-                     const AprKeyCandidate_t *candidates, int count,
-                     AprKeyMove_t *move)
+static double
+demand_of_host(const AprKeyMap_t *map, const char *host,
+               const AprKeyDemand_t *demand)
 {
-    int to = least_loaded(candidates, count);
     double total = 0;
-    double wanted;
-    double best_density = 0;
 
-    if (to < 0 || own_load <= candidates[to].load) {
-        return false;
-    }
-    if (candidates[to].keys > 0 &&
-        (own_load < REBALANCE_LOAD ||
-         own_load - candidates[to].load < REBALANCE_GAP)) {
-        return false;
-    }
     for (int i = 0; i < map->count; i++) {
         if (strcmp(map->ranges[i].host, host) == 0) {
             total +=
                 demand_of(demand, map->ranges[i].first, map->ranges[i].last);
         }
     }
-    wanted =
-        (own_load - candidates[to].load) *
-        (own_slots < candidates[to].slots ? own_slots : candidates[to].slots) /
-        2 / (own_load * own_slots) * total;
-    if (wanted > REBALANCE_SHARE * total) {
-        wanted = REBALANCE_SHARE * total;
-    }
+    return total;
+}
+
+/* Finds the end of one of a host's ranges that carries the wanted demand with
+   the fewest keys; false when no end carries a fair part of it. */
+static bool
+find_move(const AprKeyMap_t *map, const char *host,
+          const AprKeyDemand_t *demand, double wanted, Move_t *move)
+{
+    double best_density = 0;
+
     for (int i = 0; i < map->count * 2; i++) {
         const AprKeyRange_t *range = &map->ranges[i / 2];
-        AprKeyMove_t cut = {0, 0, to};
-        double carried;
+        Move_t cut = {0, 0, 0};
         double density;
         int keys;
 
@@ -199,13 +192,68 @@
             range->releasing_host[0] != '\0') {
             continue;
         }
-        carried = cut_range(demand, range, i % 2 == 1, wanted, &cut);
+        cut.demand = cut_range(demand, range, i % 2 == 1, wanted, &cut);
         keys = cut.last - cut.first + 1 + APR_KEYS_PER_BUCKET;
-        density = carried / keys;
-        if (carried > wanted / 4 && density > best_density) {
+        density = cut.demand / keys;
+        if (cut.demand > wanted / 4 && density > best_density) {
             best_density = density;
             *move = cut;
         }
     }
     return best_density > 0;
 }
+
+static bool
+is_worth_while(double own_load, const AprKeyCandidate_t *to)
+{
+    if (to->keys == 0) {
+        return own_load > to->load;
+    }
+    return own_load > REBALANCE_LOAD && own_load - to->load > REBALANCE_GAP;
+}
+
+static void
+forget_demand(AprKeyDemand_t *demand, const Move_t *move)
+{
+    for (int i = move->first / APR_KEYS_PER_BUCKET;
+         i <= move->last / APR_KEYS_PER_BUCKET; i++) {
+        demand->bucket_ms[i] = 0;
+    }
+}
+
+/* Moves keys of a host whose backend server has more work than others to the
+   least loaded candidates, each time half of the difference. Loads and demand
+   are brought up to date, so that the next plan does not move the same work
+   again. Returns the number of moves that were made in the map. */
+int
+AprKeyPlan_Rebalance(AprKeyMap_t *map, const char *host, double *own_load,
+                     int own_slots, AprKeyDemand_t *demand,
+                     AprKeyCandidate_t *candidates, int count)
+{
+    double total = demand_of_host(map, host, demand);
+    double per_load = *own_load > 0 ? total / *own_load : 0;
+    int moves = 0;
+
+    while (moves < REBALANCE_MOVES && per_load > 0) {
+        int to = least_loaded(candidates, count);
+        Move_t move = {0, 0, 0};
+        double part;
+
+        if (to < 0 || !is_worth_while(*own_load, &candidates[to])) {
+            break;
+        }
+        part = (*own_load - candidates[to].load) / 2;
+        if (!find_move(map, host, demand, part * per_load, &move) ||
+            AprKeyMap_Assign(map, move.first, move.last, &candidates[to].owner,
+                             host) != APR_OK) {
+            break;
+        }
+        *own_load -= move.demand / per_load;
+        candidates[to].load +=
+            move.demand / per_load * own_slots / candidates[to].slots;
+        candidates[to].keys += move.last - move.first + 1;
+        forget_demand(demand, &move);
+        moves++;
+    }
+    return moves;
+}
