Spread the choice of hosts that take keys; plan first when all are there

Change: only the most loaded host fills an empty one; among candidates of nearly the least load each host prefers another one; the first plan waits until no host was added for a second.

Ruled out: the refusals between 2 and 14 s that remain come from a hot key at one backend server and cannot be spread.

--- a/src/gateway/ownership.c
+++ b/src/gateway/ownership.c
@@ -34,6 +34,11 @@
    to announce themselves. */
 #define FIRST_PLAN_MS 2500
 
+/* The first plan also waits until no host was added for this time, but no
+   longer than the limit. */
+#define FIRST_PLAN_QUIET_MS 1000
+#define FIRST_PLAN_LIMIT_MS 6000
+
 /* Pause between two plans of one host for the sake of balance, in which the
    loads settle. */
 #define REBALANCE_PAUSE_MS 1200
@@ -94,6 +99,8 @@
     int condition_count;
     int64_t rebalanced_ms;
     int64_t asked_ms;
+    int candidate_count;
+    int64_t candidates_ms; /* last change of their number */
     int64_t started_ms;
     AprRemovalQueue_t removals;
 };
@@ -750,6 +757,24 @@
     return ownership->life.id[0] != '\0' && !ownership->leaving;
 }
 
+/* Whether the backend servers had the time to announce themselves. */
+static bool
+may_plan_first(AprOwnership_t *ownership)
+{
+    static AprKeyCandidate_t candidates[MAX_CANDIDATES];
+    int64_t now_ms = now_of(ownership);
+    int64_t age_ms = now_ms - ownership->started_ms;
+    int count = list_candidates(ownership, NULL, candidates, MAX_CANDIDATES);
+
+    if (count != ownership->candidate_count) {
+        ownership->candidate_count = count;
+        ownership->candidates_ms = now_ms;
+    }
+    return age_ms >= FIRST_PLAN_LIMIT_MS ||
+           (age_ms >= FIRST_PLAN_MS &&
+            now_ms - ownership->candidates_ms >= FIRST_PLAN_QUIET_MS);
+}
+
 /* Gives out the keys that have no owner. */
 static void
 plan_unowned(AprOwnership_t *ownership)
@@ -759,7 +784,7 @@
     AprKeyMap_t map;
     int count;
 
-    if (now_of(ownership) - ownership->started_ms < FIRST_PLAN_MS ||
+    if (!may_plan_first(ownership) ||
         (entry != NULL && AprKeyMap_CountOf(&entry->map, "") == 0) ||
         !is_planner(ownership)) {
         return;
--- a/src/state/key_plan.c
+++ b/src/state/key_plan.c
@@ -13,6 +13,9 @@
 /* ... and exceeds that of the least loaded host by this. */
 #define REBALANCE_GAP 0.2
 
+/* Candidates whose load differs by less are equally good. */
+#define NEAR_LOAD 0.15
+
 /* Moves of one plan; each one is a further range to be kept by everyone. */
 #define REBALANCE_MOVES 6
 
@@ -139,24 +142,56 @@
     return best;
 }
 
-/* A candidate without keys comes first: it can only be used once it has
-   some. */
+static uint32_t
+hash_of(const char *host, int move)
+{
+    uint32_t hash = 2166136261u + (uint32_t)move;
+
+    for (const char *at = host; *at != '\0'; at++) {
+        hash = (hash ^ (uint8_t)*at) * 16777619u;
+    }
+    return hash;
+}
+
+/* Chooses a candidate that can take work, or -1. One without keys comes first
+   if this host is the most loaded of all: it can only be used once it has
+   some. Among those with nearly the least load each host prefers another one,
+   since several hosts plan at the same time. */
 static int
-least_loaded(const AprKeyCandidate_t *candidates, int count)
+choose_candidate(const AprKeyCandidate_t *candidates, int count,
+                 const char *host, double own_load, int move)
 {
-    int best = -1;
+    uint32_t hash = hash_of(host, move);
+    double least = own_load;
+    bool most_loaded = true;
+    int empty = -1;
+    int near = 0;
 
     for (int i = 0; i < count; i++) {
-        const AprKeyCandidate_t *candidate = &candidates[i];
-
-        if (best < 0 ||
-            (candidate->keys == 0) > (candidates[best].keys == 0) ||
-            ((candidate->keys == 0) == (candidates[best].keys == 0) &&
-             candidate->load < candidates[best].load)) {
-            best = i;
+        most_loaded &= candidates[i].load <= own_load;
+        if (candidates[i].keys == 0) {
+            empty = i;
+        }
+        if (candidates[i].load < least) {
+            least = candidates[i].load;
         }
     }
-    return best;
+    if (empty >= 0 && most_loaded && own_load > candidates[empty].load) {
+        return empty;
+    }
+    if (own_load <= REBALANCE_LOAD || own_load - least <= REBALANCE_GAP) {
+        return -1;
+    }
+    for (int i = 0; i < count; i++) {
+        near += candidates[i].load <= least + NEAR_LOAD;
+    }
+    near = (int)(hash % (uint32_t)near);
+    for (int i = 0; i < count; i++) {
+        if (candidates[i].load <= least + NEAR_LOAD && near-- == 0) {
+            return i;
+        }
+    }
+    return -1;
 }
 
 static double
@@ -203,15 +238,6 @@
     return best_density > 0;
 }
 
-static bool
-is_worth_while(double own_load, const AprKeyCandidate_t *to)
-{
-    if (to->keys == 0) {
-        return own_load > to->load;
-    }
-    return own_load > REBALANCE_LOAD && own_load - to->load > REBALANCE_GAP;
-}
-
 static void
 forget_demand(AprKeyDemand_t *demand, const Move_t *move)
 {
@@ -235,11 +261,11 @@
     int moves = 0;
 
     while (moves < REBALANCE_MOVES && per_load > 0) {
-        int to = least_loaded(candidates, count);
+        int to = choose_candidate(candidates, count, host, *own_load, moves);
         Move_t move = {0, 0, 0};
         double part;
 
-        if (to < 0 || !is_worth_while(*own_load, &candidates[to])) {
+        if (to < 0) {
             break;
         }
         part = (*own_load - candidates[to].load) / 2;
--- a/tests/test_grants.c
+++ b/tests/test_grants.c
@@ -2,6 +2,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -297,6 +298,77 @@
     AprKeyMap_Free(&map);
 }
 
+/* Replay of eight overloaded hosts that plan at the same moment, with eight
+   idle ones. Guards against all of them choosing the same host, which is
+   overloaded next. */
+static void
+test_plans_at_once_spread(void **state)
+{
+    static AprKeyDemand_t demand;
+    int chosen[8] = {0};
+    int most = 0;
+
+    (void)state;
+    for (int donor = 0; donor < 8; donor++) {
+        AprKeyCandidate_t candidates[8];
+        char name[16];
+        AprKeyOwner_t own;
+        double load = 1.0;
+        AprKeyMap_t map;
+
+        snprintf(name, sizeof(name), "donor%d", donor);
+        own = owner(name, &life_b);
+        memset(&demand, 0, sizeof(demand));
+        AprKeyMap_Init(&map);
+        AprKeyMap_Assign(&map, 0, 999, &own, NULL);
+        for (int key = 0; key < 1000; key++) {
+            AprKeyDemand_Add(&demand, key, 4);
+        }
+        for (int i = 0; i < 8; i++) {
+            AprKeyCandidate_t idle = {owner("", &life_a), 0.1, 4, 1000};
+
+            snprintf(idle.owner.host, sizeof(idle.owner.host), "idle%d", i);
+            candidates[i] = idle;
+        }
+        AprKeyPlan_Rebalance(&map, name, &load, 4, &demand, candidates, 8);
+        for (int i = 0; i < 8; i++) {
+            chosen[i] += candidates[i].load > 0.1;
+        }
+        AprKeyMap_Free(&map);
+    }
+    for (int i = 0; i < 8; i++) {
+        most = chosen[i] > most ? chosen[i] : most;
+    }
+    print_message("most plans with one host: %d of 8\n", most);
+    assert_true(most <= 4);
+}
+
+/* Guards against keys that all hosts give to an added one at once: only the
+   most loaded host does. */
+static void
+test_only_the_most_loaded_fills_an_empty_host(void **state)
+{
+    AprKeyCandidate_t candidates[2] = {
+        {owner("h2", &life_a), 0.5, 6, 100},
+        {owner("h3", &life_a), 0.0, 6, 0},
+    };
+    static AprKeyDemand_t demand;
+    AprKeyOwner_t own = owner("h1", &life_b);
+    double load = 0.4;
+    AprKeyMap_t map;
+
+    (void)state;
+    memset(&demand, 0, sizeof(demand));
+    AprKeyMap_Init(&map);
+    AprKeyMap_Assign(&map, 0, 9999, &own, NULL);
+    for (int key = 0; key < 10000; key += 16) {
+        AprKeyDemand_Add(&demand, key, 1);
+    }
+    assert_int_equal(
+        AprKeyPlan_Rebalance(&map, "h1", &load, 6, &demand, candidates, 2), 0);
+    AprKeyMap_Free(&map);
+}
+
 int
 main(void)
 {
@@ -310,6 +382,8 @@
         cmocka_unit_test(test_distributes_by_spare_capacity),
         cmocka_unit_test(test_rebalances_hot_keys),
         cmocka_unit_test(test_moves_only_with_reason),
+        cmocka_unit_test(test_plans_at_once_spread),
+        cmocka_unit_test(test_only_the_most_loaded_fills_an_empty_host),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
