--- a/Makefile
+++ b/Makefile
@@ -92,6 +92,7 @@
 
 check: packages
 	$(MAKE) -j8 tests
+	scripts/check-platform-names
 	$(MAKE) format-check
 	$(MAKE) lint
 	$(MAKE) unit
--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -50,6 +50,9 @@
     AprReadRoutes_t read_routes;
 } AprGatewayOptions_t;
 
+/* Buckets of the histogram of answer times. */
+#define APR_DURATION_BUCKETS 10
+
 /* Steps of a planned stop. */
 typedef enum AprStopStep_t {
     APR_STOP_NONE,
@@ -75,6 +78,7 @@
     AprReplica_t *replica;
     AprEntry_t *entry;
     AprMetrics_t *metrics;
+    AprMetric_t *duration[APR_DURATION_BUCKETS];
     AprRetryBudget_t retries;
     AprStopStep_t stop_step;
     int64_t stopping_since_ms;
@@ -94,6 +98,10 @@
 bool AprGateway_IsReady(const AprGateway_t *gateway);
 AprRetryBudget_t *AprGateway_RetryBudget(AprGateway_t *gateway);
 void AprGateway_Load(AprGateway_t *gateway, AprHostLoad_t *load);
+/* The present state as JSON, allocated with malloc. */
+char *AprGateway_State(AprGateway_t *gateway);
+/* Adds a request to the histogram of answer times. */
+void AprGateway_ObserveMs(AprGateway_t *gateway, int64_t took_ms);
 void AprGateway_Count(AprGateway_t *gateway, const char *name,
                       const char *labels);
 
@@ -209,6 +217,9 @@
 void AprOwnership_Leave(AprOwnership_t *ownership, const char *id);
 void AprOwnership_Tick(AprOwnership_t *ownership);
 void AprOwnership_Authorize(AprOwnership_t *ownership, int64_t until_ms);
+/* The own service's key map; NULL when it is not known. */
+const AprKeyMap_t *AprOwnership_Map(AprOwnership_t *ownership,
+                                    int64_t *authority_ms);
 void AprOwnership_NoteRequest(AprOwnership_t *ownership, int key,
                               double cost_ms);
 void AprOwnership_TakeToken(AprOwnership_t *ownership, const char *service,
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,10 +1,14 @@
 #include "apricot/log.h"
 
 #include <log4c.h>
+#include <poll.h>
 #include <stdarg.h>
+#include <stdatomic.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "apricot/error.h"
 
@@ -13,7 +17,13 @@
 #define LOG_MESSAGE_SIZE 1536
 #define LOG_HOST_SIZE 64
 
+/* Lines below the level of warnings that are written in one second. */
+#define MAX_LINES_PER_S 400
+
 static log4c_category_t *category;
+static atomic_long dropped_lines;
+static atomic_long lines_in_second;
+static atomic_long present_second;
 static char log_host[LOG_HOST_SIZE];
 
 static const int priorities[] = {
@@ -71,10 +81,27 @@
     return 0;
 }
 
+/* Writes a line to standard output if that does not block: a pipe that can be
+   written to has room for a line, which is shorter than PIPE_BUF. */
+static int
+write_without_blocking(const char *line)
+{
+    struct pollfd output = {STDOUT_FILENO, POLLOUT, 0};
+
+    if (poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0) {
+        atomic_fetch_add(&dropped_lines, 1);
+        return 0;
+    }
+    return write(STDOUT_FILENO, line, strlen(line)) < 0 ? -1 : 0;
+}
+
 /* log4c's own stream appender writes its name in front of each line. */
 static int
 append_line(log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
+    if (log4c_appender_get_udata(appender) == stdout) {
+        return write_without_blocking(event->evt_rendered_msg);
+    }
     return fputs(event->evt_rendered_msg, log4c_appender_get_udata(appender));
 }
 
@@ -128,6 +155,37 @@
     log4c_fini();
 }
 
+/* Whether a line of this level may still be written in the present second. */
+static bool
+within_limit(AprLogLevel_t level)
+{
+    long second = (long)time(NULL);
+
+    if (level < APR_LOG_INFO) {
+        return true;
+    }
+    if (atomic_exchange(&present_second, second) != second) {
+        atomic_store(&lines_in_second, 0);
+    }
+    if (atomic_fetch_add(&lines_in_second, 1) < MAX_LINES_PER_S) {
+        return true;
+    }
+    atomic_fetch_add(&dropped_lines, 1);
+    return false;
+}
+
+/* Tells how many lines were left out since the last time. */
+static void
+report_dropped(void)
+{
+    long dropped = atomic_exchange(&dropped_lines, 0);
+
+    if (dropped > 0) {
+        log4c_category_log(category, LOG4C_PRIORITY_WARN,
+                           "event=log_dropped lines=%ld", dropped);
+    }
+}
+
 /* Writes one line with the event name and the formatted key=value pairs. Does
    nothing before AprLog_Init or below the set level. Safe from any thread. */
 void
@@ -137,9 +195,11 @@
     va_list arguments;
 
     if (category == NULL ||
-        !log4c_category_is_priority_enabled(category, priorities[level])) {
+        !log4c_category_is_priority_enabled(category, priorities[level]) ||
+        !within_limit(level)) {
         return;
     }
+    report_dropped();
     va_start(arguments, format);
     vsnprintf(pairs, sizeof(pairs), format, arguments);
     va_end(arguments);
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -298,6 +298,8 @@
     }
     log_result(exchange, "answered");
     AprGateway_Count(exchange->gateway, "requests_answered_total", "");
+    AprGateway_ObserveMs(exchange->gateway,
+                         now_of(exchange) - exchange->head.arrived_ms);
     finish(exchange);
 }
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -1,5 +1,6 @@
 /* Assembly and life of one gateway process. */
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -49,6 +50,39 @@
     }
 }
 
+/* Upper bounds of the buckets in milliseconds; the last one has none. */
+static const int64_t duration_bounds_ms[APR_DURATION_BUCKETS] = {
+    5, 10, 25, 50, 100, 200, 400, 800, 1600, INT64_MAX};
+
+static void
+add_histogram(AprGateway_t *gateway)
+{
+    char labels[32];
+
+    for (int i = 0; i < APR_DURATION_BUCKETS; i++) {
+        if (duration_bounds_ms[i] == INT64_MAX) {
+            snprintf(labels, sizeof(labels), "le=\"+Inf\"");
+        }
+        else {
+            snprintf(labels, sizeof(labels), "le=\"%lld\"",
+                     (long long)duration_bounds_ms[i]);
+        }
+        gateway->duration[i] = AprMetrics_Counter(
+            gateway->metrics, "request_duration_ms_bucket", labels,
+            "requests answered within so many milliseconds");
+    }
+}
+
+void
+AprGateway_ObserveMs(AprGateway_t *gateway, int64_t took_ms)
+{
+    for (int i = 0; i < APR_DURATION_BUCKETS; i++) {
+        if (took_ms <= duration_bounds_ms[i]) {
+            AprMetric_Add(gateway->duration[i], 1);
+        }
+    }
+}
+
 /* Fills in the load of this host. */
 void
 AprGateway_Load(AprGateway_t *gateway, AprHostLoad_t *load)
@@ -185,6 +219,7 @@
         AprGateway_Free(gateway);
         return NULL;
     }
+    add_histogram(gateway);
     return gateway;
 }
 
--- a/src/gateway/ownership.c
+++ b/src/gateway/ownership.c
@@ -304,6 +304,17 @@
     }
 }
 
+/* The own service's key map, NULL when it is not known, and the time left
+   in which grants may be given. */
+const AprKeyMap_t *
+AprOwnership_Map(AprOwnership_t *ownership, int64_t *authority_ms)
+{
+    ServiceMap_t *entry = own_map(ownership);
+
+    *authority_ms = ownership->book.authority_until_ms - now_of(ownership);
+    return entry == NULL ? NULL : &entry->map;
+}
+
 /* Notes the demand for a key. */
 void
 AprOwnership_NoteRequest(AprOwnership_t *ownership, int key, double cost_ms)
--- /dev/null
+++ b/src/gateway/state_dump.c
@@ -0,0 +1,76 @@
+/* Dump of a process's state for operators. */
+
+#include <jansson.h>
+#include <string.h>
+
+#include "internal/gateway.h"
+
+static json_t *
+dump_members(AprGateway_t *gateway)
+{
+    int64_t now_ms = AprGateway_NowMs(gateway);
+    json_t *list = json_array();
+
+    for (int i = 0; i < AprMembers_Count(gateway->members); i++) {
+        const AprHost_t *host = AprMembers_At(gateway->members, i);
+
+        json_array_append_new(
+            list,
+            json_pack(
+                "{s:s,s:s,s:s,s:s,s:b,s:b,s:I,s:I,s:I}", "host", host->host,
+                "service", host->service, "domain", host->domain, "backend",
+                host->life.id, "open", host->open, "listed", host->listed,
+                "heard_age_ms",
+                (json_int_t)AprLinks_HeardAge(gateway->links, host->host),
+                "load_age_ms",
+                (json_int_t)(host->load_ms == 0 ? -1 : now_ms - host->load_ms),
+                "wait_ms", (json_int_t)host->load.wait_ms));
+    }
+    return list;
+}
+
+static json_t *
+dump_ranges(const AprKeyMap_t *map)
+{
+    json_t *list = json_array();
+
+    for (int i = 0; map != NULL && i < map->count; i++) {
+        const AprKeyRange_t *range = &map->ranges[i];
+
+        json_array_append_new(
+            list,
+            json_pack("{s:i,s:i,s:s,s:s,s:I,s:s}", "first", range->first,
+                      "last", range->last, "host", range->host, "backend",
+                      range->owner.id, "fence", (json_int_t)range->fence,
+                      "releasing", range->releasing_host));
+    }
+    return list;
+}
+
+/* The state of this process as JSON, allocated with malloc; NULL when memory
+   runs out. */
+char *
+AprGateway_State(AprGateway_t *gateway)
+{
+    AprHostLoad_t load;
+    int64_t authority_ms = 0;
+    const AprKeyMap_t *map =
+        AprOwnership_Map(gateway->ownership, &authority_ms);
+    json_t *root;
+    char *text;
+
+    AprGateway_Load(gateway, &load);
+    root = json_pack(
+        "{s:s,s:I,s:I,s:b,s:b,s:I,s:i,s:i,s:i,s:s,s:o,s:o}", "host",
+        gateway->settings.host, "config_version",
+        (json_int_t)(gateway->routes == NULL ? 0 : gateway->routes->version),
+        "revision", (json_int_t)load.revision, "ready",
+        AprGateway_IsReady(gateway), "store_lost", load.store_lost,
+        "authority_ms", (json_int_t)authority_ms, "running", load.running,
+        "queued", load.queued, "load_permille", load.load_permille, "backend",
+        AprBackend_Life(gateway->backend)->id, "members",
+        dump_members(gateway), "ranges", dump_ranges(map));
+    text = json_dumps(root, JSON_INDENT(1));
+    json_decref(root);
+    return text;
+}
--- a/src/state/key_plan.c
+++ b/src/state/key_plan.c
@@ -185,6 +185,9 @@
     for (int i = 0; i < count; i++) {
         near += candidates[i].load <= least + NEAR_LOAD;
     }
+    if (near == 0) {
+        return -1;
+    }
     near = (int)(hash % (uint32_t)near);
     for (int i = 0; i < count; i++) {
         if (candidates[i].load <= least + NEAR_LOAD && near-- == 0) {
--- a/tests/test_gateway_cell.c
+++ b/tests/test_gateway_cell.c
@@ -66,14 +66,12 @@
 static void
 test_lost_host_is_replaced(void **state)
 {
-    double waited;
+    double waited = 0;
 
     (void)state;
     open_with_keys();
-    cell_kill_gateway(&cell.hosts[2]);
     /* The backend server goes on with its grants. */
-    waited = cell_wait_held(&cell, 0.5);
-    waited = 0;
+    cell_kill_gateway(&cell.hosts[2]);
     while (waited < 20 && cell.hosts[2].held_until > ev_now(cell.loop)) {
         cell_run(&cell, 0.1);
         waited += 0.1;
