Count the time on the way; never call a sent request not run

Change: only a connection that was never established makes a call not run. A call carries the time of its sending; what it spent on the way beyond the fastest call of its link is taken off its deadline. A plan's demand is forgotten when the plan is in force, and plans of many hosts are spread. A backend server that answers nothing gets one request at a time.

--- a/internal/backend_conn.h
+++ b/internal/backend_conn.h
@@ -77,5 +77,6 @@
 /* Implemented by the backend; may free the connection. */
 void AprBackend_ConnDone(AprBackendConn_t *conn, AprConnOutcome_t outcome);
 void AprBackend_Dispatch(AprBackendCall_t *call);
+void AprBackend_NoteAnswer(AprBackend_t *backend);
 
 #endif
--- a/internal/link_frame.h
+++ b/internal/link_frame.h
@@ -72,8 +72,8 @@
     bool end;
     AprCallFailure_t failure; /* FAIL */
     size_t taken;             /* TAKEN */
-    int64_t sequence;         /* PING, PONG, FETCH, RENEW, RENEWED */
-    int64_t result; /* RENEWED: -1 if not renewed; HEARD: age, -1 if never */
+    int64_t sequence; /* PING, PONG, FETCH, RENEW, RENEWED; CALL: sent at */
+    int64_t result;   /* RENEWED: -1 if not renewed; HEARD: age, -1 if never */
     AprHostLoad_t load;                /* PING, PONG, ANSWER, FAIL */
     char service[APR_ROUTE_NAME_SIZE]; /* RELEASE */
     AprGrant_t grant;                  /* RELEASE */
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -30,6 +30,13 @@
 #define GONE_REFUSALS 3
 #define GONE_SPAN_MS 250
 
+/* A backend server that answered nothing for this time, and for this many
+   times the expected service time, although several requests run, gets one
+   request at a time until it answers again. */
+#define SILENT_MS 500
+#define SILENT_COSTS 5
+#define SILENT_RUNNING 2
+
 struct AprBackend_t {
     AprGateway_t *gateway;
     AprAdmission_t admission;
@@ -37,7 +44,9 @@
     bool leaving;
     int64_t leaving_since_ms;
     bool gone;
-    int refusals; /* in a row */
+    bool silent;
+    int64_t answered_ms; /* last byte of an answer */
+    int refusals;        /* in a row */
     int64_t refused_since_ms;
     uint64_t next_id;
     GHashTable *calls; /* by id */
@@ -156,6 +165,71 @@
     }
 }
 
+static AprBackendCall_t *
+find_call(AprBackend_t *backend, uint64_t work_id)
+{
+    gint64 id = (gint64)work_id;
+
+    return g_hash_table_lookup(backend->calls, &id);
+}
+
+/* Notes that the backend server answers. */
+void
+AprBackend_NoteAnswer(AprBackend_t *backend)
+{
+    backend->answered_ms = AprGateway_NowMs(backend->gateway);
+    if (backend->silent) {
+        backend->silent = false;
+        AprLog_Write(APR_LOG_INFO, "backend_answers", "id=%s",
+                     backend->life.id);
+    }
+}
+
+/* Refuses all that waits. */
+static void
+refuse_queue(AprBackend_t *backend)
+{
+    while (backend->admission.queue_count > 0) {
+        AprWork_t work = backend->admission.queue[0];
+        AprBackendCall_t *call = find_call(backend, work.id);
+        AprCallFailure_t failure = {
+            APR_CALL_NO_BACKEND, true,
+            (int64_t)(backend->gateway->settings.heartbeat_s * 500)};
+
+        AprAdmission_Remove(&backend->admission, work.id);
+        if (call != NULL) {
+            fail_call(call, &failure);
+        }
+    }
+}
+
+/* Notices a backend server that stopped to answer. */
+static void
+check_silence(AprBackend_t *backend, int64_t now_ms)
+{
+    const AprAdmission_t *admission = &backend->admission;
+    int64_t since_ms = backend->answered_ms;
+    int waiting = 0;
+
+    for (int i = 0; i < admission->running_count; i++) {
+        const AprRunning_t *running = &admission->running[i];
+        int64_t limit_ms = (int64_t)(SILENT_COSTS * running->cost_ms);
+
+        if (limit_ms < SILENT_MS) {
+            limit_ms = SILENT_MS;
+        }
+        waiting += now_ms - running->started_ms > limit_ms &&
+                   now_ms - since_ms > limit_ms;
+    }
+    if (!backend->silent && waiting >= SILENT_RUNNING) {
+        backend->silent = true;
+        AprLog_Write(APR_LOG_WARN, "backend_silent",
+                     "id=%s running=%d answer_age_ms=%lld", backend->life.id,
+                     admission->running_count, (long long)(now_ms - since_ms));
+        refuse_queue(backend);
+    }
+}
+
 /* Handles the end of a connection's current call or of the connection. */
 void
 AprBackend_ConnDone(AprBackendConn_t *conn, AprConnOutcome_t outcome)
@@ -250,14 +324,6 @@
     AprBackendConn_Send(conn, call, backend->life.id, now_ms);
 }
 
-static AprBackendCall_t *
-find_call(AprBackend_t *backend, uint64_t work_id)
-{
-    gint64 id = (gint64)work_id;
-
-    return g_hash_table_lookup(backend->calls, &id);
-}
-
 static void
 refuse_hopeless(AprBackend_t *backend, int64_t now_ms)
 {
@@ -288,6 +354,10 @@
         failure->error = APR_CALL_LEAVING;
         return false;
     }
+    if (backend->silent && backend->admission.running_count > 1) {
+        failure->error = APR_CALL_NO_BACKEND;
+        return false;
+    }
     if (call->head.key == APR_NO_KEY) {
         return true;
     }
@@ -424,7 +494,8 @@
     failure->not_run = true;
     failure->retry_after_ms =
         (int64_t)(backend->gateway->settings.heartbeat_s * 500);
-    if (backend->life.id[0] == '\0' || backend->gone) {
+    if (backend->life.id[0] == '\0' || backend->gone ||
+        (backend->silent && AprBackend_Busy(backend) > 0)) {
         failure->error = APR_CALL_NO_BACKEND;
         return false;
     }
@@ -541,6 +612,7 @@
                      backend->life.id);
         backend->life = beat->life;
         backend->leaving = false;
+        backend->silent = false;
     }
     backend->gone = false;
     backend->refusals = 0;
@@ -608,8 +680,8 @@
     load->wait_ms = AprAdmission_WaitMs(&backend->admission, 0,
                                         AprGateway_NowMs(backend->gateway));
     load->load_permille = (int)(AprBackend_Demand(backend) * 1000);
-    load->open =
-        AprBackend_IsOpen(backend) && !backend->leaving && !backend->gone;
+    load->open = AprBackend_IsOpen(backend) && !backend->leaving &&
+                 !backend->gone && !backend->silent;
 }
 
 /* Whether the backend server did not answer a call by its deadline. */
@@ -650,6 +722,7 @@
         }
         conn = next;
     }
+    check_silence(backend, now_ms);
     pump(backend);
 }
 
--- a/src/gateway/backend_conn.c
+++ b/src/gateway/backend_conn.c
@@ -84,6 +84,7 @@
         return 0;
     }
     conn->answered = true;
+    AprBackend_NoteAnswer(conn->backend);
     conn->keep = head->keep_alive && conn->request_sent;
     keep_ms = keep_alive_ms(head);
     if (keep_ms >= 0) {
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -70,6 +70,8 @@
     int64_t pinged_ms;
     int64_t failed_ms; /* 0: the last try did not fail */
     gint next_stream;
+    bool has_skew;
+    int64_t skew_ms;       /* least difference of the clocks, with the way */
     int64_t subscribed_ms; /* last request for items; 0: none */
     int64_t sent_revision; /* up to which items were sent */
     GHashTable *calls;     /* by stream: OutCall_t, or InCall_t if inbound */
@@ -248,12 +250,31 @@
     return link->inbound ? g_hash_table_lookup(link->calls, &stream) : NULL;
 }
 
+/* Spans left in a call count from its sending. What it spent in queues on the
+   way, beyond the fastest frame of this link, is taken off. */
+static void
+take_off_delay(Link_t *link, AprLinkFrame_t *frame)
+{
+    int64_t skew_ms = now_of(link->links) - frame->sequence;
+    int64_t delay_ms;
+
+    if (!link->has_skew || skew_ms < link->skew_ms) {
+        link->has_skew = true;
+        link->skew_ms = skew_ms;
+    }
+    delay_ms = skew_ms - link->skew_ms;
+    frame->call.arrived_ms -= delay_ms;
+    frame->call.objective_ms -= delay_ms;
+    frame->call.deadline_ms -= delay_ms;
+}
+
 static void
 take_call(Link_t *link, AprLinkFrame_t *frame)
 {
     AprCallFailure_t failure = {APR_CALL_FULL, true, 0};
     InCall_t *call;
 
+    take_off_delay(link, frame);
     if (link->links->gateway->stop_step >= APR_STOP_PEERS) {
         failure.error = APR_CALL_LEAVING;
         failure.retry_after_ms = RESTART_MS;
@@ -607,7 +628,6 @@
 {
     Link_t *link = context;
 
-    link->stream = NULL;
     link_fail(link, error == 0 ? "closed" : strerror(error));
 }
 
@@ -641,8 +661,9 @@
 static void
 fail_outbound(Link_t *link, const char *reason)
 {
-    bool connecting = link->stream != NULL ? AprStream_Connecting(link->stream)
-                                           : !link->established;
+    /* Once the connection stands, the other side may have got any call. */
+    bool connecting =
+        link->stream != NULL && AprStream_Connecting(link->stream);
     AprCallFailure_t failure = {
         connecting ? APR_CALL_UNREACHABLE : APR_CALL_BROKEN, connecting, 0};
     GHashTableIter calls;
--- a/src/gateway/ownership.c
+++ b/src/gateway/ownership.c
@@ -43,6 +43,9 @@
    loads settle. */
 #define REBALANCE_PAUSE_MS 1200
 
+/* Added for each other host, at random, since all of them change one map. */
+#define REBALANCE_SPREAD_MS 40
+
 /* Demand by key fades by this factor with each tick of a second. */
 #define DEMAND_DECAY 0.75
 #define DEMAND_TICK_MS 1000
@@ -97,7 +100,9 @@
     AprKvCondition_t conditions[MAX_CONDITIONS]; /* besides the revision */
     char condition_keys[MAX_CONDITIONS][KEY_SIZE];
     int condition_count;
-    int64_t rebalanced_ms;
+    int64_t rebalance_ms;          /* no plan before */
+    AprKeyDemand_t planned_demand; /* once the plan is in force */
+    double planned_share;          /* of the demand that stays; 0: no plan */
     int64_t asked_ms;
     int candidate_count;
     int64_t candidates_ms; /* last change of their number */
@@ -400,12 +405,18 @@
 
         ownership->has_proposal = false;
         adopt_map(ownership, entry, &map, result->revision);
+        if (ownership->planned_share > 0) {
+            ownership->demand = ownership->planned_demand;
+            AprBackend_ScaleDemand(ownership->gateway->backend,
+                                   ownership->planned_share);
+        }
     }
     else if ((result->code != APR_E_UNKNOWN && result->code != APR_E_PARSE) ||
              (entry != NULL &&
               entry->revision > ownership->proposal_revision)) {
         drop_proposal(ownership);
     }
+    ownership->planned_share = 0;
     AprRemovalQueue_ChangeDone(&ownership->removals, result->code == APR_OK);
     flush_reply(ownership);
 }
@@ -590,21 +601,25 @@
     int moves;
 
     if (entry == NULL || own_keys(ownership) == 0 ||
-        now_of(ownership) - ownership->rebalanced_ms < REBALANCE_PAUSE_MS ||
+        now_of(ownership) < ownership->rebalance_ms ||
         AprKeyMap_Copy(&map, &entry->map) != APR_OK) {
         return false;
     }
     count = list_candidates(ownership, own_host(ownership), candidates,
                             MAX_CANDIDATES);
     AprBackend_Load(gateway->backend, &load);
-    moves = AprKeyPlan_Rebalance(&map, own_host(ownership), &after, load.slots,
-                                 &ownership->demand, candidates, count);
+    ownership->planned_demand = ownership->demand;
+    moves =
+        AprKeyPlan_Rebalance(&map, own_host(ownership), &after, load.slots,
+                             &ownership->planned_demand, candidates, count);
     if (moves == 0) {
         AprKeyMap_Free(&map);
         return false;
     }
-    ownership->rebalanced_ms = now_of(ownership);
-    AprBackend_ScaleDemand(gateway->backend, after / before);
+    ownership->rebalance_ms =
+        now_of(ownership) + REBALANCE_PAUSE_MS +
+        g_random_int_range(0, 1 + REBALANCE_SPREAD_MS * count);
+    ownership->planned_share = after / before;
     AprLog_Write(APR_LOG_INFO, "rebalance",
                  "moves=%d load_before=%.2f load_after=%.2f", moves, before,
                  after);
--- a/src/protocol/link_frame.c
+++ b/src/protocol/link_frame.c
@@ -49,7 +49,7 @@
     msgpack_pack_int64(packer, load->revision);
 }
 
-#define CALL_FIELDS 19
+#define CALL_FIELDS 20
 
 /* Points in time become spans, since the clocks of two hosts differ. */
 static void
@@ -89,6 +89,7 @@
         msgpack_pack_array(packer, 2 + CALL_FIELDS);
         msgpack_pack_int(packer, frame->type);
         msgpack_pack_uint32(packer, frame->stream);
+        msgpack_pack_int64(packer, now_ms);
         pack_call(packer, &frame->call, now_ms);
         pack_bytes(packer, frame->data, frame->data_size);
         pack_flag(packer, frame->end);
@@ -370,6 +371,7 @@
         break;
     case APR_LINK_CALL:
         frame->stream = (uint32_t)take_int(reader);
+        frame->sequence = take_int(reader);
         take_call(reader, zone, &frame->call, now_ms);
         take_bytes(reader, &frame->data, &frame->data_size);
         frame->end = take_flag(reader);
--- a/tests/gateway_cell.h
+++ b/tests/gateway_cell.h
@@ -61,6 +61,7 @@
     AprBackendLife_t life;
     int64_t sequence;
     bool leaving;
+    bool dark; /* answers nothing */
     AprGrant_t held[CELL_MAX_GRANTS];
     int held_count;
     double held_until;
@@ -68,6 +69,7 @@
     int released_count;
     ev_timer beat;
     int runs;
+    int generation; /* rises when the gateway is killed */
 };
 
 struct Cell_t {
@@ -88,6 +90,8 @@
 /* A call of the store that answers a moment later. */
 typedef struct CellCall_t {
     CellStore_t *store;
+    const CellHost_t *host;
+    int generation; /* of the host's gateway */
     ev_timer timer;
     AprKvDone_t done;
     void *context;
@@ -129,6 +133,10 @@
     AprKvItem_t items[CELL_MAX_ITEMS];
 
     (void)events;
+    if (call->generation != call->host->generation) {
+        free(call);
+        return;
+    }
     if (call->store->down) {
         call->result.code = APR_E_UNKNOWN;
     }
@@ -148,11 +156,14 @@
 }
 
 static CellCall_t *
-cell_call(CellStore_t *store, AprKvDone_t done, void *context)
+cell_call(CellHost_t *host, AprKvDone_t done, void *context)
 {
+    CellStore_t *store = &host->cell->store;
     CellCall_t *call = calloc(1, sizeof(*call));
 
     call->store = store;
+    call->host = host;
+    call->generation = host->generation;
     call->done = done;
     call->context = context;
     ev_timer_init(&call->timer, cell_on_call, store->down ? 0.5 : 0.003, 0.0);
@@ -169,6 +180,10 @@
 
     (void)loop;
     (void)events;
+    if (call->generation != call->host->generation) {
+        free(call);
+        return;
+    }
     call->result.code = call->store->down ? APR_E_UNKNOWN : APR_OK;
     call->result.items = items;
     call->result.item_count =
@@ -193,8 +208,8 @@
 cell_watch(void *service, const char *prefix, int64_t after, int64_t wait_ms,
            AprKvDone_t done, void *context)
 {
-    CellStore_t *store = service;
-    CellCall_t *call = cell_call(store, done, context);
+    CellStore_t *store = &((CellHost_t *)service)->cell->store;
+    CellCall_t *call = cell_call(service, done, context);
 
     call->is_watch = true;
     call->after = after;
@@ -259,8 +274,8 @@
 cell_change(void *service, const AprKvChange_t *change, AprKvDone_t done,
             void *context)
 {
-    CellStore_t *store = service;
-    CellCall_t *call = cell_call(store, done, context);
+    CellStore_t *store = &((CellHost_t *)service)->cell->store;
+    CellCall_t *call = cell_call(service, done, context);
 
     if (store->down) {
         return;
@@ -290,8 +305,8 @@
 static void
 cell_lease(void *service, int64_t ttl_ms, AprKvDone_t done, void *context)
 {
-    CellStore_t *store = service;
-    CellCall_t *call = cell_call(store, done, context);
+    CellStore_t *store = &((CellHost_t *)service)->cell->store;
+    CellCall_t *call = cell_call(service, done, context);
     CellLease_t *lease;
 
     if (store->down) {
@@ -307,8 +322,8 @@
 static void
 cell_renew(void *service, int64_t id, AprKvDone_t done, void *context)
 {
-    CellStore_t *store = service;
-    CellCall_t *call = cell_call(store, done, context);
+    CellStore_t *store = &((CellHost_t *)service)->cell->store;
+    CellCall_t *call = cell_call(service, done, context);
     CellLease_t *lease = cell_lease_of(store, id);
 
     if (lease == NULL) {
@@ -332,8 +347,8 @@
 static void
 cell_end_lease(void *service, int64_t id, AprKvDone_t done, void *context)
 {
-    CellStore_t *store = service;
-    CellCall_t *call = cell_call(store, done, context);
+    CellStore_t *store = &((CellHost_t *)service)->cell->store;
+    CellCall_t *call = cell_call(service, done, context);
     CellLease_t *lease = cell_lease_of(store, id);
 
     if (lease == NULL) {
@@ -514,14 +529,18 @@
            const char *path, const char *body, size_t size)
 {
     CellHost_t *host = context;
-    CellRun_t *run = calloc(1, sizeof(*run));
+    CellRun_t *run;
     int key = atoi(path + strlen("/k/"));
 
     (void)method;
     (void)body;
     (void)size;
     host->runs++;
+    if (host->dark) {
+        return;
+    }
     host->cell->unowned_runs += cell_host_holds(host, key) ? 0 : 1;
+    run = calloc(1, sizeof(*run));
     run->call = call;
     ev_timer_init(&run->timer, cell_on_run_end, CELL_WORK_S, 0.0);
     run->timer.data = run;
@@ -653,6 +672,7 @@
     AprEntry_Free(host->gateway->entry);
     AprLinks_Free(host->gateway->links);
     host->gateway = NULL;
+    host->generation++;
 }
 
 static void
@@ -693,8 +713,8 @@
     cell_put(&cell->store, "config", "1", 0);
     for (int i = 0; i < CELL_HOSTS; i++) {
         CellHost_t *host = &cell->hosts[i];
-        AprKv_t kv = {&cell->store, cell_range, cell_watch,    cell_change,
-                      cell_lease,   cell_renew, cell_end_lease};
+        AprKv_t kv = {host,       cell_range, cell_watch,    cell_change,
+                      cell_lease, cell_renew, cell_end_lease};
 
         host->cell = cell;
         host->index = i;
--- a/tests/test_gateway_cell.c
+++ b/tests/test_gateway_cell.c
@@ -2,6 +2,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <cmocka.h>
@@ -160,6 +161,93 @@
     cell_close(&cell);
 }
 
+/* Guards against requests that wait until their deadline at a backend server
+   that answers nothing any more. */
+static void
+test_silent_backend_is_spared(void **state)
+{
+    int first;
+
+    (void)state;
+    open_with_keys();
+    cell_run_load(&cell, 0.5, "POST");
+    first = cell.hosts[2].held[0].first;
+    cell.hosts[2].dark = true;
+    for (int i = 0; i < 100; i++) {
+        cell_send(&cell, i % CELL_HOSTS, first, "POST");
+        cell_run(&cell, 0.02);
+    }
+    cell_run(&cell, 1.5);
+    print_message("failed %d, refused %d, runs %d\n", cell.failed,
+                  cell.refused, cell.hosts[2].runs);
+    /* One filling of the slots, and a probe now and then. */
+    assert_true(cell.failed <= 2 * 4);
+    assert_true(cell.refused >= 90);
+    cell.hosts[2].dark = false;
+    cell_run(&cell, 1.5);
+    cell.answered = 0;
+    cell.sent = 0;
+    cell_run_load(&cell, 1.0, "GET");
+    cell_run(&cell, 0.5);
+    assert_true(cell.answered * 100 >= cell.sent * 90);
+    cell_close(&cell);
+}
+
+/* Number of requests in what arrived on a listening socket. */
+static int
+count_delivered(int fd)
+{
+    static char bytes[1 << 20];
+    int delivered = 0;
+    int peer;
+
+    while ((peer = accept4(fd, NULL, NULL, SOCK_NONBLOCK)) >= 0) {
+        ssize_t size = recv(peer, bytes, sizeof(bytes), 0);
+        char *end = bytes + (size > 0 ? size : 0);
+
+        for (char *at = bytes; at < end;) {
+            at = memmem(at, (size_t)(end - at), "Attempt: ", 9);
+            if (at == NULL) {
+                break;
+            }
+            delivered++;
+            at++;
+        }
+        close(peer);
+    }
+    return delivered;
+}
+
+/* Guards against a non-idempotent request that is answered as not run
+   although it was sent: its link stood, but nothing had come back on it. */
+static void
+test_sent_request_is_not_refused(void **state)
+{
+    int delivered;
+    int key;
+    int fd;
+
+    (void)state;
+    open_with_keys();
+    key = cell.hosts[2].held[0].first;
+    cell_kill_gateway(&cell.hosts[2]);
+    fd = AprStream_Listen(cell.hosts[2].settings.listen_peers);
+    assert_true(fd >= 0);
+    cell.sent = 0;
+    for (int i = 0; i < 20; i++) {
+        cell_send(&cell, 0, key, "POST");
+        cell_run(&cell, 0.03);
+    }
+    delivered = count_delivered(fd);
+    close(fd);
+    cell_run(&cell, 2.0);
+    print_message("delivered %d, refused %d of %d\n", delivered, cell.refused,
+                  cell.sent);
+    assert_true(delivered > 0);
+    assert_true(cell.refused + delivered <= cell.sent);
+    cell_close(&cell);
+}
+
 int
 main(void)
 {
@@ -171,6 +259,8 @@
         cmocka_unit_test(test_store_outage_costs_nothing),
         cmocka_unit_test(test_leaving_backend_hands_over),
         cmocka_unit_test(test_stop_cuts_nothing),
+        cmocka_unit_test(test_silent_backend_is_spared),
+        cmocka_unit_test(test_sent_request_is_not_refused),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
