--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -82,6 +82,8 @@
     AprRetryBudget_t retries;
     AprStopStep_t stop_step;
     int64_t stopping_since_ms;
+    int64_t ticked_ms; /* last tick */
+    int64_t lagged_ms; /* last tick that came late */
     ev_timer tick;
     ev_timer work; /* fed when calls wait to be started */
     ev_timer stop_timer;
--- a/internal/stream.h
+++ b/internal/stream.h
@@ -41,6 +41,7 @@
     ev_prepare flush;
     AprStream_t *dirty;
     AprStream_t *closed;
+    bool lagging; /* the process is behind: what it reads may be old */
 } AprStreamSet_t;
 
 void AprStreamSet_Init(AprStreamSet_t *set, struct ev_loop *loop);
@@ -55,6 +56,9 @@
 size_t AprStream_Pending(const AprStream_t *stream);
 bool AprStream_Connecting(const AprStream_t *stream);
 void AprStream_ReadPause(AprStream_t *stream, bool pause);
+/* Bytes whose sender has closed already are dropped while the process is
+   behind, as nobody waits for what they ask. */
+void AprStream_DropAbandoned(AprStream_t *stream);
 void AprStream_Close(AprStream_t *stream);
 void AprStream_Abort(AprStream_t *stream);
 void AprStream_CloseAfterFlush(AprStream_t *stream);
--- a/src/gateway/entry.c
+++ b/src/gateway/entry.c
@@ -321,6 +321,7 @@
         free(caller);
         return;
     }
+    AprStream_DropAbandoned(caller->stream);
     caller->idle_since_ms = AprGateway_NowMs(entry->gateway);
     caller->heard_ms = caller->idle_since_ms;
     caller->next = entry->callers;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -11,6 +11,11 @@
 /* Timers of all parts are checked this often. */
 #define TICK_S 0.05
 
+/* A process whose ticks come this late is behind, and counts so for a
+   while. */
+#define LAG_MS 30
+#define LAG_MEMORY_MS 1000
+
 /* After the stop signal, callers are sent away for at least this time before
    the process may end; they ask for readiness once a second. */
 #define STOP_MIN_MS 2600
@@ -102,6 +107,21 @@
            AprReplica_IsLoaded(gateway->replica);
 }
 
+/* Notices that the process does not keep up, by the time between ticks. */
+static void
+note_lag(AprGateway_t *gateway)
+{
+    int64_t now_ms = AprGateway_NowMs(gateway);
+
+    if (gateway->ticked_ms != 0 &&
+        now_ms - gateway->ticked_ms > (int64_t)(TICK_S * 1000) + LAG_MS) {
+        gateway->lagged_ms = now_ms;
+    }
+    gateway->ticked_ms = now_ms;
+    gateway->streams->lagging =
+        gateway->lagged_ms != 0 && now_ms - gateway->lagged_ms < LAG_MEMORY_MS;
+}
+
 static void
 on_tick(struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -109,6 +129,7 @@
 
     (void)loop;
     (void)events;
+    note_lag(gateway);
     AprReplica_Tick(gateway->replica);
     AprLinks_Tick(gateway->links);
     AprOwnership_Tick(gateway->ownership);
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -11,8 +11,7 @@
 
 #include "apricot/error.h"
 #include "apricot/log.h"
-#include "internal/gateway.h"
-#include "internal/link_frame.h"
+#include "internal/link.h"
 
 /* A link with calls in flight is probed when nothing arrived for this time,
    ... */
@@ -34,50 +33,10 @@
 /* Hosts that asked for items get the news for this time. */
 #define SUBSCRIPTION_MS 3000
 
-/* A process that stops is usually there again after this time. */
-#define RESTART_MS 1500
-
 /* A released range is announced this often, since the first frames may be
    lost with their link. */
 #define RELEASE_REPEATS 6
 
-typedef struct Link_t Link_t;
-
-/* A call of this host at another one. */
-typedef struct OutCall_t {
-    Link_t *link;
-    gint stream;
-    AprCallSink_t sink;
-    void *context;
-} OutCall_t;
-
-/* A call of another host at the backend server here. */
-typedef struct InCall_t {
-    Link_t *link;
-    gint stream;
-    AprCallRef_t ref;
-} InCall_t;
-
-struct Link_t {
-    AprLinks_t *links;
-    bool inbound;
-    char host[APR_NAME_SIZE];
-    AprStream_t *stream; /* NULL: not connected */
-    AprBuffer_t in;
-    bool established; /* bytes arrived from the other side */
-    int64_t opened_ms;
-    int64_t heard_ms;
-    int64_t pinged_ms;
-    int64_t failed_ms; /* 0: the last try did not fail */
-    gint next_stream;
-    bool has_skew;
-    int64_t skew_ms;       /* least difference of the clocks, with the way */
-    int64_t subscribed_ms; /* last request for items; 0: none */
-    int64_t sent_revision; /* up to which items were sent */
-    GHashTable *calls;     /* by stream: OutCall_t, or InCall_t if inbound */
-    Link_t *next;
-};
-
 typedef struct Release_t {
     char host[APR_NAME_SIZE];
     char service[APR_ROUTE_NAME_SIZE];
@@ -88,9 +47,10 @@
 
 struct AprLinks_t {
     AprGateway_t *gateway;
-    Link_t *outbound;
-    Link_t *inbound;
-    Link_t *dead; /* freed with the next tick, when nothing refers to them */
+    AprLink_t *outbound;
+    AprLink_t *inbound;
+    AprLink_t
+        *dead; /* freed with the next tick, when nothing refers to them */
     Release_t *releases;
     ev_io listener;
     int listen_fd;
@@ -98,7 +58,7 @@
     msgpack_zone zone;
 };
 
-static void link_fail(Link_t *link, const char *reason);
+static void link_fail(AprLink_t *link, const char *reason);
 
 static int64_t
 now_of(const AprLinks_t *links)
@@ -124,339 +84,25 @@
     return links;
 }
 
-static void
-send_frame(Link_t *link, const AprLinkFrame_t *frame)
+/* Sends a frame, unless the link is down. */
+void
+AprLink_Send(AprLink_t *link, const AprLinkFrame_t *frame)
 {
     if (link->stream != NULL) {
-        AprLinkFrame_Write(link->stream, frame, now_of(link->links));
+        AprLinkFrame_Write(link->stream, frame,
+                           AprGateway_NowMs(link->gateway));
     }
 }
 
 static void
-send_load(Link_t *link, AprLinkType_t type, int64_t sequence)
+send_load(AprLink_t *link, AprLinkType_t type, int64_t sequence)
 {
     AprLinkFrame_t frame = {0};
 
     frame.type = type;
     frame.sequence = sequence;
     AprGateway_Load(link->links->gateway, &frame.load);
-    send_frame(link, &frame);
-}
-
-/* Calls of other hosts. */
-
-static void
-remove_in_call(InCall_t *call)
-{
-    g_hash_table_remove(call->link->calls, &call->stream);
-}
-
-static void
-in_answer(void *context, const AprAnswerHead_t *head)
-{
-    InCall_t *call = context;
-    AprLinkFrame_t frame = {0};
-
-    frame.type = APR_LINK_ANSWER;
-    frame.stream = (uint32_t)call->stream;
-    frame.answer = *head;
-    AprGateway_Load(call->link->links->gateway, &frame.load);
-    send_frame(call->link, &frame);
-}
-
-static void
-send_data(Link_t *link, uint32_t stream, const char *data, size_t size,
-          bool end)
-{
-    AprLinkFrame_t frame = {0};
-
-    frame.type = APR_LINK_DATA;
-    frame.stream = stream;
-    do {
-        size_t part = size < APR_LINK_MAX_DATA ? size : APR_LINK_MAX_DATA;
-
-        frame.data = data;
-        frame.data_size = part;
-        frame.end = end && part == size;
-        send_frame(link, &frame);
-        data += part;
-        size -= part;
-    } while (size > 0);
-}
-
-static void
-in_data(void *context, const char *data, size_t size)
-{
-    InCall_t *call = context;
-
-    send_data(call->link, (uint32_t)call->stream, data, size, false);
-}
-
-static void
-in_end(void *context)
-{
-    InCall_t *call = context;
-
-    send_data(call->link, (uint32_t)call->stream, "", 0, true);
-    remove_in_call(call);
-}
-
-static void
-send_failure(Link_t *link, uint32_t stream, const AprCallFailure_t *failure)
-{
-    AprLinkFrame_t frame = {0};
-
-    frame.type = APR_LINK_FAIL;
-    frame.stream = stream;
-    frame.failure = *failure;
-    AprGateway_Load(link->links->gateway, &frame.load);
-    send_frame(link, &frame);
-}
-
-static void
-in_fail(void *context, const AprCallFailure_t *failure)
-{
-    InCall_t *call = context;
-
-    send_failure(call->link, (uint32_t)call->stream, failure);
-    remove_in_call(call);
-}
-
-static void
-send_taken(Link_t *link, uint32_t stream, size_t size)
-{
-    AprLinkFrame_t frame = {0};
-
-    frame.type = APR_LINK_TAKEN;
-    frame.stream = stream;
-    frame.taken = size;
-    send_frame(link, &frame);
-}
-
-static void
-in_taken(void *context, size_t size)
-{
-    InCall_t *call = context;
-
-    send_taken(call->link, (uint32_t)call->stream, size);
-}
-
-static const AprCallSink_t in_sink = {in_answer, in_data, in_end, in_fail,
-                                      in_taken};
-
-static InCall_t *
-find_in_call(Link_t *link, uint32_t stream)
-{
-    return link->inbound ? g_hash_table_lookup(link->calls, &stream) : NULL;
-}
-
-/* Spans left in a call count from its sending. What it spent in queues on the
-   way, beyond the fastest frame of this link, is taken off. */
-static void
-take_off_delay(Link_t *link, AprLinkFrame_t *frame)
-{
-    int64_t skew_ms = now_of(link->links) - frame->sequence;
-    int64_t delay_ms;
-
-    if (!link->has_skew || skew_ms < link->skew_ms) {
-        link->has_skew = true;
-        link->skew_ms = skew_ms;
-    }
-    delay_ms = skew_ms - link->skew_ms;
-    frame->call.arrived_ms -= delay_ms;
-    frame->call.objective_ms -= delay_ms;
-    frame->call.deadline_ms -= delay_ms;
-}
-
-static void
-take_call(Link_t *link, AprLinkFrame_t *frame)
-{
-    AprCallFailure_t failure = {APR_CALL_FULL, true, 0};
-    InCall_t *call;
-
-    take_off_delay(link, frame);
-    if (link->links->gateway->stop_step >= APR_STOP_PEERS) {
-        failure.error = APR_CALL_LEAVING;
-        failure.retry_after_ms = RESTART_MS;
-        send_failure(link, frame->stream, &failure);
-        return;
-    }
-    call = calloc(1, sizeof(*call));
-    if (call != NULL) {
-        call->link = link;
-        call->stream = (gint)frame->stream;
-        g_hash_table_replace(link->calls, &call->stream, call);
-        if (AprBackend_Submit(link->links->gateway->backend, &frame->call,
-                              frame->data, frame->data_size, frame->end,
-                              &in_sink, call, &call->ref, &failure)) {
-            return;
-        }
-        remove_in_call(call);
-    }
-    send_failure(link, frame->stream, &failure);
-}
-
-static void
-cancel_in_calls(Link_t *link)
-{
-    GHashTableIter calls;
-    gpointer value;
-
-    g_hash_table_iter_init(&calls, link->calls);
-    while (g_hash_table_iter_next(&calls, NULL, &value)) {
-        AprCallRef_t ref = ((InCall_t *)value)->ref;
-
-        /* A free slot may end others on this link. */
-        g_hash_table_iter_remove(&calls);
-        ref.ops->cancel(ref.call);
-        g_hash_table_iter_init(&calls, link->calls);
-    }
-}
-
-/* Calls of this host. */
-
-static OutCall_t *
-find_out_call(Link_t *link, uint32_t stream)
-{
-    return link->inbound ? NULL : g_hash_table_lookup(link->calls, &stream);
-}
-
-static void
-remove_out_call(OutCall_t *call)
-{
-    g_hash_table_remove(call->link->calls, &call->stream);
-}
-
-static void
-end_out_call(OutCall_t *call)
-{
-    AprCallSink_t sink = call->sink;
-    void *context = call->context;
-
-    remove_out_call(call);
-    sink.end(context);
-}
-
-static void
-fail_out_call(OutCall_t *call, const AprCallFailure_t *failure)
-{
-    AprCallSink_t sink = call->sink;
-    void *context = call->context;
-
-    remove_out_call(call);
-    sink.fail(context, failure);
-}
-
-static void
-out_body(void *context, const char *data, size_t size, bool end)
-{
-    OutCall_t *call = context;
-
-    send_data(call->link, (uint32_t)call->stream, data, size, end);
-}
-
-static void
-out_taken(void *context, size_t size)
-{
-    OutCall_t *call = context;
-
-    send_taken(call->link, (uint32_t)call->stream, size);
-}
-
-static void
-out_cancel(void *context)
-{
-    OutCall_t *call = context;
-    AprLinkFrame_t frame = {0};
-
-    frame.type = APR_LINK_CANCEL;
-    frame.stream = (uint32_t)call->stream;
-    send_frame(call->link, &frame);
-    remove_out_call(call);
-}
-
-static const AprCallOps_t out_ops = {out_body, out_taken, out_cancel};
-
-static void
-take_answer(Link_t *link, const AprLinkFrame_t *frame)
-{
-    OutCall_t *call = find_out_call(link, frame->stream);
-
-    AprMembers_NoteLoad(link->links->gateway->members, link->host,
-                        &frame->load);
-    if (call == NULL) {
-        return;
-    }
-    call->sink.answer(call->context, &frame->answer);
-}
-
-/* Data goes to a call of this host on its own link, and else to the body of
-   a call of the other host. */
-static void
-take_data(Link_t *link, const AprLinkFrame_t *frame)
-{
-    if (link->inbound) {
-        InCall_t *call = find_in_call(link, frame->stream);
-
-        if (call != NULL) {
-            call->ref.ops->body(call->ref.call, frame->data, frame->data_size,
-                                frame->end);
-        }
-        return;
-    }
-    OutCall_t *call = find_out_call(link, frame->stream);
-
-    if (call == NULL) {
-        return;
-    }
-    if (frame->data_size > 0) {
-        call->sink.data(call->context, frame->data, frame->data_size);
-        call = find_out_call(link, frame->stream);
-    }
-    if (frame->end && call != NULL) {
-        end_out_call(call);
-    }
-}
-
-static void
-take_taken(Link_t *link, const AprLinkFrame_t *frame)
-{
-    if (link->inbound) {
-        InCall_t *call = find_in_call(link, frame->stream);
-
-        if (call != NULL) {
-            call->ref.ops->taken(call->ref.call, frame->taken);
-        }
-        return;
-    }
-    OutCall_t *call = find_out_call(link, frame->stream);
-
-    if (call != NULL) {
-        call->sink.taken(call->context, frame->taken);
-    }
-}
-
-static void
-take_cancel(Link_t *link, const AprLinkFrame_t *frame)
-{
-    InCall_t *call = find_in_call(link, frame->stream);
-
-    if (call != NULL) {
-        call->ref.ops->cancel(call->ref.call);
-        remove_in_call(call);
-    }
-}
-
-static void
-take_failure(Link_t *link, const AprLinkFrame_t *frame)
-{
-    OutCall_t *call = find_out_call(link, frame->stream);
-
-    AprMembers_NoteLoad(link->links->gateway->members, link->host,
-                        &frame->load);
-    if (call != NULL) {
-        fail_out_call(call, &frame->failure);
-    }
+    AprLink_Send(link, &frame);
 }
 
 static void
@@ -466,11 +112,11 @@
 
     frame.type = APR_LINK_ITEM;
     frame.item = *item;
-    send_frame(context, &frame);
+    AprLink_Send(context, &frame);
 }
 
 static void
-push_items(Link_t *link)
+push_items(AprLink_t *link)
 {
     AprReplica_t *replica = link->links->gateway->replica;
 
@@ -479,18 +125,18 @@
 }
 
 static void
-answer_ask(Link_t *link, const char *about)
+answer_ask(AprLink_t *link, const char *about)
 {
     AprLinkFrame_t frame = {0};
 
     frame.type = APR_LINK_HEARD;
     g_strlcpy(frame.host, about, sizeof(frame.host));
     frame.result = AprLinks_HeardAge(link->links, about);
-    send_frame(link, &frame);
+    AprLink_Send(link, &frame);
 }
 
 static void
-take_frame(Link_t *link, AprLinkFrame_t *frame)
+take_frame(AprLink_t *link, AprLinkFrame_t *frame)
 {
     AprGateway_t *gateway = link->links->gateway;
 
@@ -499,22 +145,12 @@
         g_strlcpy(link->host, frame->host, sizeof(link->host));
         break;
     case APR_LINK_CALL:
-        take_call(link, frame);
-        break;
     case APR_LINK_ANSWER:
-        take_answer(link, frame);
-        break;
     case APR_LINK_DATA:
-        take_data(link, frame);
-        break;
     case APR_LINK_CANCEL:
-        take_cancel(link, frame);
-        break;
     case APR_LINK_FAIL:
-        take_failure(link, frame);
-        break;
     case APR_LINK_TAKEN:
-        take_taken(link, frame);
+        AprLinkCalls_Take(link, frame);
         break;
     case APR_LINK_PING:
         AprMembers_NoteLoad(gateway->members, link->host, &frame->load);
@@ -551,21 +187,15 @@
 }
 
 static void
-free_link(Link_t *link)
+free_link(AprLink_t *link)
 {
     AprBuffer_Free(&link->in);
     g_hash_table_destroy(link->calls);
     free(link);
 }
 
-static GHashTable *
-new_call_table(void)
-{
-    return g_hash_table_new_full(g_int_hash, g_int_equal, NULL, free);
-}
-
 static void
-unlink_link(Link_t **list, Link_t *link)
+unlink_link(AprLink_t **list, AprLink_t *link)
 {
     while (*list != link) {
         list = &(*list)->next;
@@ -574,7 +204,7 @@
 }
 
 static void
-read_frames(Link_t *link)
+read_frames(AprLink_t *link)
 {
     AprLinks_t *links = link->links;
     int64_t now_ms = now_of(links);
@@ -612,7 +242,7 @@
 static void
 on_data(void *context, const char *data, size_t size)
 {
-    Link_t *link = context;
+    AprLink_t *link = context;
 
     link->heard_ms = now_of(link->links);
     link->established = true;
@@ -626,7 +256,7 @@
 static void
 on_close(void *context, int error)
 {
-    Link_t *link = context;
+    AprLink_t *link = context;
 
     link_fail(link, error == 0 ? "closed" : strerror(error));
 }
@@ -634,7 +264,7 @@
 static const AprStreamHandler_t stream_handler = {on_data, on_close, NULL};
 
 static void
-close_stream(Link_t *link, const char *reason)
+close_stream(AprLink_t *link, const char *reason)
 {
     if (link->stream != NULL) {
         AprStream_Close(link->stream);
@@ -647,10 +277,10 @@
 
 /* Ends a link that another host opened; its calls are cancelled. */
 static void
-fail_inbound(Link_t *link, const char *reason)
+fail_inbound(AprLink_t *link, const char *reason)
 {
     close_stream(link, reason);
-    cancel_in_calls(link);
+    AprLinkCalls_CancelAll(link);
     unlink_link(&link->links->inbound, link);
     link->next = link->links->dead;
     link->links->dead = link;
@@ -659,29 +289,22 @@
 /* Ends a link that this host opened; its calls fail. The next call opens it
    again. */
 static void
-fail_outbound(Link_t *link, const char *reason)
+fail_outbound(AprLink_t *link, const char *reason)
 {
     /* Once the connection stands, the other side may have got any call. */
     bool connecting =
         link->stream != NULL && AprStream_Connecting(link->stream);
     AprCallFailure_t failure = {
         connecting ? APR_CALL_UNREACHABLE : APR_CALL_BROKEN, connecting, 0};
-    GHashTableIter calls;
-    gpointer value;
 
     close_stream(link, reason);
     AprMembers_NoteFailure(link->links->gateway->members, link->host);
     link->established = false;
-    /* A failed call may lead to the end of others on this link. */
-    g_hash_table_iter_init(&calls, link->calls);
-    while (g_hash_table_iter_next(&calls, NULL, &value)) {
-        fail_out_call(value, &failure);
-        g_hash_table_iter_init(&calls, link->calls);
-    }
+    AprLinkCalls_FailAll(link, &failure);
 }
 
 static void
-link_fail(Link_t *link, const char *reason)
+link_fail(AprLink_t *link, const char *reason)
 {
     if (link->inbound) {
         fail_inbound(link, reason);
@@ -691,10 +314,10 @@
     }
 }
 
-static Link_t *
+static AprLink_t *
 find_link(const AprLinks_t *links, const char *host)
 {
-    Link_t *link = links->outbound;
+    AprLink_t *link = links->outbound;
 
     while (link != NULL && strcmp(link->host, host) != 0) {
         link = link->next;
@@ -702,11 +325,11 @@
     return link;
 }
 
-static Link_t *
+static AprLink_t *
 open_link(AprLinks_t *links, const char *host)
 {
     AprHost_t *member = AprMembers_Find(links->gateway->members, host);
-    Link_t *link = find_link(links, host);
+    AprLink_t *link = find_link(links, host);
     AprLinkFrame_t hello = {0};
     int64_t now_ms = now_of(links);
 
@@ -722,7 +345,8 @@
             return NULL;
         }
         link->links = links;
-        link->calls = new_call_table();
+        link->gateway = links->gateway;
+        link->calls = AprLinkCalls_New();
         g_strlcpy(link->host, host, sizeof(link->host));
         link->next = links->outbound;
         links->outbound = link;
@@ -743,7 +367,7 @@
     link->pinged_ms = now_ms;
     hello.type = APR_LINK_HELLO;
     g_strlcpy(hello.host, links->gateway->settings.host, sizeof(hello.host));
-    send_frame(link, &hello);
+    AprLink_Send(link, &hello);
     send_load(link, APR_LINK_PING, 0);
     return link;
 }
@@ -756,39 +380,20 @@
                 const AprCallSink_t *sink, void *context, AprCallRef_t *ref,
                 AprCallFailure_t *failure)
 {
-    Link_t *link = open_link(links, host);
-    OutCall_t *call = link == NULL ? NULL : calloc(1, sizeof(*call));
-    AprLinkFrame_t frame = {0};
-    size_t first = size < APR_LINK_MAX_DATA ? size : APR_LINK_MAX_DATA;
+    AprLink_t *link = open_link(links, host);
 
-    if (call == NULL) {
+    if (link == NULL) {
         failure->error = APR_CALL_UNREACHABLE;
         failure->not_run = true;
         failure->retry_after_ms = RECONNECT_MS;
         return false;
     }
-    call->link = link;
-    call->stream = ++link->next_stream;
-    call->sink = *sink;
-    call->context = context;
-    g_hash_table_insert(link->calls, &call->stream, call);
-    if (g_hash_table_size(link->calls) == 1) {
+    if (g_hash_table_size(link->calls) == 0) {
         /* The time of silence counts from the first call in flight. */
         link->heard_ms = now_of(links);
         link->pinged_ms = link->heard_ms;
     }
-    frame.type = APR_LINK_CALL;
-    frame.stream = (uint32_t)call->stream;
-    frame.call = *head;
-    frame.data = data;
-    frame.data_size = first;
-    frame.end = end && first == size;
-    send_frame(link, &frame);
-    if (first < size) {
-        send_data(link, call->stream, data + first, size - first, end);
-    }
-    ref->ops = &out_ops;
-    ref->call = call;
+    AprLinkCalls_Open(link, head, data, size, end, sink, context, ref);
     return true;
 }
 
@@ -796,7 +401,7 @@
 int
 AprLinks_InFlight(const AprLinks_t *links, const char *host)
 {
-    const Link_t *link = find_link(links, host);
+    const AprLink_t *link = find_link(links, host);
 
     return link == NULL ? 0 : (int)g_hash_table_size(link->calls);
 }
@@ -804,7 +409,7 @@
 static void
 send_release(AprLinks_t *links, const Release_t *release)
 {
-    Link_t *link = open_link(links, release->host);
+    AprLink_t *link = open_link(links, release->host);
     AprLinkFrame_t frame = {0};
 
     if (link == NULL) {
@@ -813,7 +418,7 @@
     frame.type = APR_LINK_RELEASE;
     g_strlcpy(frame.service, release->service, sizeof(frame.service));
     frame.grant = release->grant;
-    send_frame(link, &frame);
+    AprLink_Send(link, &frame);
 }
 
 /* Tells the new owner of keys that their last holder released them. */
@@ -840,7 +445,7 @@
 bool
 AprLinks_Renew(AprLinks_t *links, const char *host, int64_t lease)
 {
-    Link_t *link = open_link(links, host);
+    AprLink_t *link = open_link(links, host);
     AprLinkFrame_t frame = {0};
 
     if (link == NULL) {
@@ -848,7 +453,7 @@
     }
     frame.type = APR_LINK_RENEW;
     frame.sequence = lease;
-    send_frame(link, &frame);
+    AprLink_Send(link, &frame);
     return true;
 }
 
@@ -858,7 +463,7 @@
 AprLinks_AnswerRenew(AprLinks_t *links, const char *host, int64_t lease,
                      int64_t age_ms)
 {
-    Link_t *link = links->inbound;
+    AprLink_t *link = links->inbound;
     AprLinkFrame_t frame = {0};
 
     frame.type = APR_LINK_RENEWED;
@@ -866,7 +471,7 @@
     frame.result = age_ms;
     while (link != NULL) {
         if (strcmp(link->host, host) == 0) {
-            send_frame(link, &frame);
+            AprLink_Send(link, &frame);
         }
         link = link->next;
     }
@@ -877,7 +482,7 @@
 void
 AprLinks_Fetch(AprLinks_t *links, const char *host, int64_t revision)
 {
-    Link_t *link = open_link(links, host);
+    AprLink_t *link = open_link(links, host);
     AprLinkFrame_t frame = {0};
 
     if (link == NULL) {
@@ -885,7 +490,7 @@
     }
     frame.type = APR_LINK_FETCH;
     frame.sequence = revision;
-    send_frame(link, &frame);
+    AprLink_Send(link, &frame);
 }
 
 /* Milliseconds since bytes came from a host on a link that is still open; -1
@@ -893,7 +498,7 @@
 int64_t
 AprLinks_HeardAge(const AprLinks_t *links, const char *host)
 {
-    const Link_t *link = find_link(links, host);
+    const AprLink_t *link = find_link(links, host);
     int64_t heard_ms = link != NULL && link->established ? link->heard_ms : -1;
 
     for (link = links->inbound; link != NULL; link = link->next) {
@@ -911,7 +516,7 @@
 {
     int64_t now_ms = now_of(links);
 
-    for (Link_t *link = links->inbound; link != NULL; link = link->next) {
+    for (AprLink_t *link = links->inbound; link != NULL; link = link->next) {
         if (link->stream != NULL && link->subscribed_ms != 0 &&
             now_ms - link->subscribed_ms < SUBSCRIPTION_MS) {
             push_items(link);
@@ -934,13 +539,13 @@
 void
 AprLinks_Ask(AprLinks_t *links, const char *host, const char *about)
 {
-    Link_t *link = open_link(links, host);
+    AprLink_t *link = open_link(links, host);
     AprLinkFrame_t frame = {0};
 
     if (link != NULL) {
         frame.type = APR_LINK_ASK;
         g_strlcpy(frame.host, about, sizeof(frame.host));
-        send_frame(link, &frame);
+        AprLink_Send(link, &frame);
     }
 }
 
@@ -948,7 +553,7 @@
 void
 AprLinks_Probe(AprLinks_t *links, const char *host)
 {
-    Link_t *link = open_link(links, host);
+    AprLink_t *link = open_link(links, host);
     int64_t now_ms = now_of(links);
 
     if (link != NULL && now_ms - link->pinged_ms >= PING_AFTER_MS) {
@@ -958,7 +563,7 @@
 }
 
 static void
-check_link(Link_t *link, int64_t now_ms)
+check_link(AprLink_t *link, int64_t now_ms)
 {
     int64_t silent_ms = now_ms - link->heard_ms;
     bool busy = g_hash_table_size(link->calls) > 0;
@@ -1005,7 +610,7 @@
 free_dead(AprLinks_t *links)
 {
     while (links->dead != NULL) {
-        Link_t *link = links->dead;
+        AprLink_t *link = links->dead;
 
         links->dead = link->next;
         free_link(link);
@@ -1020,7 +625,7 @@
     int64_t now_ms = now_of(links);
 
     free_dead(links);
-    for (Link_t *link = links->outbound; link != NULL; link = link->next) {
+    for (AprLink_t *link = links->outbound; link != NULL; link = link->next) {
         if (link->stream != NULL) {
             check_link(link, now_ms);
         }
@@ -1037,7 +642,7 @@
 {
     int count = 0;
 
-    for (const Link_t *link = links->inbound; link != NULL;
+    for (const AprLink_t *link = links->inbound; link != NULL;
          link = link->next) {
         count += (int)g_hash_table_size(link->calls);
     }
@@ -1053,15 +658,16 @@
     (void)loop;
     (void)events;
     while ((fd = accept(links->listen_fd, NULL, NULL)) >= 0) {
-        Link_t *link = calloc(1, sizeof(*link));
+        AprLink_t *link = calloc(1, sizeof(*link));
 
         if (link == NULL) {
             close(fd);
             return;
         }
         link->links = links;
+        link->gateway = links->gateway;
         link->inbound = true;
-        link->calls = new_call_table();
+        link->calls = AprLinkCalls_New();
         link->heard_ms = now_of(links);
         link->stream =
             AprStream_Open(links->gateway->streams, fd, &stream_handler, link);
@@ -1096,10 +702,10 @@
         return;
     }
     while (links->inbound != NULL) {
-        Link_t *link = links->inbound;
+        AprLink_t *link = links->inbound;
 
         links->inbound = link->next;
-        cancel_in_calls(link);
+        AprLinkCalls_CancelAll(link);
         if (link->stream != NULL) {
             AprStream_Close(link->stream);
         }
@@ -1107,7 +713,7 @@
     }
     free_dead(links);
     while (links->outbound != NULL) {
-        Link_t *link = links->outbound;
+        AprLink_t *link = links->outbound;
 
         links->outbound = link->next;
         if (link->stream != NULL) {
--- a/src/gateway/ownership.c
+++ b/src/gateway/ownership.c
@@ -1,4 +1,4 @@
-/* Key maps, the grants of the local backend server, and the moves of keys. */
+/* Key maps and the grants of the local backend server. */
 
 #include <glib.h>
 #include <stdlib.h>
@@ -6,9 +6,7 @@
 
 #include "apricot/error.h"
 #include "apricot/log.h"
-#include "internal/authority.h"
-#include "internal/gateway.h"
-#include "internal/removal_queue.h"
+#include "internal/ownership_state.h"
 
 /* A grant bridges the heartbeats of this many intervals, ... */
 #define HOLD_BEATS 2.0
@@ -26,102 +24,31 @@
 /* A grant counts as ended for new requests this long before its end. */
 #define SERVE_MARGIN_MS 200
 
-/* A backend server is taken as lost when this many heartbeats are missing and
-   its grants have ended. */
-#define MISSING_BEATS 2.5
-
-/* Keys without an owner are given out once the backend servers had this time
-   to announce themselves. */
-#define FIRST_PLAN_MS 2500
-
-/* The first plan also waits until no host was added for this time, but no
-   longer than the limit. */
-#define FIRST_PLAN_QUIET_MS 1000
-#define FIRST_PLAN_LIMIT_MS 6000
-
-/* Pause between two plans of one host for the sake of balance, in which the
-   loads settle. */
-#define REBALANCE_PAUSE_MS 1200
-
-/* Added for each other host, at random, since all of them change one map. */
-#define REBALANCE_SPREAD_MS 40
-
 /* Demand by key fades by this factor with each tick of a second. */
 #define DEMAND_DECAY 0.75
 #define DEMAND_TICK_MS 1000
 
-/* A report of another host's load is used for this time. */
-#define LOAD_FRESH_MS 3000
-
-/* A missing host that another host heard within this time is not removed;
-   the others are asked this often. */
-#define HEARD_MS 2000
-#define ASK_AFTER_MS 700
-#define ASK_INTERVAL_MS 500
-
-#define MAX_GRANTS 1024
-#define MAX_CANDIDATES 2048
-#define MAX_MAPS 64
-#define MAX_CONDITIONS 2
-#define KEY_SIZE 256
-
-typedef struct ServiceMap_t {
-    char service[APR_ROUTE_NAME_SIZE];
-    AprKeyMap_t map;
-    int64_t revision;
-} ServiceMap_t;
-
-struct AprOwnership_t {
-    AprGateway_t *gateway;
-    ServiceMap_t maps[MAX_MAPS];
-    int map_count;
-    AprGrantBook_t book;
-    AprKeyDemand_t demand;
-    int64_t demand_ms;
-    /* Heartbeats of the backend server. */
-    AprBackendLife_t life;
-    int64_t sequence;
-    int64_t beat_ms; /* last one; 0: none */
-    bool leaving;
-    AprBeatReply_t reply; /* of a heartbeat that waits for a change */
-    void *reply_context;
-    int64_t reply_due_ms;
-    /* What it holds by the last answer. */
-    AprGrant_t granted[MAX_GRANTS];
-    int granted_count;
-    int64_t granted_until_ms;
-    /* A change of the own service's map that was sent. While its outcome is
-       open, keys that it gives away are not granted. */
-    bool changing;
-    bool has_proposal;
-    AprKeyMap_t proposal;
-    int64_t proposal_revision; /* that it replaces */
-    const char *proposal_reason;
-    AprKvCondition_t conditions[MAX_CONDITIONS]; /* besides the revision */
-    char condition_keys[MAX_CONDITIONS][KEY_SIZE];
-    int condition_count;
-    int64_t rebalance_ms;          /* no plan before */
-    AprKeyDemand_t planned_demand; /* once the plan is in force */
-    double planned_share;          /* of the demand that stays; 0: no plan */
-    int64_t asked_ms;
-    int candidate_count;
-    int64_t candidates_ms; /* last change of their number */
-    int64_t started_ms;
-    AprRemovalQueue_t removals;
-};
-
-static int64_t
-now_of(const AprOwnership_t *ownership)
+/* Milliseconds of the steady clock. */
+int64_t
+AprOwnership_NowMs(const AprOwnership_t *ownership)
 {
     return AprGateway_NowMs(ownership->gateway);
 }
 
-static const char *
-own_host(const AprOwnership_t *ownership)
+/* The name of this host. */
+const char *
+AprOwnership_OwnHost(const AprOwnership_t *ownership)
 {
     return ownership->gateway->settings.host;
 }
 
+/* Whether a service is that of the local backend server. */
+bool
+AprOwnership_IsOwnService(const AprOwnership_t *ownership, const char *service)
+{
+    return strcmp(service, ownership->gateway->settings.backend_service) == 0;
+}
+
 static int64_t
 hold_ms_of(const AprGatewaySettings_t *settings)
 {
@@ -167,8 +94,9 @@
     free(ownership);
 }
 
-static ServiceMap_t *
-find_map(AprOwnership_t *ownership, const char *service)
+/* The map of a service; NULL when it is not known. */
+AprServiceMap_t *
+AprOwnership_FindMap(AprOwnership_t *ownership, const char *service)
 {
     for (int i = 0; i < ownership->map_count; i++) {
         if (strcmp(ownership->maps[i].service, service) == 0) {
@@ -178,20 +106,17 @@
     return NULL;
 }
 
-static ServiceMap_t *
-own_map(AprOwnership_t *ownership)
+/* The map of the own service; NULL when it is not known. */
+AprServiceMap_t *
+AprOwnership_OwnMap(AprOwnership_t *ownership)
 {
-    return find_map(ownership, ownership->gateway->settings.backend_service);
+    return AprOwnership_FindMap(ownership,
+                                ownership->gateway->settings.backend_service);
 }
 
-static bool
-is_own_service(const AprOwnership_t *ownership, const char *service)
-{
-    return strcmp(service, ownership->gateway->settings.backend_service) == 0;
-}
-
-static bool
-is_keyed(const AprOwnership_t *ownership)
+/* Whether the own service has keys. */
+bool
+AprOwnership_IsKeyed(const AprOwnership_t *ownership)
 {
     const AprRouteTable_t *routes = ownership->gateway->routes;
     int service;
@@ -204,8 +129,9 @@
     return service >= 0 && routes->services[service].keyed;
 }
 
-static void
-drop_proposal(AprOwnership_t *ownership)
+/* Forgets a change that was not made, or that is in force. */
+void
+AprOwnership_DropProposal(AprOwnership_t *ownership)
 {
     if (ownership->has_proposal) {
         AprKeyMap_Free(&ownership->proposal);
@@ -213,18 +139,20 @@
     }
 }
 
-static void
-adopt_map(AprOwnership_t *ownership, ServiceMap_t *entry, AprKeyMap_t *map,
-          int64_t revision)
+/* Puts a map into force; takes it over. */
+void
+AprOwnership_AdoptMap(AprOwnership_t *ownership, AprServiceMap_t *entry,
+                      AprKeyMap_t *map, int64_t revision)
 {
     AprKeyMap_Free(&entry->map);
     entry->map = *map;
     entry->revision = revision;
-    if (is_own_service(ownership, entry->service)) {
-        AprGrantBook_Observe(&ownership->book, map, now_of(ownership));
+    if (AprOwnership_IsOwnService(ownership, entry->service)) {
+        AprGrantBook_Observe(&ownership->book, map,
+                             AprOwnership_NowMs(ownership));
         if (ownership->has_proposal && !ownership->changing &&
             revision > ownership->proposal_revision) {
-            drop_proposal(ownership);
+            AprOwnership_DropProposal(ownership);
         }
     }
 }
@@ -234,7 +162,7 @@
 AprOwnership_ApplyMap(AprOwnership_t *ownership, const char *service,
                       const AprKvItem_t *item)
 {
-    ServiceMap_t *entry = find_map(ownership, service);
+    AprServiceMap_t *entry = AprOwnership_FindMap(ownership, service);
     AprKeyMap_t map;
 
     if (item->removed ||
@@ -248,7 +176,7 @@
         return;
     }
     if (entry == NULL) {
-        if (ownership->map_count == MAX_MAPS) {
+        if (ownership->map_count == APR_MAX_MAPS) {
             AprKeyMap_Free(&map);
             return;
         }
@@ -258,15 +186,15 @@
     AprLog_Write(APR_LOG_INFO, "keys_changed",
                  "service=%s revision=%lld ranges=%d own_keys=%d", service,
                  (long long)item->revision, map.count,
-                 AprKeyMap_CountOf(&map, own_host(ownership)));
-    adopt_map(ownership, entry, &map, item->revision);
+                 AprKeyMap_CountOf(&map, AprOwnership_OwnHost(ownership)));
+    AprOwnership_AdoptMap(ownership, entry, &map, item->revision);
 }
 
 /* The host that owns a key; NULL when the map is not known. */
 const char *
 AprOwnership_HostOf(AprOwnership_t *ownership, const char *service, int key)
 {
-    ServiceMap_t *entry = find_map(ownership, service);
+    AprServiceMap_t *entry = AprOwnership_FindMap(ownership, service);
 
     return entry == NULL ? NULL : AprKeyMap_Find(&entry->map, key)->host;
 }
@@ -276,8 +204,8 @@
 AprKeyVerdict_t
 AprOwnership_Check(AprOwnership_t *ownership, int key, int64_t *wait_ms)
 {
-    ServiceMap_t *entry = own_map(ownership);
-    int64_t now_ms = now_of(ownership);
+    AprServiceMap_t *entry = AprOwnership_OwnMap(ownership);
+    int64_t now_ms = AprOwnership_NowMs(ownership);
     int64_t beat_ms =
         (int64_t)(ownership->gateway->settings.heartbeat_s * 1000);
 
@@ -290,7 +218,7 @@
         }
     }
     if (entry == NULL || strcmp(AprKeyMap_Find(&entry->map, key)->host,
-                                own_host(ownership)) != 0) {
+                                AprOwnership_OwnHost(ownership)) != 0) {
         return APR_KEY_ELSEWHERE;
     }
     *wait_ms = ownership->beat_ms + beat_ms - now_ms;
@@ -314,9 +242,10 @@
 const AprKeyMap_t *
 AprOwnership_Map(AprOwnership_t *ownership, int64_t *authority_ms)
 {
-    ServiceMap_t *entry = own_map(ownership);
+    AprServiceMap_t *entry = AprOwnership_OwnMap(ownership);
 
-    *authority_ms = ownership->book.authority_until_ms - now_of(ownership);
+    *authority_ms =
+        ownership->book.authority_until_ms - AprOwnership_NowMs(ownership);
     return entry == NULL ? NULL : &entry->map;
 }
 
@@ -329,14 +258,14 @@
 
 /* The map without the own keys that a change with open outcome gives away. */
 static int
-certain_map(const AprOwnership_t *ownership, const ServiceMap_t *entry,
+certain_map(const AprOwnership_t *ownership, const AprServiceMap_t *entry,
             AprKeyMap_t *map)
 {
     int result = AprKeyMap_Copy(map, &entry->map);
 
     if (result == APR_OK && ownership->has_proposal) {
-        result =
-            AprKeyMap_Withhold(map, &ownership->proposal, own_host(ownership));
+        result = AprKeyMap_Withhold(map, &ownership->proposal,
+                                    AprOwnership_OwnHost(ownership));
         if (result != APR_OK) {
             AprKeyMap_Free(map);
         }
@@ -348,12 +277,12 @@
 static void
 answer_beat(AprOwnership_t *ownership, AprBeatReply_t reply, void *context)
 {
-    ServiceMap_t *entry = own_map(ownership);
-    int64_t now_ms = now_of(ownership);
+    AprServiceMap_t *entry = AprOwnership_OwnMap(ownership);
+    int64_t now_ms = AprOwnership_NowMs(ownership);
     AprKeyMap_t certain;
     int count;
 
-    if (entry == NULL || !is_keyed(ownership)) {
+    if (entry == NULL || !AprOwnership_IsKeyed(ownership)) {
         reply(context, true, NULL, -1, 0);
         return;
     }
@@ -362,7 +291,7 @@
         return;
     }
     count = AprGrantBook_Renew(&ownership->book, &certain, &ownership->life,
-                               now_ms, ownership->granted, MAX_GRANTS);
+                               now_ms, ownership->granted, APR_MAX_GRANTS);
     AprKeyMap_Free(&certain);
     if (count < 0) {
         AprLog_Write(APR_LOG_WARN, "grants_withheld",
@@ -377,8 +306,9 @@
     reply(context, true, ownership->granted, count, ownership->book.hold_ms);
 }
 
-static void
-flush_reply(AprOwnership_t *ownership)
+/* Answers a heartbeat that waits for a change. */
+void
+AprOwnership_FlushReply(AprOwnership_t *ownership)
 {
     AprBeatReply_t reply = ownership->reply;
 
@@ -388,257 +318,30 @@
     }
 }
 
-static void
-on_changed(void *context, const AprKvResult_t *result)
-{
-    AprOwnership_t *ownership = context;
-    ServiceMap_t *entry = own_map(ownership);
-
-    ownership->changing = false;
-    AprLog_Write(APR_LOG_INFO, "keys_change_done",
-                 "reason=%s result=%s revision=%lld",
-                 ownership->proposal_reason, AprError_Name(result->code),
-                 (long long)result->revision);
-    if (result->code == APR_OK && entry != NULL &&
-        result->revision > entry->revision && ownership->has_proposal) {
-        AprKeyMap_t map = ownership->proposal;
-
-        ownership->has_proposal = false;
-        adopt_map(ownership, entry, &map, result->revision);
-        if (ownership->planned_share > 0) {
-            ownership->demand = ownership->planned_demand;
-            AprBackend_ScaleDemand(ownership->gateway->backend,
-                                   ownership->planned_share);
-        }
-    }
-    else if ((result->code != APR_E_UNKNOWN && result->code != APR_E_PARSE) ||
-             (entry != NULL &&
-              entry->revision > ownership->proposal_revision)) {
-        drop_proposal(ownership);
-    }
-    ownership->planned_share = 0;
-    AprRemovalQueue_ChangeDone(&ownership->removals, result->code == APR_OK);
-    flush_reply(ownership);
-}
-
-/* Sends a changed map under the condition that the stored one is the present
-   one. Takes over `map`. */
-static void
-send_change(AprOwnership_t *ownership, AprKeyMap_t *map, const char *reason,
-            const AprKvCondition_t *conditions, int condition_count)
-{
-    AprGateway_t *gateway = ownership->gateway;
-    ServiceMap_t *entry = own_map(ownership);
-    AprKvChange_t change = {0};
-    char key[KEY_SIZE];
-    char *text;
-
-    AprKeyMap_Merge(map);
-    text = AprKeyMap_Text(map);
-    if (text == NULL) {
-        AprKeyMap_Free(map);
-        return;
-    }
-    drop_proposal(ownership);
-    ownership->proposal = *map;
-    ownership->has_proposal = true;
-    ownership->changing = true;
-    ownership->proposal_reason = reason;
-    ownership->proposal_revision = entry == NULL ? 0 : entry->revision;
-    change.conditions[0].key = AprReplica_MapKey(
-        gateway->replica, gateway->settings.backend_service, key, sizeof(key));
-    change.conditions[0].revision = ownership->proposal_revision;
-    for (int i = 0; i < condition_count; i++) {
-        if (conditions != ownership->conditions) {
-            g_strlcpy(ownership->condition_keys[i], conditions[i].key,
-                      KEY_SIZE);
-            ownership->conditions[i].key = ownership->condition_keys[i];
-            ownership->conditions[i].revision = conditions[i].revision;
-        }
-        change.conditions[1 + i] = ownership->conditions[i];
-    }
-    ownership->condition_count = condition_count;
-    change.condition_count = 1 + condition_count;
-    change.writes[0].key = key;
-    change.writes[0].value = text;
-    change.writes[0].value_size = strlen(text);
-    change.write_count = 1;
-    AprLog_Write(APR_LOG_INFO, "keys_change", "reason=%s replaces=%lld",
-                 reason, (long long)ownership->proposal_revision);
-    gateway->kv->change(gateway->kv->service, &change, on_changed, ownership);
-    free(text);
-}
-
-/* Lists the hosts that may get keys, without `except`. */
-static int
-list_candidates(AprOwnership_t *ownership, const char *except,
-                AprKeyCandidate_t *candidates, int capacity)
-{
-    AprMembers_t *members = ownership->gateway->members;
-    ServiceMap_t *entry = own_map(ownership);
-    int64_t now_ms = now_of(ownership);
-    int count = 0;
-
-    for (int i = 0; i < AprMembers_Count(members) && count < capacity; i++) {
-        const AprHost_t *member = AprMembers_At(members, i);
-        AprKeyCandidate_t *candidate = &candidates[count];
-        bool fresh;
-
-        if (!member->listed || !member->open || member->life.id[0] == '\0' ||
-            !is_own_service(ownership, member->service) ||
-            (except != NULL && strcmp(member->host, except) == 0)) {
-            continue;
-        }
-        fresh =
-            member->load_ms != 0 && now_ms - member->load_ms < LOAD_FRESH_MS;
-        if (fresh && !member->load.open) {
-            continue;
-        }
-        g_strlcpy(candidate->owner.host, member->host,
-                  sizeof(candidate->owner.host));
-        candidate->owner.life = member->life;
-        candidate->slots = member->slots;
-        candidate->load = fresh ? member->load.load_permille / 1000.0 : 0.5;
-        candidate->keys =
-            entry == NULL ? 0 : AprKeyMap_CountOf(&entry->map, member->host);
-        if (strcmp(member->host, own_host(ownership)) == 0) {
-            candidate->load = AprBackend_Demand(ownership->gateway->backend);
-        }
-        count++;
-    }
-    return count;
-}
-
-static int
-own_keys(AprOwnership_t *ownership)
+/* Number of keys that the local backend server owns. */
+int
+AprOwnership_OwnKeys(AprOwnership_t *ownership)
 {
-    ServiceMap_t *entry = own_map(ownership);
+    AprServiceMap_t *entry = AprOwnership_OwnMap(ownership);
 
     return entry == NULL ? 0
-                         : AprKeyMap_CountOf(&entry->map, own_host(ownership));
-}
-
-static bool
-may_change(AprOwnership_t *ownership)
-{
-    return !ownership->changing && !ownership->has_proposal &&
-           AprReplica_IsLoaded(ownership->gateway->replica) &&
-           AprReplica_StoreWorks(ownership->gateway->replica);
-}
-
-/* Gives all keys of a host to the others. `releasing` tells that its backend
-   server may still hold them. */
-static bool
-give_away(AprOwnership_t *ownership, const char *host, bool releasing,
-          const char *reason, const AprKvCondition_t *conditions,
-          int condition_count)
-{
-    static AprKeyCandidate_t candidates[MAX_CANDIDATES];
-    ServiceMap_t *entry = own_map(ownership);
-    int count = list_candidates(ownership, host, candidates, MAX_CANDIDATES);
-    AprKeyMap_t map;
-
-    if (entry == NULL || count == 0 ||
-        AprKeyMap_Copy(&map, &entry->map) != APR_OK) {
-        return false;
-    }
-    if (AprKeyPlan_Distribute(&map, host, candidates, count,
-                              releasing ? host : NULL) == 0) {
-        AprKeyMap_Free(&map);
-        return false;
-    }
-    send_change(ownership, &map, reason, conditions, condition_count);
-    return true;
-}
-
-/* Gives the keys of an earlier life of the backend server to the present
-   one. */
-static bool
-adopt_new_life(AprOwnership_t *ownership)
-{
-    ServiceMap_t *entry = own_map(ownership);
-    AprKeyOwner_t owner;
-    AprKeyMap_t map;
-    bool changed = false;
-
-    if (entry == NULL || AprKeyMap_Copy(&map, &entry->map) != APR_OK) {
-        return false;
-    }
-    g_strlcpy(owner.host, own_host(ownership), sizeof(owner.host));
-    owner.life = ownership->life;
-    for (int i = 0; i < entry->map.count; i++) {
-        const AprKeyRange_t *range = &entry->map.ranges[i];
-
-        if (strcmp(range->host, owner.host) == 0 &&
-            !AprBackendLife_Equal(&range->owner, &owner.life)) {
-            AprKeyMap_Assign(&map, range->first, range->last, &owner,
-                             strcmp(range->releasing_host, owner.host) == 0
-                                 ? NULL
-                                 : range->releasing_host);
-            changed = true;
-        }
-    }
-    if (!changed) {
-        AprKeyMap_Free(&map);
-        return false;
-    }
-    send_change(ownership, &map, "new_life", NULL, 0);
-    return true;
-}
-
-/* Moves part of the own keys to hosts with less load. */
-static bool
-rebalance(AprOwnership_t *ownership)
-{
-    static AprKeyCandidate_t candidates[MAX_CANDIDATES];
-    AprGateway_t *gateway = ownership->gateway;
-    ServiceMap_t *entry = own_map(ownership);
-    double before = AprBackend_Demand(gateway->backend);
-    double after = before;
-    AprHostLoad_t load = {0};
-    AprKeyMap_t map;
-    int count;
-    int moves;
-
-    if (entry == NULL || own_keys(ownership) == 0 ||
-        now_of(ownership) < ownership->rebalance_ms ||
-        AprKeyMap_Copy(&map, &entry->map) != APR_OK) {
-        return false;
-    }
-    count = list_candidates(ownership, own_host(ownership), candidates,
-                            MAX_CANDIDATES);
-    AprBackend_Load(gateway->backend, &load);
-    ownership->planned_demand = ownership->demand;
-    moves =
-        AprKeyPlan_Rebalance(&map, own_host(ownership), &after, load.slots,
-                             &ownership->planned_demand, candidates, count);
-    if (moves == 0) {
-        AprKeyMap_Free(&map);
-        return false;
-    }
-    ownership->rebalance_ms =
-        now_of(ownership) + REBALANCE_PAUSE_MS +
-        g_random_int_range(0, 1 + REBALANCE_SPREAD_MS * count);
-    ownership->planned_share = after / before;
-    AprLog_Write(APR_LOG_INFO, "rebalance",
-                 "moves=%d load_before=%.2f load_after=%.2f", moves, before,
-                 after);
-    send_change(ownership, &map, "rebalance", NULL, 0);
-    return true;
+                         : AprKeyMap_CountOf(&entry->map,
+                                             AprOwnership_OwnHost(ownership));
 }
 
 /* Passes the handover tokens of released keys to their new owners. */
 static void
 pass_tokens(AprOwnership_t *ownership, const AprGrant_t *released, int count)
 {
-    ServiceMap_t *entry = own_map(ownership);
+    AprServiceMap_t *entry = AprOwnership_OwnMap(ownership);
 
     for (int i = 0; i < count && entry != NULL; i++) {
         for (int j = 0; j < entry->map.count; j++) {
             const AprKeyRange_t *range = &entry->map.ranges[j];
             AprGrant_t grant = released[i];
 
-            if (strcmp(range->releasing_host, own_host(ownership)) != 0 ||
+            if (strcmp(range->releasing_host,
+                       AprOwnership_OwnHost(ownership)) != 0 ||
                 range->last < grant.first || range->first > grant.last) {
                 continue;
             }
@@ -653,8 +356,8 @@
 }
 
 /* Tells the new owners of own keys that no grant is in force any more. */
-static void
-release_ended(AprOwnership_t *ownership)
+void
+AprOwnership_ReleaseEnded(AprOwnership_t *ownership)
 {
     AprGrant_t all = {0, APR_KEY_COUNT - 1, 0, ""};
 
@@ -681,15 +384,15 @@
         /* The earlier life at this address has ended, and with it its
            grants. */
         if (ownership->life.id[0] != '\0') {
-            ownership->book.grants_end_ms = now_of(ownership);
-            release_ended(ownership);
+            ownership->book.grants_end_ms = AprOwnership_NowMs(ownership);
+            AprOwnership_ReleaseEnded(ownership);
         }
         ownership->granted_count = 0;
         ownership->leaving = false;
         ownership->life = beat->life;
     }
     ownership->sequence = beat->sequence;
-    ownership->beat_ms = now_of(ownership);
+    ownership->beat_ms = AprOwnership_NowMs(ownership);
     ownership->leaving |= beat->leaving;
     AprBackend_Announce(gateway->backend, beat);
     AprReplica_Publish(gateway->replica);
@@ -702,7 +405,7 @@
                   AprBeatReply_t reply, void *context)
 {
     const AprGatewaySettings_t *settings = &ownership->gateway->settings;
-    bool changed = false;
+    bool changed;
 
     if (strcmp(beat->service, settings->backend_service) != 0 ||
         strcmp(beat->address, settings->backend_address) != 0) {
@@ -722,20 +425,13 @@
     }
     note_beat(ownership, beat);
     pass_tokens(ownership, beat->released, beat->released_count);
-    flush_reply(ownership);
-    if (is_keyed(ownership) && may_change(ownership)) {
-        if (ownership->leaving && own_keys(ownership) > 0) {
-            changed = give_away(ownership, own_host(ownership), true,
-                                "leaving", NULL, 0);
-        }
-        else if (!ownership->leaving) {
-            changed = adopt_new_life(ownership) || rebalance(ownership);
-        }
-    }
+    AprOwnership_FlushReply(ownership);
+    changed = AprKeyMoves_OnBeat(ownership);
     if (changed) {
         ownership->reply = reply;
         ownership->reply_context = context;
-        ownership->reply_due_ms = now_of(ownership) + REPLY_WAIT_MS;
+        ownership->reply_due_ms =
+            AprOwnership_NowMs(ownership) + REPLY_WAIT_MS;
         return;
     }
     answer_beat(ownership, reply, context);
@@ -759,194 +455,11 @@
 AprOwnership_TakeToken(AprOwnership_t *ownership, const char *service,
                        const AprGrant_t *grant)
 {
-    if (is_own_service(ownership, service)) {
+    if (AprOwnership_IsOwnService(ownership, service)) {
         AprGrantBook_AddToken(&ownership->book, grant);
     }
 }
 
-/* Whether this host is the first of the candidates by name, which plans what
-   nobody else is responsible for. */
-static bool
-is_planner(AprOwnership_t *ownership)
-{
-    AprMembers_t *members = ownership->gateway->members;
-
-    for (int i = 0; i < AprMembers_Count(members); i++) {
-        const AprHost_t *member = AprMembers_At(members, i);
-
-        if (member->listed && member->open && member->life.id[0] != '\0' &&
-            is_own_service(ownership, member->service) &&
-            strcmp(member->host, own_host(ownership)) < 0) {
-            return false;
-        }
-    }
-    return ownership->life.id[0] != '\0' && !ownership->leaving;
-}
-
-/* Whether the backend servers had the time to announce themselves. */
-static bool
-may_plan_first(AprOwnership_t *ownership)
-{
-    static AprKeyCandidate_t candidates[MAX_CANDIDATES];
-    int64_t now_ms = now_of(ownership);
-    int64_t age_ms = now_ms - ownership->started_ms;
-    int count = list_candidates(ownership, NULL, candidates, MAX_CANDIDATES);
-
-    if (count != ownership->candidate_count) {
-        ownership->candidate_count = count;
-        ownership->candidates_ms = now_ms;
-    }
-    return age_ms >= FIRST_PLAN_LIMIT_MS ||
-           (age_ms >= FIRST_PLAN_MS &&
-            now_ms - ownership->candidates_ms >= FIRST_PLAN_QUIET_MS);
-}
-
-/* Gives out the keys that have no owner. */
-static void
-plan_unowned(AprOwnership_t *ownership)
-{
-    static AprKeyCandidate_t candidates[MAX_CANDIDATES];
-    ServiceMap_t *entry = own_map(ownership);
-    AprKeyMap_t map;
-    int count;
-
-    if (!may_plan_first(ownership) ||
-        (entry != NULL && AprKeyMap_CountOf(&entry->map, "") == 0) ||
-        !is_planner(ownership)) {
-        return;
-    }
-    if ((entry == NULL ? AprKeyMap_Init(&map)
-                       : AprKeyMap_Copy(&map, &entry->map)) != APR_OK) {
-        return;
-    }
-    count = list_candidates(ownership, NULL, candidates, MAX_CANDIDATES);
-    if (AprKeyPlan_Distribute(&map, "", candidates, count, NULL) == 0) {
-        AprKeyMap_Free(&map);
-        return;
-    }
-    if (entry == NULL && ownership->map_count < MAX_MAPS) {
-        entry = &ownership->maps[ownership->map_count++];
-        g_strlcpy(entry->service, ownership->gateway->settings.backend_service,
-                  sizeof(entry->service));
-        AprKeyMap_Init(&entry->map);
-    }
-    send_change(ownership, &map, "unowned", NULL, 0);
-}
-
-/* Gives the own keys away when the backend server is lost. */
-static void
-plan_own_loss(AprOwnership_t *ownership)
-{
-    AprBackend_t *backend = ownership->gateway->backend;
-    int64_t now_ms = now_of(ownership);
-    int64_t missing_ms = (int64_t)(ownership->gateway->settings.heartbeat_s *
-                                   1000 * MISSING_BEATS);
-    int64_t heard_ms =
-        ownership->beat_ms > 0 ? ownership->beat_ms : ownership->started_ms;
-
-    if (AprBackend_IsGone(backend)) {
-        if (ownership->granted_count > 0) {
-            ownership->granted_count = 0;
-            release_ended(ownership);
-        }
-        if (own_keys(ownership) > 0) {
-            give_away(ownership, own_host(ownership), false, "backend_gone",
-                      NULL, 0);
-        }
-        return;
-    }
-    if (now_ms - heard_ms < missing_ms) {
-        return;
-    }
-    if (now_ms >= ownership->book.grants_end_ms) {
-        if (ownership->granted_count > 0) {
-            ownership->granted_count = 0;
-            release_ended(ownership);
-        }
-        if (own_keys(ownership) > 0) {
-            give_away(ownership, own_host(ownership), false, "backend_silent",
-                      NULL, 0);
-        }
-    }
-}
-
-/* Gives away the keys of a host that was lost. */
-static bool
-take_from_lost(void *context, const char *host,
-               const AprKvCondition_t *conditions, int condition_count)
-{
-    AprOwnership_t *ownership = context;
-
-    return may_change(ownership) &&
-           give_away(ownership, host, false, "host_lost", conditions,
-                     condition_count);
-}
-
-/* Whether this host or another one heard a host a moment ago. */
-static bool
-is_heard(AprOwnership_t *ownership, const AprHost_t *member, const char *host)
-{
-    return AprLinks_IsAlive(ownership->gateway->links, host) ||
-           (member != NULL && member->heard_elsewhere_ms != 0 &&
-            now_of(ownership) - member->heard_elsewhere_ms < HEARD_MS);
-}
-
-/* Asks all hosts whether they hear one that is missing here. */
-static void
-ask_about(AprOwnership_t *ownership, const char *host)
-{
-    AprGateway_t *gateway = ownership->gateway;
-    int64_t now_ms = now_of(ownership);
-
-    if (now_ms - ownership->asked_ms < ASK_INTERVAL_MS) {
-        return;
-    }
-    ownership->asked_ms = now_ms;
-    for (int i = 0; i < AprMembers_Count(gateway->members); i++) {
-        const AprHost_t *other = AprMembers_At(gateway->members, i);
-
-        if (other->listed && strcmp(other->host, own_host(ownership)) != 0) {
-            AprLinks_Ask(gateway->links, other->host, host);
-        }
-    }
-}
-
-static void
-plan_lost_hosts(AprOwnership_t *ownership)
-{
-    ServiceMap_t *entry = own_map(ownership);
-    AprGateway_t *gateway = ownership->gateway;
-
-    if (entry == NULL || !is_planner(ownership)) {
-        return;
-    }
-    for (int i = 0; i < entry->map.count; i++) {
-        const char *host = entry->map.ranges[i].host;
-        const AprHost_t *member;
-
-        if (host[0] == '\0' || strcmp(host, own_host(ownership)) == 0) {
-            continue;
-        }
-        member = AprMembers_Find(gateway->members, host);
-        if (is_heard(ownership, member, host)) {
-            AprRemovalQueue_Cancel(&ownership->removals, host);
-            continue;
-        }
-        if (member != NULL) {
-            AprLinks_Probe(gateway->links, host);
-        }
-        if (AprRemovalQueue_Add(&ownership->removals, host,
-                                member == NULL ? 0 : member->lease,
-                                now_of(ownership)) > ASK_AFTER_MS) {
-            ask_about(ownership, host);
-        }
-    }
-    AprRemovalQueue_Drive(
-        &ownership->removals, gateway,
-        AprGrant_LatestEnd(APR_AUTHORITY_MS, ownership->book.hold_ms),
-        take_from_lost, ownership);
-}
-
 /* Takes over the state of a fence in the store. */
 void
 AprOwnership_ApplyFence(AprOwnership_t *ownership, const char *host,
@@ -961,38 +474,17 @@
 void
 AprOwnership_Tick(AprOwnership_t *ownership)
 {
-    int64_t now_ms = now_of(ownership);
+    int64_t now_ms = AprOwnership_NowMs(ownership);
 
     if (ownership->reply != NULL && now_ms >= ownership->reply_due_ms) {
-        flush_reply(ownership);
+        AprOwnership_FlushReply(ownership);
     }
     if (now_ms - ownership->demand_ms >= DEMAND_TICK_MS) {
         ownership->demand_ms = now_ms;
         AprKeyDemand_Decay(&ownership->demand, DEMAND_DECAY);
     }
-    if (!is_keyed(ownership)) {
+    if (!AprOwnership_IsKeyed(ownership)) {
         return;
     }
-    if (ownership->has_proposal && !ownership->changing &&
-        AprReplica_StoreWorks(ownership->gateway->replica)) {
-        AprKeyMap_t again;
-
-        /* The outcome is open: the same change again either succeeds or
-           shows that another one was made. */
-        if (AprKeyMap_Copy(&again, &ownership->proposal) == APR_OK) {
-            send_change(ownership, &again, "repeated", ownership->conditions,
-                        ownership->condition_count);
-        }
-        return;
-    }
-    if (!may_change(ownership)) {
-        return;
-    }
-    plan_own_loss(ownership);
-    if (may_change(ownership)) {
-        plan_unowned(ownership);
-    }
-    if (may_change(ownership)) {
-        plan_lost_hosts(ownership);
-    }
+    AprKeyMoves_Plan(ownership);
 }
--- a/src/transport/stream.c
+++ b/src/transport/stream.c
@@ -47,6 +47,7 @@
     bool is_closed;
     bool close_after_flush;
     bool read_paused;
+    bool drop_abandoned;
     AprStream_t *next_dirty;
     AprStream_t *next_closed;
 };
@@ -263,6 +264,16 @@
     }
 }
 
+/* Whether the sender of what was just read has closed since. */
+static bool
+is_abandoned(const AprStream_t *stream)
+{
+    char byte;
+
+    return stream->drop_abandoned && stream->set->lagging &&
+           recv(stream->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 static void
 on_readable(struct ev_loop *loop, ev_io *watcher, int events)
 {
@@ -272,6 +283,10 @@
 
     (void)loop;
     (void)events;
+    if (size > 0 && is_abandoned(stream)) {
+        report_close(stream, 0);
+        return;
+    }
     if (size > 0) {
         if (stream->handler != NULL) {
             stream->handler->on_data(stream->context, chunk, (size_t)size);
@@ -460,6 +475,13 @@
     }
 }
 
+/* Drops bytes whose sender has closed already while the process is behind. */
+void
+AprStream_DropAbandoned(AprStream_t *stream)
+{
+    stream->drop_abandoned = true;
+}
+
 /* Closes at once; unsent bytes are dropped and no callback follows. */
 void
 AprStream_Close(AprStream_t *stream)
--- a/tests/test_gateway_cell.c
+++ b/tests/test_gateway_cell.c
@@ -248,6 +248,37 @@
     cell_close(&cell);
 }
 
+/* Guards against work for a caller who left before a late process read its
+   request. */
+static void
+test_abandoned_request_is_dropped(void **state)
+{
+    AprStream_t *stream;
+    char text[256];
+    int runs;
+
+    (void)state;
+    open_with_keys();
+    runs = cell.hosts[0].runs;
+    stream =
+        AprStream_Connect(&cell.streams, cell.hosts[0].settings.listen_callers,
+                          &cell_caller, NULL);
+    snprintf(text, sizeof(text),
+             "GET /k/%d HTTP/1.1\r\nHost: desk.example\r\nAttempt: x\r\n"
+             "Key: %d\r\n\r\n",
+             cell.hosts[0].held[0].first, cell.hosts[0].held[0].first);
+    cell.streams.lagging = true;
+    AprStream_Write(stream, text, strlen(text));
+    AprStream_CloseAfterFlush(stream);
+    for (int i = 0; i < 20; i++) {
+        cell.streams.lagging = true;
+        ev_run(cell.loop, EVRUN_ONCE);
+    }
+    cell_run(&cell, 0.3);
+    assert_int_equal(cell.hosts[0].runs, runs);
+    cell_close(&cell);
+}
+
 int
 main(void)
 {
@@ -261,6 +292,7 @@
         cmocka_unit_test(test_stop_cuts_nothing),
         cmocka_unit_test(test_silent_backend_is_spared),
         cmocka_unit_test(test_sent_request_is_not_refused),
+        cmocka_unit_test(test_abandoned_request_is_dropped),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
