Name each owner once in a stored key map

Hosts have 10 to 200 Mbit/s, and a watcher pushed each change of a map of 30 KB to two dozen hosts, ahead of the calls on the same links.

Change: hosts and lives stand in a table, ranges refer to it; a range takes about 18 bytes instead of 100.

--- a/src/state/key_map.c
+++ b/src/state/key_map.c
@@ -219,26 +219,69 @@
     return count;
 }
 
+/* Owners and releasing hosts stand once each in the stored form, since every
+   change of the map goes to every host. */
+typedef struct NameTable_t {
+    json_t *list; /* [host, id, birth] */
+} NameTable_t;
+
+static int
+name_index(const NameTable_t *table, const char *host,
+           const AprBackendLife_t *life)
+{
+    size_t count = json_array_size(table->list);
+
+    for (size_t i = 0; i < count; i++) {
+        const json_t *row = json_array_get(table->list, i);
+
+        if (strcmp(json_string_value(json_array_get(row, 0)), host) == 0 &&
+            strcmp(json_string_value(json_array_get(row, 1)), life->id) == 0 &&
+            json_integer_value(json_array_get(row, 2)) == life->born_ms) {
+            return (int)i;
+        }
+    }
+    json_array_append_new(table->list, json_pack("[s,s,I]", host, life->id,
+                                                 (json_int_t)life->born_ms));
+    return (int)count;
+}
+
 static int
-parse_range(json_t *row, int expected_first, AprKeyRange_t *range)
+read_name(const json_t *names, int index, char *host, AprBackendLife_t *life)
 {
-    const char *host;
+    const char *host_text;
     const char *id;
-    const char *releasing;
     json_int_t born;
+
+    if (index < 0 || json_unpack(json_array_get(names, (size_t)index),
+                                 "[s,s,I]", &host_text, &id, &born) != 0) {
+        return APR_E_PARSE;
+    }
+    g_strlcpy(host, host_text, APR_NAME_SIZE);
+    g_strlcpy(life->id, id, sizeof(life->id));
+    life->born_ms = born;
+    return APR_OK;
+}
+
+/* A row has the last key, the owner, the fencing token and, if there is one,
+   the host that must release the keys. */
+static int
+parse_range(const json_t *names, json_t *row, int first, AprKeyRange_t *range)
+{
+    AprBackendLife_t unused;
     json_int_t fence;
+    int releasing = -1;
+    int owner;
 
     memset(range, 0, sizeof(*range));
-    if (json_unpack(row, "[i,i,s,s,I,I,s]", &range->first, &range->last, &host,
-                    &id, &born, &fence, &releasing) != 0 ||
-        range->first != expected_first || range->last < range->first ||
-        range->last > LAST_KEY || fence < 0) {
+    if (json_unpack(row, "[i,i,I,i]", &range->last, &owner, &fence,
+                    &releasing) != 0 ||
+        range->last < first || range->last > LAST_KEY || fence < 0 ||
+        read_name(names, owner, range->host, &range->owner) != APR_OK ||
+        (releasing >= 0 && read_name(names, releasing, range->releasing_host,
+                                     &unused) != APR_OK)) {
         return APR_E_PARSE;
     }
-    g_strlcpy(range->host, host, sizeof(range->host));
-    g_strlcpy(range->owner.id, id, sizeof(range->owner.id));
-    g_strlcpy(range->releasing_host, releasing, sizeof(range->releasing_host));
-    range->owner.born_ms = born;
+    range->first = first;
     range->fence = fence;
     return APR_OK;
 }
@@ -249,6 +292,7 @@
 AprKeyMap_Parse(AprKeyMap_t *map, const char *text, size_t size)
 {
     json_t *root = json_loadb(text, size, 0, NULL);
+    json_t *names = json_object_get(root, "owners");
     json_t *rows = json_object_get(root, "ranges");
     size_t count = json_array_size(rows);
     int next = 0;
@@ -267,7 +311,8 @@
     for (size_t i = 0; i < count; i++) {
         AprKeyRange_t *range = &map->ranges[i];
 
-        if (parse_range(json_array_get(rows, i), next, range) != APR_OK) {
+        if (parse_range(names, json_array_get(rows, i), next, range) !=
+            APR_OK) {
             goto done;
         }
         next = range->last + 1;
@@ -286,19 +331,25 @@
 char *
 AprKeyMap_Text(const AprKeyMap_t *map)
 {
+    static const AprBackendLife_t no_life;
+    NameTable_t names = {json_array()};
     json_t *rows = json_array();
-    json_t *root = json_pack("{s:I,s:o}", "last_fence",
-                             (json_int_t)map->last_fence, "ranges", rows);
+    json_t *root =
+        json_pack("{s:I,s:o,s:o}", "last_fence", (json_int_t)map->last_fence,
+                  "owners", names.list, "ranges", rows);
     char *text;
 
     for (int i = 0; i < map->count; i++) {
         const AprKeyRange_t *range = &map->ranges[i];
+        int releasing =
+            range->releasing_host[0] == '\0'
+                ? -1
+                : name_index(&names, range->releasing_host, &no_life);
 
         json_array_append_new(
-            rows, json_pack("[i,i,s,s,I,I,s]", range->first, range->last,
-                            range->host, range->owner.id,
-                            (json_int_t)range->owner.born_ms,
-                            (json_int_t)range->fence, range->releasing_host));
+            rows, json_pack("[i,i,I,i]", range->last,
+                            name_index(&names, range->host, &range->owner),
+                            (json_int_t)range->fence, releasing));
     }
     text = json_dumps(root, JSON_COMPACT);
     json_decref(root);
