Correct two comments of the gateway

The comment of AprExchange_Reject told of a delay that it does not make, and one of the removal queue named a value that it never has. No code changes.

--- a/internal/removal_queue.h
+++ b/internal/removal_queue.h
@@ -35,7 +35,7 @@
 
 typedef struct AprRemovalQueue_t {
     AprRemoval_t removals[APR_MAX_REMOVALS];
-    int changing; /* index of the one whose change was sent, or -1 - it */
+    int changing; /* index of the removal whose change was sent */
     bool has_changing;
 } AprRemovalQueue_t;
 
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -119,8 +119,8 @@
     finish(exchange);
 }
 
-/* Answers a request that nobody else will answer, after its body was read if
-   that is short. */
+/* Ends a request at once with an answer of the gateway itself; a call that is
+   under way is cancelled. */
 void
 AprExchange_Reject(AprExchange_t *exchange, int status, const char *reason)
 {
