Serve calls of running requests before other work of their rank

Ruled out: backend servers that fail by themselves; the parents of the failed runs all have a refused or cut call in the log.

Change: the entry recognizes a call by the id of a request that its own backend server runs at that moment. Such a call has the urgency of that request, is in time while that one can be, and goes before others of its rank. Links carry the mark (version 2 of the frames).

--- a/include/apricot/admission.h
+++ b/include/apricot/admission.h
@@ -22,6 +22,7 @@
     uint64_t id;
     uint32_t kind; /* requests of a kind take similar time */
     int rank;      /* 0 is the most urgent */
+    bool nested;   /* a running request elsewhere waits for it */
     int64_t arrived_ms;
     int64_t objective_ms; /* point in time until which the answer is best */
     int64_t deadline_ms;  /* point in time after which nobody waits */
--- a/internal/call.h
+++ b/internal/call.h
@@ -27,6 +27,7 @@
     char route[APR_ROUTE_NAME_SIZE];
     bool idempotent;
     bool has_deadline; /* the caller set one */
+    bool nested;       /* called by a request that a backend server runs */
     int rank;
     int key; /* APR_NO_KEY: none */
     int64_t arrived_ms;
--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -28,6 +28,9 @@
     const char *not_run;     /* in an answer: the request did not run */
     const char *caller;      /* service on the host of the caller */
     const char *key;         /* key of a keyed service */
+    /* Between the id of a running request and the rest of the id of a call
+       that it makes; 0: ids do not tell. */
+    char nested_separator;
 } AprHeaderNames_t;
 
 typedef struct AprGateway_t AprGateway_t;
@@ -124,6 +127,9 @@
 bool AprBackend_IsOpen(const AprBackend_t *backend);
 bool AprBackend_IsGone(const AprBackend_t *backend);
 int AprBackend_Busy(const AprBackend_t *backend);
+/* The request with an id that the backend server runs now, or NULL. */
+const AprCallHead_t *AprBackend_FindRunning(const AprBackend_t *backend,
+                                            const char *id, size_t id_size);
 
 /* Connections to the gateways of other hosts. */
 AprLinks_t *AprLinks_New(AprGateway_t *gateway);
--- a/internal/link_frame.h
+++ b/internal/link_frame.h
@@ -10,7 +10,7 @@
 /* Frames between two processes: a length of four bytes, then a msgpack array
    whose first element is the type. */
 
-#define APR_LINK_VERSION 1
+#define APR_LINK_VERSION 2
 #define APR_LINK_MAX_FRAME (4 * 1024 * 1024)
 #define APR_LINK_MAX_DATA 32768
 
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -568,6 +568,7 @@
     work.id = backend->next_id + 1;
     work.kind = kind_of(head);
     work.rank = head->rank;
+    work.nested = head->nested;
     work.arrived_ms = head->arrived_ms;
     work.objective_ms = head->objective_ms;
     work.deadline_ms = head->deadline_ms;
@@ -670,6 +671,24 @@
     return backend->admission.running_count + backend->admission.queue_count;
 }
 
+/* The request with an id that the backend server runs now; NULL when there
+   is none. */
+const AprCallHead_t *
+AprBackend_FindRunning(const AprBackend_t *backend, const char *id,
+                       size_t id_size)
+{
+    for (const AprBackendConn_t *conn = backend->conns; conn != NULL;
+         conn = conn->next) {
+        const AprBackendCall_t *call = conn->call;
+
+        if (call != NULL && strncmp(call->head.id, id, id_size) == 0 &&
+            call->head.id[id_size] == '\0') {
+            return &call->head;
+        }
+    }
+    return NULL;
+}
+
 /* Fills in the load of the backend server. */
 void
 AprBackend_Load(const AprBackend_t *backend, AprHostLoad_t *load)
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -596,6 +596,35 @@
     }
 }
 
+/* Recognizes a call that a request running at the local backend server makes.
+   It has the urgency of that request and is in time while that one can be. */
+static void
+find_parent(AprExchange_t *exchange)
+{
+    AprGateway_t *gateway = exchange->gateway;
+    AprCallHead_t *head = &exchange->head;
+    const char *end = strrchr(head->id, gateway->names->nested_separator);
+    const AprCallHead_t *parent;
+
+    if (gateway->names->nested_separator == '\0' || end == NULL) {
+        return;
+    }
+    parent = AprBackend_FindRunning(gateway->backend, head->id,
+                                    (size_t)(end - head->id));
+    if (parent == NULL) {
+        return;
+    }
+    head->nested = true;
+    if (parent->rank < head->rank) {
+        head->rank = parent->rank;
+    }
+    if (parent->objective_ms > head->objective_ms) {
+        head->objective_ms = parent->objective_ms < head->deadline_ms
+                                 ? parent->objective_ms
+                                 : head->deadline_ms;
+    }
+}
+
 /* Takes in a request whose head was read. NULL when memory runs out. */
 AprExchange_t *
 AprExchange_New(AprGateway_t *gateway, AprCaller_t *caller,
@@ -633,6 +662,7 @@
     exchange->keep_alive = http->keep_alive;
     exchange->no_body = strcmp(http->method, "HEAD") == 0;
     find_route(exchange, http);
+    find_parent(exchange);
     if (AprHttpHead_Copy(http, "Expect", expect, sizeof(expect)) == APR_OK &&
         strcasecmp(expect, "100-continue") == 0) {
         emit(exchange, "HTTP/1.1 100 Continue\r\n\r\n", 25);
--- a/src/protocol/link_frame.c
+++ b/src/protocol/link_frame.c
@@ -49,7 +49,7 @@
     msgpack_pack_int64(packer, load->revision);
 }
 
-#define CALL_FIELDS 20
+#define CALL_FIELDS 21
 
 /* Points in time become spans, since the clocks of two hosts differ. */
 static void
@@ -64,6 +64,7 @@
     pack_text(packer, call->route);
     pack_flag(packer, call->idempotent);
     pack_flag(packer, call->has_deadline);
+    pack_flag(packer, call->nested);
     msgpack_pack_int(packer, call->rank);
     msgpack_pack_int(packer, call->key);
     msgpack_pack_int64(packer, now_ms - call->arrived_ms);
@@ -333,6 +334,7 @@
     take_text(reader, call->route, sizeof(call->route));
     call->idempotent = take_flag(reader);
     call->has_deadline = take_flag(reader);
+    call->nested = take_flag(reader);
     call->rank = (int)take_int(reader);
     call->key = (int)take_int(reader);
     call->arrived_ms = now_ms - take_int(reader);
--- a/src/state/admission.c
+++ b/src/state/admission.c
@@ -65,14 +65,18 @@
     return COST_PRIOR * (double)(span_ms > 0 ? span_ms : 0);
 }
 
+/* A nested call is never late: its caller holds a slot until it has the
+   answer, and its work is lost without it. */
 static bool
 is_late(const AprWork_t *work, int64_t now_ms)
 {
-    return now_ms + (int64_t)work->cost_ms > work->objective_ms;
+    return !work->nested &&
+           now_ms + (int64_t)work->cost_ms > work->objective_ms;
 }
 
 /* Whether `left` starts before `right`: work that can meet its objective
-   first, then by rank, then by the time of its objective. */
+   first, then by rank, nested calls before others, then by the time of its
+   objective. */
 static bool
 goes_before(const AprWork_t *left, const AprWork_t *right, int64_t now_ms)
 {
@@ -85,6 +89,9 @@
     if (left->rank != right->rank) {
         return left->rank < right->rank;
     }
+    if (left->nested != right->nested) {
+        return left->nested;
+    }
     if (left->objective_ms != right->objective_ms) {
         return left->objective_ms < right->objective_ms;
     }
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -92,6 +92,31 @@
     assert_int_equal(started.id, 2);
 }
 
+/* Guards against a running request that waits, and holds its slot, behind
+   work that nobody has begun: its call goes before others of its rank, also
+   once its own objective has passed. */
+static void
+test_nested_call_first(void **state)
+{
+    AprAdmission_t admission;
+    AprWork_t plain = work(1, 1, 0, 150, 600);
+    AprWork_t nested = work(2, 1, 0, 200, 800);
+    AprWork_t urgent = work(3, 0, 250, 300, 400);
+    AprWork_t started;
+
+    (void)state;
+    nested.nested = true;
+    AprAdmission_Init(&admission, 1);
+    AprAdmission_Offer(&admission, &plain, 0);
+    AprAdmission_Offer(&admission, &nested, 0);
+    AprAdmission_Offer(&admission, &urgent, 250);
+    assert_true(AprAdmission_Next(&admission, 250, &started));
+    assert_int_equal(started.id, 3);
+    AprAdmission_Done(&admission, started.id, 250, true);
+    assert_true(AprAdmission_Next(&admission, 250, &started));
+    assert_int_equal(started.id, 2);
+}
+
 /* Guards against work that holds a place although more urgent arrivals have
    made its turn too late. */
 static void
@@ -284,6 +309,7 @@
         cmocka_unit_test(test_starts_no_more_than_slots),
         cmocka_unit_test(test_refuses_on_arrival),
         cmocka_unit_test(test_urgent_first),
+        cmocka_unit_test(test_nested_call_first),
         cmocka_unit_test(test_gives_up_what_became_hopeless),
         cmocka_unit_test(test_floor_under_flood),
         cmocka_unit_test(test_replay_of_a_burst),
