Give a place by the floor only to work that meets its objective

Change: the wait by the floor counts only where it meets the objective; the rest of the floor serves work that comes later.

--- a/src/state/admission.c
+++ b/src/state/admission.c
@@ -125,25 +125,27 @@
     return best;
 }
 
-/* Expected time until `work` starts, with all queued work ahead of it. The
-   floor of its kind bounds the wait behind other kinds. */
-static double
+/* When work is expected to start, in milliseconds from now. */
+typedef struct Wait_t {
+    double in_order; /* with all queued work ahead of it */
+    double by_floor; /* at the latest, by the floor of its kind */
+} Wait_t;
+
+static Wait_t
 expected_wait(const AprAdmission_t *admission, const AprWork_t *work,
               int64_t now_ms)
 {
     double free_at[APR_ADMISSION_MAX_SLOTS] = {0};
     int slots = admission->slots;
     double own_kind = work->cost_ms / 2;
-    double first_free;
-    double by_floor;
-    double in_order;
+    Wait_t wait;
 
     for (int i = 0; i < admission->running_count; i++) {
         int slot = i < slots ? i : earliest(free_at, slots);
 
         free_at[slot] += remaining_ms(&admission->running[i], now_ms);
     }
-    first_free = free_at[earliest(free_at, slots)];
+    wait.by_floor = free_at[earliest(free_at, slots)];
     for (int i = 0; i < admission->queue_count; i++) {
         const AprWork_t *other = &admission->queue[i];
 
@@ -152,17 +154,23 @@
             own_kind += other->kind == work->kind ? other->cost_ms : 0;
         }
     }
-    in_order = free_at[earliest(free_at, slots)];
-    by_floor = first_free + own_kind / (FLOOR_SHARE * slots);
-    return work->kind != 0 && by_floor < in_order ? by_floor : in_order;
+    wait.in_order = free_at[earliest(free_at, slots)];
+    wait.by_floor += own_kind / (FLOOR_SHARE * slots);
+    return wait;
 }
 
+/* Whether work is not worth a place. By its floor it only gets one if it meets
+   its objective: the rest of the floor serves whoever comes later. */
 static bool
-is_hopeless(const AprWork_t *work, int64_t now_ms, double wait_ms)
+is_hopeless(const AprWork_t *work, int64_t now_ms, Wait_t wait)
 {
-    double end_ms = (double)now_ms + wait_ms + work->cost_ms;
+    double end_ms = (double)now_ms + wait.in_order + work->cost_ms;
+    double floor_end_ms = (double)now_ms + wait.by_floor + work->cost_ms;
     double span_ms = (double)(work->deadline_ms - work->arrived_ms);
 
+    if (floor_end_ms < end_ms && floor_end_ms <= (double)work->objective_ms) {
+        end_ms = floor_end_ms;
+    }
     if (end_ms <= (double)work->objective_ms &&
         end_ms <= (double)work->deadline_ms) {
         return false;
@@ -191,7 +199,7 @@
 AprAdmission_Offer(AprAdmission_t *admission, AprWork_t *work, int64_t now_ms)
 {
     AprAdmissionVerdict_t verdict = {false, 0, 0};
-    double wait;
+    Wait_t wait;
 
     if (work->rank >= APR_ADMISSION_MAX_RANKS) {
         work->rank = APR_ADMISSION_MAX_RANKS - 1;
@@ -199,14 +207,14 @@
     work->cost_ms = AprAdmission_CostMs(admission, work->kind,
                                         work->objective_ms - work->arrived_ms);
     wait = expected_wait(admission, work, now_ms);
-    verdict.wait_ms = (int64_t)wait;
+    verdict.wait_ms = (int64_t)wait.in_order;
     verdict.admitted = admission->queue_count < APR_ADMISSION_MAX_QUEUE &&
                        !is_hopeless(work, now_ms, wait);
     if (verdict.admitted) {
         admission->queue[admission->queue_count++] = *work;
     }
     else {
-        verdict.retry_after_ms = retry_after(work, now_ms, wait);
+        verdict.retry_after_ms = retry_after(work, now_ms, wait.in_order);
     }
     return verdict;
 }
@@ -350,13 +358,13 @@
                           AprWork_t *work, AprAdmissionVerdict_t *verdict)
 {
     for (int i = 0; i < admission->queue_count; i++) {
-        double wait = expected_wait(admission, &admission->queue[i], now_ms);
+        Wait_t wait = expected_wait(admission, &admission->queue[i], now_ms);
 
         if (is_hopeless(&admission->queue[i], now_ms, wait)) {
             *work = admission->queue[i];
             verdict->admitted = false;
-            verdict->wait_ms = (int64_t)wait;
-            verdict->retry_after_ms = retry_after(work, now_ms, wait);
+            verdict->wait_ms = (int64_t)wait.in_order;
+            verdict->retry_after_ms = retry_after(work, now_ms, wait.in_order);
             remove_at(admission, i);
             return true;
         }
@@ -408,5 +416,5 @@
     probe.arrived_ms = now_ms;
     probe.objective_ms = INT64_MAX / 2;
     probe.deadline_ms = INT64_MAX / 2;
-    return (int64_t)expected_wait(admission, &probe, now_ms);
+    return (int64_t)expected_wait(admission, &probe, now_ms).in_order;
 }
