Links name the host that is meant, and count only that one as heard

Probes of the lost hosts were answered by the newcomers, so that nobody took the keys: both kinds of the keyed service were refused for them from 1 s to 50 s, 1,400 refusals in each 4 s.

Change: the first frame of a link names its sender and the host that is meant, in both directions. A host that is not the one meant says who it is, takes nothing and closes, so that calls on such a link are truthfully not run.

--- a/internal/link.h
+++ b/internal/link.h
@@ -17,18 +17,19 @@
     char host[APR_NAME_SIZE];
     AprStream_t *stream; /* NULL: not connected */
     AprBuffer_t in;
-    bool established; /* bytes arrived from the other side */
+    bool established; /* the other side named itself as the host meant */
+    bool foreign;     /* it is another host, and took nothing */
     int64_t opened_ms;
     int64_t heard_ms;
     int64_t pinged_ms;
     int64_t failed_ms; /* 0: the last try did not fail */
     gint next_stream;
     bool has_skew;
-    int64_t skew_ms;       /* least difference of the clocks, with the way */
-    int64_t subscribed_ms; /* last request for items; 0: none */
+    int64_t skew_ms;        /* least difference of the clocks, with the way */
+    int64_t subscribed_ms;  /* last request for items; 0: none */
     int64_t asked_revision; /* up to which it has all items */
     int64_t sent_arrival;   /* of the last item that was sent */
-    GHashTable *calls;     /* by stream: calls sent, or taken if inbound */
+    GHashTable *calls;      /* by stream: calls sent, or taken if inbound */
     AprLink_t *next;
 };
 
--- a/internal/link_frame.h
+++ b/internal/link_frame.h
@@ -10,7 +10,7 @@
 /* Frames between two processes: a length of four bytes, then a msgpack array
    whose first element is the type. */
 
-#define APR_LINK_VERSION 2
+#define APR_LINK_VERSION 3
 #define APR_LINK_MAX_FRAME (4 * 1024 * 1024)
 #define APR_LINK_MAX_DATA 32768
 
@@ -64,10 +64,11 @@
 typedef struct AprLinkFrame_t {
     AprLinkType_t type;
     uint32_t stream;
-    char host[APR_NAME_SIZE]; /* HELLO, ASK, HEARD */
-    AprCallHead_t call;       /* CALL; times are spans left */
-    AprAnswerHead_t answer;   /* ANSWER */
-    const char *data;         /* DATA, CALL, ANSWER */
+    char host[APR_NAME_SIZE];     /* HELLO (the sender), ASK, HEARD */
+    char expected[APR_NAME_SIZE]; /* HELLO: whom the sender means */
+    AprCallHead_t call;           /* CALL; times are spans left */
+    AprAnswerHead_t answer;       /* ANSWER */
+    const char *data;             /* DATA, CALL, ANSWER */
     size_t data_size;
     bool end;
     AprCallFailure_t failure; /* FAIL */
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -126,6 +126,41 @@
                                           link->sent_arrival, send_item, link);
 }
 
+static void
+send_hello(AprLink_t *link)
+{
+    AprLinkFrame_t hello = {0};
+
+    hello.type = APR_LINK_HELLO;
+    g_strlcpy(hello.host, link->gateway->settings.host, sizeof(hello.host));
+    g_strlcpy(hello.expected, link->host, sizeof(hello.expected));
+    AprLink_Send(link, &hello);
+}
+
+/* Takes the first frame of a link. The address of a host that is gone may
+   belong to another one by now: that one takes nothing and says who it is. */
+static void
+take_hello(AprLink_t *link, const AprLinkFrame_t *frame)
+{
+    if (!link->inbound) {
+        link->foreign = strcmp(frame->host, link->host) != 0;
+        link->established = !link->foreign;
+        if (link->foreign) {
+            AprLog_Write(APR_LOG_WARN, "link_foreign", "peer=%s found=%s",
+                         link->host, frame->host);
+            link_fail(link, "another host");
+        }
+        return;
+    }
+    g_strlcpy(link->host, frame->host, sizeof(link->host));
+    send_hello(link);
+    if (strcmp(frame->expected, link->gateway->settings.host) != 0) {
+        AprStream_CloseAfterFlush(link->stream);
+        link->stream = NULL;
+        link_fail(link, "meant for another host");
+    }
+}
+
 static void
 answer_ask(AprLink_t *link, const char *about)
 {
@@ -142,9 +177,14 @@
 {
     AprGateway_t *gateway = link->links->gateway;
 
+    if (frame->type != APR_LINK_HELLO &&
+        (link->inbound ? link->host[0] == '\0' : !link->established)) {
+        link_fail(link, "no greeting");
+        return;
+    }
     switch (frame->type) {
     case APR_LINK_HELLO:
-        g_strlcpy(link->host, frame->host, sizeof(link->host));
+        take_hello(link, frame);
         break;
     case APR_LINK_CALL:
     case APR_LINK_ANSWER:
@@ -247,7 +287,6 @@
     AprLink_t *link = context;
 
     link->heard_ms = now_of(link->links);
-    link->established = true;
     if (AprBuffer_Append(&link->in, data, size) != APR_OK) {
         link_fail(link, "out of memory");
         return;
@@ -294,10 +333,10 @@
 fail_outbound(AprLink_t *link, const char *reason)
 {
     /* Once the connection stands, the other side may have got any call. */
-    bool connecting =
-        link->stream != NULL && AprStream_Connecting(link->stream);
+    bool unreached = link->foreign || (link->stream != NULL &&
+                                       AprStream_Connecting(link->stream));
     AprCallFailure_t failure = {
-        connecting ? APR_CALL_UNREACHABLE : APR_CALL_BROKEN, connecting, 0};
+        unreached ? APR_CALL_UNREACHABLE : APR_CALL_BROKEN, unreached, 0};
 
     close_stream(link, reason);
     AprMembers_NoteFailure(link->links->gateway->members, link->host);
@@ -332,7 +371,6 @@
 {
     AprHost_t *member = AprMembers_Find(links->gateway->members, host);
     AprLink_t *link = find_link(links, host);
-    AprLinkFrame_t hello = {0};
     int64_t now_ms = now_of(links);
 
     if (link != NULL && link->stream != NULL) {
@@ -364,12 +402,11 @@
         return NULL;
     }
     link->established = false;
+    link->foreign = false;
     link->opened_ms = now_ms;
     link->heard_ms = now_ms;
     link->pinged_ms = now_ms;
-    hello.type = APR_LINK_HELLO;
-    g_strlcpy(hello.host, links->gateway->settings.host, sizeof(hello.host));
-    AprLink_Send(link, &hello);
+    send_hello(link);
     send_load(link, APR_LINK_PING, 0);
     return link;
 }
--- a/src/protocol/link_frame.c
+++ b/src/protocol/link_frame.c
@@ -81,10 +81,11 @@
 {
     switch (frame->type) {
     case APR_LINK_HELLO:
-        msgpack_pack_array(packer, 3);
+        msgpack_pack_array(packer, 4);
         msgpack_pack_int(packer, frame->type);
         msgpack_pack_int(packer, APR_LINK_VERSION);
         pack_text(packer, frame->host);
+        pack_text(packer, frame->expected);
         break;
     case APR_LINK_CALL:
         msgpack_pack_array(packer, 2 + CALL_FIELDS);
@@ -370,6 +371,7 @@
     case APR_LINK_HELLO:
         reader->failed |= take_int(reader) != APR_LINK_VERSION;
         take_text(reader, frame->host, sizeof(frame->host));
+        take_text(reader, frame->expected, sizeof(frame->expected));
         break;
     case APR_LINK_CALL:
         frame->stream = (uint32_t)take_int(reader);
--- a/tests/test_gateway_cell.c
+++ b/tests/test_gateway_cell.c
@@ -84,6 +84,28 @@
     cell_close(&cell);
 }
 
+/* Guards against a lost host that counts as alive because another host answers
+   at its address. */
+static void
+test_reused_address_hides_no_loss(void **state)
+{
+    CellHost_t *lost = &cell.hosts[2];
+    double waited;
+
+    (void)state;
+    open_with_keys();
+    cell_kill_gateway(lost);
+    cell_kill_backend(lost);
+    strcpy(lost->settings.host, "newcomer");
+    strcpy(lost->settings.backend_service, "other");
+    cell_start_gateway(lost);
+    waited = cell_wait_held(&cell, 20);
+    print_message("held again after %.1f s\n", waited);
+    assert_true(waited < 15);
+    assert_one_owner();
+    cell_close(&cell);
+}
+
 /* Guards against an outage when the backend server ends and its host knows
    that nobody holds the keys any more. */
 static void
@@ -352,6 +374,7 @@
         cmocka_unit_test(test_serves_all_keys),
         cmocka_unit_test(test_restart_moves_no_key),
         cmocka_unit_test(test_lost_host_is_replaced),
+        cmocka_unit_test(test_reused_address_hides_no_loss),
         cmocka_unit_test(test_ended_backend_is_replaced_at_once),
         cmocka_unit_test(test_store_outage_costs_nothing),
         cmocka_unit_test(test_leaving_backend_hands_over),
