--- a/include/apricot/gateway_settings.h
+++ b/include/apricot/gateway_settings.h
@@ -14,6 +14,7 @@
     double link_mbps; /* of the host's network link */
     char listen_callers[APR_ADDRESS_SIZE];
     char listen_peers[APR_ADDRESS_SIZE];
+    char advertise_peers[APR_ADDRESS_SIZE]; /* "": that of listen_peers */
     char listen_control[APR_ADDRESS_SIZE];
     char listen_readiness[APR_ADDRESS_SIZE];
     char listen_metrics[APR_ADDRESS_SIZE];
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -165,17 +165,21 @@
 {
     const AprGatewaySettings_t *settings = &gateway->settings;
     const AprBackendLife_t *life = AprBackend_Life(gateway->backend);
+    const char *address = settings->listen_peers;
     AprHostLoad_t load = {0};
     json_t *root;
     char *text;
 
+    if (settings->advertise_peers[0] != '\0') {
+        address = settings->advertise_peers;
+    }
     AprBackend_Load(gateway->backend, &load);
-    root = json_pack(
-        "{s:s,s:s,s:s,s:s,s:I,s:i,s:i,s:b}", "address", settings->listen_peers,
-        "domain", settings->failure_domain, "service",
-        settings->backend_service, "id", life->id, "born",
-        (json_int_t)life->born_ms, "slots", load.slots, "capacity",
-        capacity_of(settings), "open", load.open && life->id[0] != '\0');
+    root = json_pack("{s:s,s:s,s:s,s:s,s:I,s:i,s:i,s:b}", "address", address,
+                     "domain", settings->failure_domain, "service",
+                     settings->backend_service, "id", life->id, "born",
+                     (json_int_t)life->born_ms, "slots", load.slots,
+                     "capacity", capacity_of(settings), "open",
+                     load.open && life->id[0] != '\0');
     text = json_dumps(root, JSON_COMPACT);
     json_decref(root);
     return text;
