Answer callers of HTTP/1.0 without chunks

Change: the head tells the version; such an answer ends with its connection. test_old_caller_gets_plain_body fails without the change. AprStream_Pending, which nothing called, is gone.

--- a/internal/http_message.h
+++ b/internal/http_message.h
@@ -31,6 +31,7 @@
     uint64_t length;
     bool chunked;
     bool keep_alive;
+    bool http_1_0;
 } AprHttpHead_t;
 
 typedef struct AprHttpParser_t AprHttpParser_t;
--- a/internal/stream.h
+++ b/internal/stream.h
@@ -53,7 +53,6 @@
                                const AprStreamHandler_t *handler,
                                void *context);
 void AprStream_Write(AprStream_t *stream, const void *data, size_t size);
-size_t AprStream_Pending(const AprStream_t *stream);
 bool AprStream_Connecting(const AprStream_t *stream);
 void AprStream_ReadPause(AprStream_t *stream, bool pause);
 /* Bytes whose sender has closed already are dropped while the process is
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -660,6 +660,7 @@
     head->has_length = http->has_length;
     head->length = http->length;
     exchange->keep_alive = http->keep_alive;
+    exchange->http_1_0 = http->http_1_0;
     exchange->no_body = strcmp(http->method, "HEAD") == 0;
     find_route(exchange, http);
     find_parent(exchange);
--- a/src/transport/http_message.c
+++ b/src/transport/http_message.c
@@ -132,6 +132,7 @@
     head->length = head->has_length ? raw->content_length : 0;
     head->status = (int)raw->status_code;
     head->keep_alive = http_should_keep_alive(raw) != 0;
+    head->http_1_0 = raw->http_major == 1 && raw->http_minor == 0;
     if (raw->type == HTTP_REQUEST) {
         const char *method = http_method_str((enum http_method)raw->method);
 
--- a/src/transport/stream.c
+++ b/src/transport/stream.c
@@ -445,13 +445,6 @@
     }
 }
 
-/* Bytes that were written and not yet handed to the kernel. */
-size_t
-AprStream_Pending(const AprStream_t *stream)
-{
-    return AprBuffer_Size(&stream->out);
-}
-
 /* Whether the connection is not yet established. */
 bool
 AprStream_Connecting(const AprStream_t *stream)
--- a/tests/test_gateway_cell.c
+++ b/tests/test_gateway_cell.c
@@ -336,6 +336,94 @@
     cell_close(&cell);
 }
 
+/* A backend server whose answers have no length and end with the
+   connection. */
+static void
+unframed_on_data(void *context, const char *data, size_t size)
+{
+    static const char answer[] = "HTTP/1.1 200 OK\r\n\r\nunframed";
+    AprStream_t **stream = context;
+
+    (void)data;
+    (void)size;
+    AprStream_Write(*stream, answer, strlen(answer));
+    AprStream_CloseAfterFlush(*stream);
+    *stream = NULL;
+}
+
+static void
+unframed_on_close(void *context, int error)
+{
+    (void)context;
+    (void)error;
+}
+
+static const AprStreamHandler_t unframed_handler = {unframed_on_data,
+                                                    unframed_on_close, NULL};
+
+static void
+unframed_on_accept(struct ev_loop *loop, ev_io *watcher, int events)
+{
+    static AprStream_t *stream;
+    int fd = accept(watcher->fd, NULL, NULL);
+
+    (void)loop;
+    (void)events;
+    if (fd >= 0) {
+        stream = AprStream_Open(&cell.streams, fd, &unframed_handler, &stream);
+    }
+}
+
+static char old_caller_text[512];
+
+static void
+old_caller_on_data(void *context, const char *data, size_t size)
+{
+    (void)context;
+    strncat(old_caller_text, data,
+            size < 256 ? size : 256 - strlen(old_caller_text) % 256);
+}
+
+static const AprStreamHandler_t old_caller = {old_caller_on_data,
+                                              unframed_on_close, NULL};
+
+/* Guards against a chunked answer to a caller of HTTP/1.0, who does not know
+   that form. */
+static void
+test_old_caller_gets_plain_body(void **state)
+{
+    CellHost_t *host = &cell.hosts[0];
+    char address[APR_ADDRESS_SIZE];
+    AprStream_t *stream;
+    ev_io listener;
+    char text[256];
+    int fd;
+
+    (void)state;
+    open_with_keys();
+    cell_address(&cell, address);
+    AprHttpService_Free(host->backend);
+    host->backend =
+        AprHttpService_New(&cell.streams, address, cell_serve, host);
+    fd = AprStream_Listen(host->settings.backend_address);
+    assert_true(fd >= 0);
+    ev_io_init(&listener, unframed_on_accept, fd, EV_READ);
+    ev_io_start(cell.loop, &listener);
+    stream = AprStream_Connect(&cell.streams, host->settings.listen_callers,
+                               &old_caller, NULL);
+    snprintf(text, sizeof(text),
+             "GET /k/%d HTTP/1.0\r\nHost: desk.example\r\nAttempt: x\r\n"
+             "Key: %d\r\n\r\n",
+             host->held[0].first, host->held[0].first);
+    AprStream_Write(stream, text, strlen(text));
+    cell_run(&cell, 0.5);
+    assert_null(strstr(old_caller_text, "chunked"));
+    assert_non_null(strstr(old_caller_text, "\r\n\r\nunframed"));
+    ev_io_stop(cell.loop, &listener);
+    close(fd);
+    cell_close(&cell);
+}
+
 /* Guards against work for a caller who left before a late process read its
    request. */
 static void
@@ -383,6 +471,7 @@
         cmocka_unit_test(test_stop_cuts_nothing),
         cmocka_unit_test(test_silent_backend_is_spared),
         cmocka_unit_test(test_sent_request_is_not_refused),
+        cmocka_unit_test(test_old_caller_gets_plain_body),
         cmocka_unit_test(test_abandoned_request_is_dropped),
     };
 
