Satisfy the linter in watchers and the grant tests

The whole check failed at the linter: sizes of pointers to records, a parameter named otherwise in its header, and joined literals in a list. No behaviour changes; the lists of malformed parts hold the same texts.

--- a/internal/watchers.h
+++ b/internal/watchers.h
@@ -20,6 +20,6 @@
                       const AprGatewaySettings_t *settings);
 void AprWatchers_Clear(AprWatchers_t *watchers);
 bool AprWatchers_IsOwn(AprWatchers_t *watchers);
-const char *AprWatchers_At(AprWatchers_t *watchers, int index);
+const char *AprWatchers_At(AprWatchers_t *watchers, int attempt);
 
 #endif
--- a/src/gateway/watchers.c
+++ b/src/gateway/watchers.c
@@ -32,6 +32,10 @@
     watchers->count = 0;
 }
 
+typedef struct HostRef_t {
+    const AprHost_t *host;
+} HostRef_t;
+
 static uint64_t
 order_of(const char *host)
 {
@@ -43,8 +47,8 @@
 static int
 compare_hosts(const void *left_at, const void *right_at)
 {
-    const AprHost_t *left = *(const AprHost_t *const *)left_at;
-    const AprHost_t *right = *(const AprHost_t *const *)right_at;
+    const AprHost_t *left = ((const HostRef_t *)left_at)->host;
+    const AprHost_t *right = ((const HostRef_t *)right_at)->host;
     int domains = strcmp(left->domain, right->domain);
     uint64_t left_order = order_of(left->host);
     uint64_t right_order = order_of(right->host);
@@ -60,7 +64,7 @@
 
 /* Lists the hosts with an entry in the store; returns their number. */
 static int
-list_hosts(AprWatchers_t *watchers, const AprHost_t **hosts)
+list_hosts(AprWatchers_t *watchers, HostRef_t *hosts)
 {
     int count = 0;
 
@@ -68,7 +72,7 @@
         const AprHost_t *host = AprMembers_At(watchers->members, i);
 
         if (host->listed) {
-            hosts[count++] = host;
+            hosts[count++].host = host;
         }
     }
     qsort(hosts, (size_t)count, sizeof(*hosts), compare_hosts);
@@ -76,13 +80,13 @@
 }
 
 static int
-count_domains(const AprHost_t **hosts, int count)
+count_domains(HostRef_t *hosts, int count)
 {
     int domains = 0;
 
     for (int i = 0; i < count; i++) {
-        domains +=
-            i == 0 || strcmp(hosts[i]->domain, hosts[i - 1]->domain) != 0;
+        domains += i == 0 || strcmp(hosts[i].host->domain,
+                                    hosts[i - 1].host->domain) != 0;
     }
     return domains;
 }
@@ -90,25 +94,26 @@
 /* Adds the first hosts of each failure domain: those of this host's domain,
    or those of the others. */
 static void
-add_watchers(AprWatchers_t *watchers, const AprHost_t **hosts, int count,
+add_watchers(AprWatchers_t *watchers, HostRef_t *hosts, int count,
              int per_domain, bool near)
 {
     int place = 0;
 
     for (int i = 0; i < count; i++) {
-        place = i > 0 && strcmp(hosts[i]->domain, hosts[i - 1]->domain) == 0
+        place = i > 0 && strcmp(hosts[i].host->domain,
+                                hosts[i - 1].host->domain) == 0
                     ? place + 1
                     : 0;
         if (place >= per_domain ||
-            near != (strcmp(hosts[i]->domain,
+            near != (strcmp(hosts[i].host->domain,
                             watchers->settings->failure_domain) == 0)) {
             continue;
         }
-        if (strcmp(hosts[i]->host, watchers->settings->host) == 0) {
+        if (strcmp(hosts[i].host->host, watchers->settings->host) == 0) {
             watchers->own = true;
             continue;
         }
-        g_strlcpy(watchers->names[watchers->count++], hosts[i]->host,
+        g_strlcpy(watchers->names[watchers->count++], hosts[i].host->host,
                   APR_NAME_SIZE);
     }
 }
@@ -118,7 +123,7 @@
 {
     int64_t version = AprMembers_Version(watchers->members);
     int known = AprMembers_Count(watchers->members);
-    const AprHost_t **hosts;
+    HostRef_t *hosts;
     int count;
     int domains;
     int per_domain;
--- a/tests/test_grants.c
+++ b/tests/test_grants.c
@@ -222,6 +222,11 @@
 static void
 test_map_text(void **state)
 {
+    static const char out_of_order[] =
+        "{\"hosts\":[\"h\"],"
+        "\"ranges\":[[9,0,1,-1],[5,0,1,-1],[4095,0,1,-1]]}";
+    static const char beyond_part[] =
+        "{\"hosts\":[\"h\"],\"ranges\":[[9,0,1,-1],[4096,0,1,-1]]}";
     static const char *const malformed[] = {
         "",
         "{}",
@@ -231,10 +236,8 @@
         "{\"hosts\":[\"h\"],\"ranges\":[[4095,0,-1,-1]]}",
         "{\"hosts\":[\"h\"],\"ranges\":[[4095,1,1,-1]]}",
         "{\"hosts\":[\"h\"],\"ranges\":[[4095,0,1,7]]}",
-        "{\"hosts\":[\"h\"],"
-        "\"ranges\":[[9,0,1,-1],[5,0,1,-1],[4095,0,1,-1]]}",
-        "{\"hosts\":[\"h\"],"
-        "\"ranges\":[[9,0,1,-1],[4096,0,1,-1]]}",
+        out_of_order,
+        beyond_part,
         "{\"ranges\":[[4095,0,1,-1]]}",
     };
     const char *first = "h1";
