Share one settings loader, one check of a key and one fading of demand

Found in reading the whole change: - apricotd and apricot-gateway each had a reader of settings files with its own report of the first fault; both use settings_file.c now. The gateway also gets the shortened path in long messages. - the gateway named the address given to others listen.advertise_peers, where apricotd has advertise.peers; it is advertise.peers in both, checked as an address.

No other behaviour changes.

--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -249,6 +249,8 @@
 int64_t AprReplica_Revision(const AprReplica_t *replica);
 void AprReplica_Publish(AprReplica_t *replica);
 void AprReplica_Apply(AprReplica_t *replica, const AprKvItem_t *news);
+void AprReplica_ApplyConflict(AprReplica_t *replica,
+                              const AprKvResult_t *result);
 void AprReplica_TakeItem(AprReplica_t *replica, const AprItemFrame_t *frame);
 typedef void (*AprItemVisit_t)(void *context, const AprItemFrame_t *item);
 int64_t AprReplica_Visit(AprReplica_t *replica, int64_t after_revision,
--- a/src/coordination/settings.c
+++ b/src/coordination/settings.c
@@ -4,7 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "internal/field_table.h"
+#include "internal/settings_file.h"
 
 #define TEXT(member) \
     offsetof(AprSettings_t, member), sizeof(((AprSettings_t *)NULL)->member)
@@ -24,8 +24,6 @@
 /* A member must survive one lost renewal and its answer within a promise. */
 #define RENEWALS_PER_PROMISE 2
 
-#define SHOWN_PATH_SIZE 80
-
 static const AprField_t fields[] = {
     {NULL, "host", APR_FIELD_NAME, TEXT(host), 1, NAME_MAX_LENGTH, CHARACTERS,
      NULL, "name of this host, unique in the cell", 0, 0},
@@ -85,32 +83,6 @@
 
 #define FIELD_COUNT ((int)(sizeof(fields) / sizeof(fields[0])))
 
-typedef struct LoadContext_t {
-    const char *path;
-    AprError_t *error;
-    bool failed;
-} LoadContext_t;
-
-/* Keeps the first fault; one clear line helps more than a list whose later
-   entries often follow from the first. */
-static void
-keep_first(void *context, int line, const char *field, const char *message)
-{
-    LoadContext_t *load = context;
-    size_t length = strlen(load->path);
-    const char *shown = load->path;
-
-    if (load->failed) {
-        return;
-    }
-    load->failed = true;
-    if (length >= SHOWN_PATH_SIZE) {
-        shown += length - SHOWN_PATH_SIZE + 1;
-    }
-    AprError_Set(load->error, APR_E_INVALID, APR_STEP_SETTINGS, shown,
-                 "%s:%d: %s: %s", shown, line, field, message);
-}
-
 static bool
 is_any_address(const char *address)
 {
@@ -132,7 +104,7 @@
 
 static void
 default_advertise(char *advertise, const char *listen, const char *name,
-                  const AprFieldLines_t *lines, LoadContext_t *load)
+                  const AprFieldLines_t *lines, AprSettingsFile_t *load)
 {
     char field[APR_NAME_SIZE];
     const char *table = advertise[0] == '\0' ? "listen" : "advertise";
@@ -142,16 +114,17 @@
     }
     if (is_any_address(advertise)) {
         snprintf(field, sizeof(field), "advertise.%s", name);
-        keep_first(load, field_line(lines, table, name), field,
-                   "would tell others to connect to all addresses; set it to "
-                   "an address of this host");
+        AprSettingsFile_Report(
+            load, field_line(lines, table, name), field,
+            "would tell others to connect to all addresses; set it to "
+            "an address of this host");
     }
 }
 
 /* Rules that concern more than one field. */
 static void
 check_together(AprSettings_t *settings, const AprFieldLines_t *lines,
-               LoadContext_t *load)
+               AprSettingsFile_t *load)
 {
     default_advertise(settings->advertise_callers, settings->listen_callers,
                       "callers", lines, load);
@@ -161,18 +134,20 @@
                       "admin", lines, load);
     if (settings->lease_promise_ms <
         RENEWALS_PER_PROMISE * settings->lease_renew_ms) {
-        keep_first(load, field_line(lines, "lease", "promise_ms"),
-                   "lease.promise_ms",
-                   "is less than two lease.renew_ms; raise it or lower "
-                   "lease.renew_ms");
+        AprSettingsFile_Report(
+            load, field_line(lines, "lease", "promise_ms"), "lease.promise_ms",
+            "is less than two lease.renew_ms; raise it or lower "
+            "lease.renew_ms");
     }
     if (settings->store_prefix[0] != '/') {
-        keep_first(load, field_line(lines, "store", "prefix"), "store.prefix",
-                   "must begin with '/', for instance \"/apricot\"");
+        AprSettingsFile_Report(
+            load, field_line(lines, "store", "prefix"), "store.prefix",
+            "must begin with '/', for instance \"/apricot\"");
     }
     if (settings->endpoint_count == 0) {
-        keep_first(load, field_line(lines, "store", "endpoints"),
-                   "store.endpoints", "is empty; name at least one URL");
+        AprSettingsFile_Report(load, field_line(lines, "store", "endpoints"),
+                               "store.endpoints",
+                               "is empty; name at least one URL");
     }
 }
 
@@ -181,22 +156,14 @@
 int
 AprSettings_Load(const char *path, AprSettings_t *settings, AprError_t *error)
 {
-    LoadContext_t load = {path, error, false};
-    AprFieldReader_t reader = {fields, FIELD_COUNT, false, keep_first, &load};
+    AprSettingsFile_t load = {path, error, false};
     AprFieldLines_t lines;
-    AprError_t syntax;
-    AprTree_t *tree;
-    int line;
 
     memset(settings, 0, sizeof(*settings));
-    AprFields_SetDefaults(fields, FIELD_COUNT, settings);
-    if (AprTree_ReadToml(path, &tree, &line, &syntax) != APR_OK) {
-        keep_first(&load, line, "file", syntax.detail);
+    if (AprSettingsFile_Read(&load, fields, FIELD_COUNT, settings, &lines) !=
+        APR_OK) {
         return APR_E_INVALID;
     }
-    AprFields_Read(&reader, tree, settings, &lines);
-    AprFields_RequireAll(&reader, &lines);
-    AprTree_Free(tree);
     check_together(settings, &lines, &load);
     return load.failed ? APR_E_INVALID : APR_OK;
 }
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -340,27 +340,17 @@
     }
 }
 
-/* Whether a queued call may still go to the backend server: its key may have
-   been given away while it waited. */
+/* Whether the backend server holds a key; requests without one may run
+   anywhere. */
 static bool
-may_start(AprBackend_t *backend, AprBackendCall_t *call,
-          AprCallFailure_t *failure)
+check_key(AprBackend_t *backend, int key, AprCallFailure_t *failure)
 {
     int64_t wait_ms = 0;
 
-    if (!AprBackend_IsOpen(backend)) {
-        failure->error = APR_CALL_LEAVING;
-        return false;
-    }
-    if (backend->silent && backend->admission.running_count > 1) {
-        failure->error = APR_CALL_NO_BACKEND;
-        return false;
-    }
-    if (call->head.key == APR_NO_KEY) {
+    if (key == APR_NO_KEY) {
         return true;
     }
-    switch (AprOwnership_Check(backend->gateway->ownership, call->head.key,
-                               &wait_ms)) {
+    switch (AprOwnership_Check(backend->gateway->ownership, key, &wait_ms)) {
     case APR_KEY_SERVE:
         return true;
     case APR_KEY_WAIT:
@@ -373,6 +363,23 @@
     }
 }
 
+/* Whether a queued call may still go to the backend server: its key may have
+   been given away while it waited. */
+static bool
+may_start(AprBackend_t *backend, AprBackendCall_t *call,
+          AprCallFailure_t *failure)
+{
+    if (!AprBackend_IsOpen(backend)) {
+        failure->error = APR_CALL_LEAVING;
+        return false;
+    }
+    if (backend->silent && backend->admission.running_count > 1) {
+        failure->error = APR_CALL_NO_BACKEND;
+        return false;
+    }
+    return check_key(backend, call->head.key, failure);
+}
+
 static void
 pump(AprBackend_t *backend)
 {
@@ -455,13 +462,19 @@
 
 static const AprCallOps_t call_ops = {call_body, call_taken, call_cancel};
 
-static void
-add_demand(AprBackend_t *backend, double cost_ms, int64_t now_ms)
+/* Demand of the recent past, in milliseconds of service time. */
+static double
+faded_demand(const AprBackend_t *backend, int64_t now_ms)
 {
     double age = (double)(now_ms - backend->demand_at_ms) / DEMAND_SPAN_MS;
 
-    backend->demand_ms *= age < 1 ? 1 - age : 0;
-    backend->demand_ms += cost_ms;
+    return backend->demand_ms * (age < 1 ? 1 - age : 0);
+}
+
+static void
+add_demand(AprBackend_t *backend, double cost_ms, int64_t now_ms)
+{
+    backend->demand_ms = faded_demand(backend, now_ms) + cost_ms;
     backend->demand_at_ms = now_ms;
 }
 
@@ -469,10 +482,7 @@
 double
 AprBackend_Demand(const AprBackend_t *backend)
 {
-    int64_t now_ms = AprGateway_NowMs(backend->gateway);
-    double age = (double)(now_ms - backend->demand_at_ms) / DEMAND_SPAN_MS;
-
-    return backend->demand_ms * (age < 1 ? 1 - age : 0) /
+    return faded_demand(backend, AprGateway_NowMs(backend->gateway)) /
            (DEMAND_SPAN_MS * backend->admission.slots);
 }
 
@@ -487,8 +497,6 @@
 check_place(AprBackend_t *backend, const AprCallHead_t *head,
             AprCallFailure_t *failure)
 {
-    int64_t wait_ms = 0;
-
     failure->not_run = true;
     failure->retry_after_ms =
         (int64_t)(backend->gateway->settings.heartbeat_s * 500);
@@ -506,21 +514,7 @@
         failure->error = APR_CALL_NOT_OWNER;
         return false;
     }
-    if (head->key == APR_NO_KEY) {
-        return true;
-    }
-    switch (
-        AprOwnership_Check(backend->gateway->ownership, head->key, &wait_ms)) {
-    case APR_KEY_SERVE:
-        return true;
-    case APR_KEY_WAIT:
-        failure->error = APR_CALL_FULL;
-        failure->retry_after_ms = wait_ms;
-        return false;
-    default:
-        failure->error = APR_CALL_NOT_OWNER;
-        return false;
-    }
+    return check_key(backend, head->key, failure);
 }
 
 static AprBackendCall_t *
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -1,9 +1,8 @@
 #include "apricot/gateway_settings.h"
 
-#include <stdio.h>
 #include <string.h>
 
-#include "internal/field_table.h"
+#include "internal/settings_file.h"
 
 #define TEXT(member)                        \
     offsetof(AprGatewaySettings_t, member), \
@@ -26,15 +25,15 @@
      ADDRESS_MAX, CHARACTERS, NULL, "IP:port for callers", 0, 0},
     {"listen", "peers", APR_FIELD_ADDRESS, TEXT(listen_peers), 1, ADDRESS_MAX,
      CHARACTERS, NULL, "IP:port for the gateways of other hosts", 0, 0},
-    {"listen", "advertise_peers", APR_FIELD_TEXT, TEXT(advertise_peers), 0,
-     ADDRESS_MAX, CHARACTERS, "",
-     "IP:port under which other hosts reach `peers`, if another", 0, 0},
     {"listen", "control", APR_FIELD_ADDRESS, TEXT(listen_control), 1,
      ADDRESS_MAX, CHARACTERS, NULL, "IP:port for the backend server", 0, 0},
     {"listen", "readiness", APR_FIELD_ADDRESS, TEXT(listen_readiness), 1,
      ADDRESS_MAX, CHARACTERS, NULL, "IP:port for readiness checks", 0, 0},
     {"listen", "metrics", APR_FIELD_ADDRESS, TEXT(listen_metrics), 1,
      ADDRESS_MAX, CHARACTERS, NULL, "IP:port for metrics and state", 0, 0},
+    {"advertise", "peers", APR_FIELD_ADDRESS, TEXT(advertise_peers), 1,
+     ADDRESS_MAX, CHARACTERS, "", "IP:port given to others, else as listen", 0,
+     0},
     {"backend", "service", APR_FIELD_NAME, TEXT(backend_service), 1,
      APR_ROUTE_NAME_SIZE - 1, CHARACTERS, NULL,
      "service of the backend server on this host", 0, 0},
@@ -62,48 +61,17 @@
 
 #define FIELD_COUNT ((int)(sizeof(fields) / sizeof(fields[0])))
 
-typedef struct LoadContext_t {
-    const char *path;
-    AprError_t *error;
-    bool failed;
-} LoadContext_t;
-
-/* Keeps the first fault; later ones often follow from it. */
-static void
-keep_first(void *context, int line, const char *field, const char *message)
-{
-    LoadContext_t *load = context;
-
-    if (!load->failed) {
-        load->failed = true;
-        AprError_Set(load->error, APR_E_INVALID, APR_STEP_SETTINGS, load->path,
-                     "%s:%d: %s: %s", load->path, line, field, message);
-    }
-}
-
 /* Reads and checks a settings file. Returns APR_OK, or APR_E_INVALID with the
    file, the line, the field and the fix in one line of error->detail. */
 int
 AprGatewaySettings_Load(const char *path, AprGatewaySettings_t *settings,
                         AprError_t *error)
 {
-    LoadContext_t load = {path, error, false};
-    AprFieldReader_t reader = {fields, FIELD_COUNT, false, keep_first, &load};
+    AprSettingsFile_t load = {path, error, false};
     AprFieldLines_t lines;
-    AprError_t syntax;
-    AprTree_t *tree;
-    int line;
 
     memset(settings, 0, sizeof(*settings));
-    AprFields_SetDefaults(fields, FIELD_COUNT, settings);
-    if (AprTree_ReadToml(path, &tree, &line, &syntax) != APR_OK) {
-        keep_first(&load, line, "file", syntax.detail);
-        return APR_E_INVALID;
-    }
-    AprFields_Read(&reader, tree, settings, &lines);
-    AprFields_RequireAll(&reader, &lines);
-    AprTree_Free(tree);
-    return load.failed ? APR_E_INVALID : APR_OK;
+    return AprSettingsFile_Read(&load, fields, FIELD_COUNT, settings, &lines);
 }
 
 /* The unit, range and default of every field, one a line; allocated with
--- a/src/gateway/key_moves.c
+++ b/src/gateway/key_moves.c
@@ -107,10 +107,7 @@
         AprOwnership_DropProposal(ownership);
     }
     ownership->planned_share = 0;
-    for (int i = 0; result->code == APR_E_CONFLICT && i < result->item_count;
-         i++) {
-        AprReplica_Apply(ownership->gateway->replica, &result->items[i]);
-    }
+    AprReplica_ApplyConflict(ownership->gateway->replica, result);
     AprRemovalQueue_ChangeDone(&ownership->removals, result->code == APR_OK);
     if (result->code == APR_E_CONFLICT && result->item_count > 0 &&
         ownership->reply != NULL && ownership->repeats < MAX_REPEATS) {
--- a/src/gateway/ownership.c
+++ b/src/gateway/ownership.c
@@ -459,10 +459,7 @@
     AprOwnership_t *ownership = context;
 
     AprLifeRecord_Done(&ownership->record, result);
-    for (int i = 0; result->code == APR_E_CONFLICT && i < result->item_count;
-         i++) {
-        AprReplica_Apply(ownership->gateway->replica, &result->items[i]);
-    }
+    AprReplica_ApplyConflict(ownership->gateway->replica, result);
     AprLog_Write(APR_LOG_INFO, "life_recorded",
                  "id=%s generation=%lld result=%s", ownership->life.id,
                  (long long)ownership->record.generation,
--- a/src/gateway/replica.c
+++ b/src/gateway/replica.c
@@ -293,6 +293,17 @@
     dispatch(replica, news);
 }
 
+/* Takes over the present items of the conditions that a change did not
+   meet. */
+void
+AprReplica_ApplyConflict(AprReplica_t *replica, const AprKvResult_t *result)
+{
+    for (int i = 0; result->code == APR_E_CONFLICT && i < result->item_count;
+         i++) {
+        AprReplica_Apply(replica, &result->items[i]);
+    }
+}
+
 /* Removes what a reload of a prefix no longer showed. */
 static void
 drop_unseen(AprReplica_t *replica, const Watch_t *watch)
