--- a/include/apricot/grant_table.h
+++ b/include/apricot/grant_table.h
@@ -73,6 +73,9 @@
                                     const AprGrant_t *grant);
 void AprGrantTable_ApplyKeyMap(AprGrantTable_t *table, const AprKeyMap_t *map,
                                int64_t now_ms);
+void AprGrantTable_RecordHeldKeys(AprGrantTable_t *table,
+                                  const AprGrant_t *held, int count,
+                                  int64_t generation);
 void AprGrantTable_HandleRestart(AprGrantTable_t *table, int64_t now_ms);
 int AprGrantTable_RenewGrants(AprGrantTable_t *table, const AprKeyMap_t *map,
                               int64_t generation, int64_t now_ms,
--- a/src/gateway/ownership.c
+++ b/src/gateway/ownership.c
@@ -483,6 +483,10 @@
     ownership->last_heartbeat_sequence = heartbeat->sequence;
     ownership->last_heartbeat_ms = AprOwnership_NowMs(ownership);
     ownership->backend_leaving |= heartbeat->leaving;
+    AprGrantTable_RecordHeldKeys(
+        &ownership->grant_table, heartbeat->held, heartbeat->held_count,
+        AprGenerationRecord_Find(&ownership->generation_record,
+                                 &ownership->incarnation));
     AprBackend_OnHeartbeat(gateway->backend, heartbeat);
     AprStoreCache_PublishOwnEntry(gateway->store_cache);
 }
--- a/src/state/grant_table.c
+++ b/src/state/grant_table.c
@@ -117,6 +117,36 @@
     }
 }
 
+/* Records the keys that a heartbeat of the backend server's `generation`
+   reports as held. A fencing token of the present assignment shows that an
+   earlier process of this host granted the keys, after their previous holder
+   had released them or its grant had expired; a restarted process need not
+   wait for that again. Only keys that have to be released by another host
+   count. */
+void
+AprGrantTable_RecordHeldKeys(AprGrantTable_t *table, const AprGrant_t *held,
+                             int count, int64_t generation)
+{
+    for (int i = 0; i < count; i++) {
+        AprGrant_t proof = held[i];
+
+        if (generation <= 0 ||
+            held[i].fence % APR_GENERATIONS_PER_FENCE != generation) {
+            continue;
+        }
+        proof.fence = held[i].fence / APR_GENERATIONS_PER_FENCE;
+        proof.token[0] = '\0';
+        for (int j = 0; j < table->pending_count; j++) {
+            if (table->pending[j].fence == proof.fence &&
+                table->pending[j].part >= proof.first / APR_KEYS_PER_PART &&
+                table->pending[j].part <= proof.last / APR_KEYS_PER_PART) {
+                AprGrantTable_AddHandoverToken(table, &proof);
+                break;
+            }
+        }
+    }
+}
+
 /* Whether no grant of a previous owner of the range can still be in force. */
 static bool
 previous_grants_expired(const AprGrantTable_t *table,
--- a/tests/test_grants.c
+++ b/tests/test_grants.c
@@ -194,6 +194,38 @@
     AprKeyMap_Free(&map);
 }
 
+/* Guards against a restarted process that waits for the grant of a previous
+   holder although its backend server holds the keys already, and against keys
+   that it grants on the report of an earlier assignment or generation. */
+static void
+test_held_keys_need_no_release(void **state)
+{
+    AprGrant_t held[] = {{0, 99, 0, ""}, {100, 199, 0, ""}, {200, 299, 0, ""}};
+    AprGrant_t grants[MAX_GRANTS];
+    AprGrantTable_t table;
+    AprKeyMap_t map;
+    int64_t fence;
+
+    (void)state;
+    AprKeyMap_Init(&map);
+    AprKeyMap_Assign(&map, 0, 999, "h1", "h2");
+    fence = map.ranges[0].fence;
+    held[0].fence = fence * APR_GENERATIONS_PER_FENCE + GENERATION;
+    held[1].fence = (fence - 1) * APR_GENERATIONS_PER_FENCE + GENERATION;
+    held[2].fence = fence * APR_GENERATIONS_PER_FENCE + GENERATION - 1;
+    AprGrantTable_Init(&table, "h1", GRANT_MS, 0);
+    table.authority_until_ms = INT64_MAX;
+    AprGrantTable_ApplyKeyMap(&table, &map, 0);
+    AprGrantTable_RecordHeldKeys(&table, held, 3, GENERATION);
+    assert_int_equal(AprGrantTable_RenewGrants(&table, &map, GENERATION, 10,
+                                               grants, MAX_GRANTS),
+                     1);
+    assert_int_equal(grants[0].first, 0);
+    assert_int_equal(grants[0].last, 99);
+    assert_int_equal(grants[0].fence, held[0].fence);
+    AprKeyMap_Free(&map);
+}
+
 /* Guards against keys that have no owner or two owners after changes of the
    map, and against a fencing token that does not increase. */
 static void
@@ -545,6 +577,7 @@
         cmocka_unit_test(test_generation_rises_with_each_incarnation),
         cmocka_unit_test(test_waits_for_expiry_of_previous_holder),
         cmocka_unit_test(test_handover_token_frees_only_its_keys),
+        cmocka_unit_test(test_held_keys_need_no_release),
         cmocka_unit_test(test_map_covers_all_keys_once),
         cmocka_unit_test(test_stored_map_part),
         cmocka_unit_test(test_parts_change_independently),
