--- a/internal/sync_rules.h
+++ b/internal/sync_rules.h
@@ -25,6 +25,7 @@
                                  peers */
     bool send_config_as_non_member; /* such a query also sends the own
                                        configuration */
+    bool reopen_seeds; /* when no other process is known any more */
 } AprSyncRules_t;
 
 extern AprSyncRules_t apr_sync_rules;
--- a/src/coordination/links.c
+++ b/src/coordination/links.c
@@ -43,8 +43,9 @@
     return link;
 }
 
-/* Opens links to the seed addresses of the settings. They are stored under the
-   name ":address", because the host at a seed address is not known. */
+/* Opens links to the seed addresses of the settings that have none. They are
+   stored under the name ":address", because the host at a seed address is not
+   known. */
 void
 AprLinks_OpenSeeds(AprCore_t *core)
 {
@@ -57,6 +58,10 @@
         g_strlcpy(link->address, core->settings.seeds[i],
                   sizeof(link->address));
         g_snprintf(link->host, sizeof(link->host), ":%s", link->address);
+        if (g_hash_table_contains(core->links, link->host)) {
+            free(link);
+            continue;
+        }
         link->least_urgent_open_rank = APR_MAX_RANKS;
         link->link = AprPeerNet_OpenLink(core->net, link->address);
         g_hash_table_insert(core->links, link->host, link);
--- a/src/coordination/record_sync.c
+++ b/src/coordination/record_sync.c
@@ -14,7 +14,7 @@
 #define NON_MEMBER_QUERY_INTERVAL_MS 1000
 
 AprSyncRules_t apr_sync_rules = {true, true, true, true, true,
-                                 true, true, true, true};
+                                 true, true, true, true, true};
 
 /* Replaces the known record by `newer`, of which it takes ownership, and
    notifies the modules that depend on the record. */
@@ -198,7 +198,9 @@
 }
 
 /* Returns a link to a random other member of the record or, when the record
-   has no other members, to a random seed address; NULL when there is none. */
+   has no other members, to a random seed address; NULL when there is none.
+   Opens the seed links again if they were closed while the record had other
+   members: when all of these have left, no other process is known. */
 static AprOutboundLink_t *
 choose_random_link(AprCore_t *core)
 {
@@ -218,6 +220,10 @@
     }
     members = count > 0;
     /* While the record has no other members, all links are seed links. */
+    if (!members && g_hash_table_size(core->links) == 0 &&
+        apr_sync_rules.reopen_seeds) {
+        AprLinks_OpenSeeds(core);
+    }
     g_hash_table_iter_init(&iterator, core->links);
     while (!members && count < APR_MAX_SEEDS &&
            g_hash_table_iter_next(&iterator, &name, NULL)) {
--- a/tests/prop_sync.cc
+++ b/tests/prop_sync.cc
@@ -324,7 +324,9 @@
 
 struct Mutant {
     const char *name;
-    bool *enabled;
+    /* The rules that are disabled. A second one is given where it repairs the
+       consequences of the first. */
+    std::vector<bool *> rules;
     const char *expected;
     /* Keeps the store down after the failures in all runs; if false, in a
        quarter of the runs. */
@@ -357,11 +359,15 @@
     uint64_t seed = 0;
     while (!detected && seed < kMutantSeeds) {
         seed++;
-        *mutant.enabled = false;
+        for (bool *rule : mutant.rules) {
+            *rule = false;
+        }
         detected = Model(mutant_seed(mutant, seed),
                          mutant_store_recovers(mutant, seed))
                        .run() == mutant.expected;
-        *mutant.enabled = true;
+        for (bool *rule : mutant.rules) {
+            *rule = true;
+        }
         detected = detected && Model(mutant_seed(mutant, seed),
                                      mutant_store_recovers(mutant, seed))
                                    .run()
@@ -380,7 +386,8 @@
 static bool
 regression_seeds_hold()
 {
-    const std::pair<uint64_t, bool> regressions[] = {{186619, false}};
+    const std::pair<uint64_t, bool> regressions[] = {{186619, false},
+                                                     {325733008405, false}};
     bool all_hold = true;
 
     for (const auto &one : regressions) {
@@ -400,27 +407,47 @@
 main()
 {
     const Mutant mutants[] = {
-        {"adopt_only_newer_record", &apr_sync_rules.adopt_only_newer_record,
-         "the record went back", false},
-        {"apply_only_newer_config", &apr_sync_rules.apply_only_newer_config,
-         "a configuration went back", false},
-        {"digest_all_services", &apr_sync_rules.digest_all_services,
-         "a process lacks the newest configuration", false},
-        {"keep_unconfirmed_changes", &apr_sync_rules.keep_unconfirmed_changes,
-         "a change that failed took effect", false},
+        {"adopt_only_newer_record",
+         {&apr_sync_rules.adopt_only_newer_record},
+         "the record went back",
+         false},
+        {"apply_only_newer_config",
+         {&apr_sync_rules.apply_only_newer_config},
+         "a configuration went back",
+         false},
+        {"digest_all_services",
+         {&apr_sync_rules.digest_all_services},
+         "a process lacks the newest configuration",
+         false},
+        {"keep_unconfirmed_changes",
+         {&apr_sync_rules.keep_unconfirmed_changes},
+         "a change that failed took effect",
+         false},
         {"refuse_unconfirmed_cancel",
-         &apr_sync_rules.refuse_unconfirmed_cancel,
-         "a cancelled change took effect", false},
-        {"keep_unapplied_changes", &apr_sync_rules.keep_unapplied_changes,
-         "a change never ended", false},
+         {&apr_sync_rules.refuse_unconfirmed_cancel},
+         "a cancelled change took effect",
+         false},
+        {"keep_unapplied_changes",
+         {&apr_sync_rules.keep_unapplied_changes},
+         "a change never ended",
+         false},
         {"finish_only_applied_changes",
-         &apr_sync_rules.finish_only_applied_changes,
-         "a change ended well without effect", false},
-        {"query_as_non_member", &apr_sync_rules.query_as_non_member,
-         "a process lacks the newest record", false},
+         {&apr_sync_rules.finish_only_applied_changes},
+         "a change ended well without effect",
+         false},
+        {"query_as_non_member",
+         {&apr_sync_rules.query_as_non_member},
+         "a process lacks the newest record",
+         false},
         {"send_config_as_non_member",
-         &apr_sync_rules.send_config_as_non_member,
-         "a process lacks the newest configuration", true},
+         {&apr_sync_rules.send_config_as_non_member,
+          &apr_sync_rules.reopen_seeds},
+         "a process lacks the newest configuration",
+         true},
+        {"reopen_seeds",
+         {&apr_sync_rules.reopen_seeds},
+         "a process lacks the newest record",
+         true},
     };
     std::map<std::string, long> totals;
     long cases = 0;
