--- a/internal/backend_conn.h
+++ b/internal/backend_conn.h
@@ -50,12 +50,14 @@
     bool response_started;       /* the response head arrived */
     bool discard_response;       /* 1xx, or for another request */
     bool response_complete;      /* the whole response arrived */
+    bool response_has_length;    /* the response head tells its length */
     bool not_run;                /* the request was not executed */
     bool request_sent;           /* the whole request body was written */
     bool request_chunked;        /* the request body uses chunked encoding */
     bool keep_alive;             /* the connection can carry another request */
     bool parsing;                /* a parser callback is on the stack */
     bool free_after_parse;       /* freed when the parser returns */
+    size_t discarded_bytes;      /* of responses to other requests */
     size_t undelivered_bytes;    /* response bytes not yet acknowledged */
     size_t unwritten_body_bytes; /* request body bytes not yet in the kernel */
     int64_t idle_since_ms;
@@ -71,6 +73,7 @@
 void AprBackendConn_WriteBody(AprBackendConn_t *conn, const char *data,
                               size_t size, bool end);
 void AprBackendConn_AcknowledgeResponse(AprBackendConn_t *conn, size_t size);
+int64_t AprBackendConn_ResponseLimitMs(const AprBackendConn_t *conn);
 bool AprBackendConn_IsIdle(const AprBackendConn_t *conn, int64_t now_ms);
 bool AprBackendConn_IsExpired(const AprBackendConn_t *conn, int64_t now_ms);
 
--- a/internal/backend_transfer.h
+++ b/internal/backend_transfer.h
@@ -19,6 +19,10 @@
     struct timespec send_started_at;
     bool send_started; /* a byte of the request may have been sent */
     bool body_too_large;
+    size_t head_bytes; /* of all response heads */
+    bool head_too_large;
+    bool request_id_seen;  /* the response names its request */
+    bool foreign_response; /* it names another one */
 } AprBackendTransfer_t;
 
 AprBackendTransfer_t *AprBackendTransfer_New(AprBackendCall_t *call,
--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -32,6 +32,8 @@
     /* Ends the id of the running request at the start of the id of a call that
        this request makes; 0: ids do not show which request made a call. */
     char nested_separator;
+    /* Each response repeats attempt_id; one without it is not accepted. */
+    bool attempt_id_echoed;
 } AprHeaderNames_t;
 
 typedef struct AprGateway_t AprGateway_t;
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -742,7 +742,7 @@
                           !backend->unresponsive;
 }
 
-/* Returns whether no response to a sent call has arrived by its deadline. */
+/* Returns whether the response to a sent call is not complete in time. */
 static gboolean
 is_overdue(gpointer key, gpointer value, gpointer data)
 {
@@ -750,8 +750,9 @@
     const int64_t *now_ms = data;
 
     (void)key;
-    return call->conn != NULL && !call->conn->response_started &&
-           *now_ms > call->head.deadline_ms + RESPONSE_GRACE_MS;
+    return call->conn != NULL &&
+           *now_ms > AprBackendConn_ResponseLimitMs(call->conn) +
+                         RESPONSE_GRACE_MS;
 }
 
 /* Times out calls, closes expired idle connections, checks whether the backend
--- a/src/gateway/backend_conn.c
+++ b/src/gateway/backend_conn.c
@@ -16,6 +16,11 @@
 /* Idle limit when the response has no Keep-Alive timeout. */
 #define IDLE_DEFAULT_MS 8000
 
+/* Bytes that may precede the response to the present request: interim
+   responses, and late copies of responses to earlier requests. A connection
+   with more of them carries bytes without end. */
+#define MAX_DISCARDED_BYTES APR_CALL_WINDOW_BYTES
+
 /* Passes the response head without hop-by-hop headers to the caller. */
 static int
 forward_response_head(AprBackendConn_t *conn, const AprHttpHead_t *head)
@@ -66,31 +71,77 @@
                : strtol(timeout + strlen("timeout="), NULL, 10) * 1000;
 }
 
+/* Counts bytes that do not belong to the response. Returns 1, which stops the
+   parser, when there are too many. */
+static int
+discard_bytes(AprBackendConn_t *conn, size_t size)
+{
+    conn->discarded_bytes += size;
+    if (conn->discarded_bytes <= MAX_DISCARDED_BYTES) {
+        return 0;
+    }
+    AprLog_Write(APR_LOG_WARN, "answer_endless", "request=%s bytes=%zu",
+                 conn->call->head.id, conn->discarded_bytes);
+    return 1;
+}
+
+/* To which request a response belongs. */
+typedef enum ResponseOwner_t {
+    RESPONSE_OWN,
+    RESPONSE_FOREIGN, /* a late one to an earlier request */
+    RESPONSE_UNKNOWN  /* it should name its request, but does not */
+} ResponseOwner_t;
+
+static ResponseOwner_t
+find_response_owner(const AprBackendConn_t *conn, const AprHttpHead_t *head)
+{
+    const AprHeaderNames_t *names = conn->gateway->header_names;
+    const char *expected = conn->call->head.id;
+    char id[APR_CALL_ID_SIZE];
+
+    switch (AprHttpHead_CopyValue(head, names->attempt_id, id, sizeof(id))) {
+    case APR_OK:
+        break;
+    case APR_E_NOT_FOUND:
+        return names->attempt_id_echoed && expected[0] != '\0'
+                   ? RESPONSE_UNKNOWN
+                   : RESPONSE_OWN;
+    default:
+        return RESPONSE_FOREIGN;
+    }
+    if (strcmp(id, expected) == 0) {
+        return RESPONSE_OWN;
+    }
+    AprLog_Write(APR_LOG_WARN, "answer_dropped", "request=%s belongs_to=%s",
+                 expected, id);
+    return RESPONSE_FOREIGN;
+}
+
 static int
 on_head(void *context, const AprHttpHead_t *head)
 {
     AprBackendConn_t *conn = context;
     const AprHeaderNames_t *names = conn->gateway->header_names;
-    char id[APR_CALL_ID_SIZE];
+    ResponseOwner_t owner;
     int64_t keep_ms;
     size_t size;
 
     if (conn->call == NULL) {
         return 1;
     }
-    if (head->status < 200) {
-        conn->discard_response = true;
-        return 0;
+    owner = head->status < 200 ? RESPONSE_FOREIGN
+                               : find_response_owner(conn, head);
+    if (owner == RESPONSE_UNKNOWN) {
+        AprLog_Write(APR_LOG_WARN, "answer_without_id", "request=%s status=%d",
+                     conn->call->head.id, head->status);
+        return 1;
     }
-    if (AprHttpHead_CopyValue(head, names->attempt_id, id, sizeof(id)) ==
-            APR_OK &&
-        strcmp(id, conn->call->head.id) != 0) {
-        AprLog_Write(APR_LOG_WARN, "answer_dropped",
-                     "request=%s belongs_to=%s", conn->call->head.id, id);
+    if (owner == RESPONSE_FOREIGN) {
         conn->discard_response = true;
-        return 0;
+        return discard_bytes(conn, AprBuffer_Size(&head->text) + 1);
     }
     conn->response_started = true;
+    conn->response_has_length = head->has_content_length;
     AprBackend_RecordResponse(conn->backend);
     conn->keep_alive = head->keep_alive && conn->request_sent;
     keep_ms = parse_keep_alive_ms(head);
@@ -111,10 +162,12 @@
     AprBackendConn_t *conn = context;
     AprBackendCall_t *call = conn->call;
 
-    if (conn->discard_response || conn->not_run || call == NULL ||
-        call->detached) {
+    if (call == NULL || call->detached) {
         return 0;
     }
+    if (conn->discard_response || conn->not_run) {
+        return discard_bytes(conn, size);
+    }
     conn->undelivered_bytes += size;
     if (conn->undelivered_bytes > APR_CALL_WINDOW_BYTES) {
         AprStream_SetReadPaused(conn->stream, true);
@@ -325,11 +378,15 @@
     conn->response_started = false;
     conn->discard_response = false;
     conn->response_complete = false;
+    conn->response_has_length = false;
+    conn->discarded_bytes = 0;
     conn->not_run = false;
     conn->request_sent = false;
     conn->undelivered_bytes = 0;
     conn->unwritten_body_bytes = 0;
     conn->request_chunked = !head->has_length && has_body(call);
+    AprHttpParser_SetBodyOmitted(conn->parser,
+                                 strcmp(head->method, "HEAD") == 0);
     AprBuffer_AppendFormat(&text, "%s %s HTTP/1.1\r\n%s%s: %lld\r\n%s: %s\r\n",
                            head->method, head->target, head->headers,
                            names->timeout,
@@ -378,6 +435,22 @@
     }
 }
 
+/* Returns the time by which the response to the current call must be complete.
+   A backend server ends its work at the deadline. A response of known length
+   that a caller without a time limit of its own still receives may take twice
+   as long; one without a known end may not. */
+int64_t
+AprBackendConn_ResponseLimitMs(const AprBackendConn_t *conn)
+{
+    const AprCallHead_t *head = &conn->call->head;
+
+    if (conn->response_started && conn->response_has_length &&
+        !head->has_deadline) {
+        return 2 * head->deadline_ms - head->arrived_ms;
+    }
+    return head->deadline_ms;
+}
+
 /* Returns whether the connection can carry a new call. */
 bool
 AprBackendConn_IsIdle(const AprBackendConn_t *conn, int64_t now_ms)
--- a/src/transport/backend_transfer.c
+++ b/src/transport/backend_transfer.c
@@ -5,11 +5,20 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 #include <uuid/uuid.h>
 
 #define MAX_HEADER_LINE_SIZE 256
 #define UUID_TEXT_SIZE 37
 
+/* Largest response head, interim responses included. */
+#define MAX_HEAD_BYTES 65536
+
+/* Names the request to the backend server. A response that repeats the header
+   can be told from a late copy of an earlier one; the connection of a response
+   without it is not used again. */
+#define REQUEST_ID_HEADER "Apricot-Request"
+
 /* Adds a request header. A value that contains a line break is left out, as it
    would start another header. */
 static void
@@ -44,6 +53,8 @@
     snprintf(text, sizeof(text), "%" PRIu64 ";%" PRId64, call->grant_epoch,
              call->grant_expiry_ms);
     add_header(transfer, "Apricot-Grant", text);
+    snprintf(text, sizeof(text), "%" PRIu64, call->id);
+    add_header(transfer, REQUEST_ID_HEADER, text);
     if (request->has_idempotency_key) {
         char uuid[UUID_TEXT_SIZE];
 
@@ -96,6 +107,52 @@
     return size * count;
 }
 
+/* Handles the end of a response head. Returns whether the response may belong
+   to the request. */
+static bool
+on_head_end(AprBackendTransfer_t *transfer)
+{
+    long status = 0;
+
+    curl_easy_getinfo(transfer->curl, CURLINFO_RESPONSE_CODE, &status);
+    if (status < 200) {
+        return true;
+    }
+    if (!transfer->request_id_seen) {
+        curl_easy_setopt(transfer->curl, CURLOPT_FORBID_REUSE, 1L);
+    }
+    return !transfer->foreign_response;
+}
+
+/* Handles a header line of a response. */
+static size_t
+header_callback(char *data, size_t size, size_t count, void *context)
+{
+    AprBackendTransfer_t *transfer = context;
+    size_t length = size * count;
+    size_t name_length = strlen(REQUEST_ID_HEADER ":");
+
+    transfer->head_bytes += length;
+    if (transfer->head_bytes > MAX_HEAD_BYTES) {
+        transfer->head_too_large = true;
+        return 0;
+    }
+    if (length > name_length &&
+        strncasecmp(data, REQUEST_ID_HEADER ":", name_length) == 0) {
+        char text[MAX_HEADER_LINE_SIZE];
+
+        snprintf(text, sizeof(text), "%.*s", (int)(length - name_length),
+                 data + name_length);
+        transfer->request_id_seen = true;
+        transfer->foreign_response =
+            strtoull(text, NULL, 10) != transfer->call->id;
+    }
+    if (data[0] == '\r' || data[0] == '\n') {
+        return on_head_end(transfer) ? length : 0;
+    }
+    return length;
+}
+
 /* Called by libcurl when a connection is ready, right before the first byte of
    the request is sent. This is the last point at which the call can be aborted
    with certainty that it did not run. libcurl sets the parameter types. */
@@ -148,6 +205,8 @@
     curl_easy_setopt(curl, CURLOPT_PRIVATE, transfer);
     curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, write_callback);
     curl_easy_setopt(curl, CURLOPT_WRITEDATA, transfer);
+    curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, header_callback);
+    curl_easy_setopt(curl, CURLOPT_HEADERDATA, transfer);
     curl_easy_setopt(curl, CURLOPT_PREREQFUNCTION, prerequest_callback);
     curl_easy_setopt(curl, CURLOPT_PREREQDATA, transfer);
     /* libcurl resends a request when a reused connection closes before the
@@ -334,10 +393,14 @@
     if (code == CURLE_OK) {
         return new_response_result(transfer);
     }
-    if (transfer->body_too_large) {
+    if (transfer->body_too_large || transfer->head_too_large) {
         return AprBackendTransfer_NewAbortedResult(transfer, APR_E_TOO_LARGE,
                                                    "the answer is too large");
     }
+    if (transfer->foreign_response) {
+        return AprBackendTransfer_NewAbortedResult(
+            transfer, APR_E_PARSE, "the answer belongs to another request");
+    }
     if (code == CURLE_ABORTED_BY_CALLBACK) {
         return AprBackendTransfer_NewAbortedResult(transfer, APR_E_TIMEOUT,
                                                    "too late to start");
--- a/src/transport/http_message.c
+++ b/src/transport/http_message.c
@@ -17,6 +17,7 @@
     bool in_message;
     bool in_head;
     bool in_header_value; /* the next header name starts a new header */
+    bool body_omitted;    /* see AprHttpParser_SetBodyOmitted() */
     int error;            /* APR_E_*, set by a callback that stops parsing */
 };
 
@@ -148,7 +149,7 @@
         parser->error = APR_E_CLOSED;
         return -1;
     }
-    return 0;
+    return parser->body_omitted ? 1 : 0;
 }
 
 static int
@@ -287,6 +288,14 @@
     parser->max_head_bytes = bytes;
 }
 
+/* Tells a parser of responses that the response has no body, whatever its head
+   says, as after a HEAD request. */
+void
+AprHttpParser_SetBodyOmitted(AprHttpParser_t *parser, bool omitted)
+{
+    parser->body_omitted = omitted;
+}
+
 /* Stops parsing after the current callback, or resumes. */
 void
 AprHttpParser_SetPaused(AprHttpParser_t *parser, bool pause)
--- a/standins/lib/backend_server.c
+++ b/standins/lib/backend_server.c
@@ -57,6 +57,20 @@
     return options;
 }
 
+/* Names the request in the response, so that the gateway can tell it from a
+   late copy of an earlier one. */
+static void
+add_request_header(struct MHD_Connection *client,
+                   struct MHD_Response *response)
+{
+    const char *id = MHD_lookup_connection_value(client, MHD_HEADER_KIND,
+                                                 "Apricot-Request");
+
+    if (id != NULL) {
+        MHD_add_response_header(response, "Apricot-Request", id);
+    }
+}
+
 /* Sends a response with an Apricot-Outcome header and the reason as its text.
    `reason` is not copied, so it must outlive the response. */
 static enum MHD_Result
@@ -68,6 +82,7 @@
     enum MHD_Result result;
 
     MHD_add_response_header(response, "Apricot-Outcome", outcome);
+    add_request_header(client, response);
     MHD_add_response_header(response, "Content-Type", "text/plain");
     result = MHD_queue_response(client, (unsigned)status, response);
     MHD_destroy_response(response);
@@ -248,6 +263,7 @@
     enum MHD_Result result;
 
     MHD_add_response_header(response, "Apricot-Outcome", "answered");
+    add_request_header(client, response);
     MHD_add_response_header(response, "Content-Type", "application/json");
     result = MHD_queue_response(client, MHD_HTTP_OK, response);
     MHD_destroy_response(response);
--- a/tests/disconnecting_server.h
+++ b/tests/disconnecting_server.h
@@ -27,18 +27,23 @@
 static inline bool
 handle_request(DisconnectingServer_t *server, int fd)
 {
-    static const char response[] =
-        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    char response[128];
     char text[4096];
     ssize_t size = recv(fd, text, sizeof(text) - 1, 0);
+    const char *id;
 
     if (size <= 0) {
         return false;
     }
     text[size] = '\0';
     atomic_fetch_add(&server->requests, 1);
+    id = strstr(text, "Apricot-Request: ");
+    snprintf(response, sizeof(response),
+             "HTTP/1.1 200 OK\r\n%.*s\r\nContent-Length: 0\r\n\r\n",
+             id == NULL ? 9 : (int)strcspn(id, "\r"),
+             id == NULL ? "Server: t" : id);
     return strstr(text, "/cut/") == NULL &&
-           send(fd, response, sizeof(response) - 1, MSG_NOSIGNAL) > 0;
+           send(fd, response, strlen(response), MSG_NOSIGNAL) > 0;
 }
 
 static inline void *
--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -687,7 +687,8 @@
 }
 
 static const AprHeaderNames_t cluster_header_names = {
-    "Attempt", "Time-Left", "Expected", "Not-Run", "Caller", "Key", '.'};
+    "Attempt", "Time-Left", "Expected", "Not-Run",
+    "Caller",  "Key",       '.',        false};
 
 /* Creates a configuration with one route to one keyed service; `text` is its
    version. */
@@ -763,7 +764,7 @@
     host->held_count = 0;
 }
 
-static void
+static inline void
 host_kill_backend(ClusterHost_t *host)
 {
     AprHttpServer_Free(host->backend);
@@ -823,7 +824,7 @@
 }
 
 /* Returns the number of items that a host sent to other hosts. */
-static int64_t
+static inline int64_t
 host_items_sent(ClusterHost_t *host)
 {
     return AprMetric_Value(AprMetrics_RegisterCounter(
@@ -861,7 +862,7 @@
 
 /* Runs the event loop for some seconds, and every 20 ms sends a request to the
    next host whose gateway runs and is not stopping. */
-static void
+static inline void
 cluster_run_with_load(Cluster_t *cluster, double seconds, const char *method)
 {
     int steps = (int)(seconds / 0.02);
--- a/tests/test_backend_client.c
+++ b/tests/test_backend_client.c
@@ -16,6 +16,7 @@
 #include "standins/lib/backend_server.h"
 #include "standins/lib/http.h"
 #include "tests/disconnecting_server.h"
+#include "tests/hostile_server.h"
 
 #define MAX_CONNECTIONS 4
 #define MAX_BODY_BYTES 4096
@@ -402,6 +403,88 @@
     AprBackendResult_Free(result);
 }
 
+/* Sends an idempotent call to a scripted server and checks its outcome. */
+static void
+call_hostile_server(Fixture_t *fixture, HostileServer_t *server, uint64_t id,
+                    AprOutcomeKind_t outcome, const char *body)
+{
+    AprBackendCall_t *call = new_call(fixture, id, "status", "k", "");
+
+    strcpy(call->address, server->address);
+    call->request->request.idempotent = true;
+    call->timeout_ms = 400;
+    submit_and_expect(fixture, call, outcome, body);
+}
+
+/* Guards against bytes without end that occupy memory or a connection beyond
+   the timeout of the call, and against a truncated response that counts as
+   complete. */
+static void
+test_responses_without_end_are_unknown(void **state)
+{
+    static const HostileResponse_t responses[] = {
+        {"HTTP/1.1 200 OK\r\n", "Filler: aaaaaaaaaaaaaaaa\r\n",
+         HOSTILE_REPEAT},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n", HOSTILE_REPEAT},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n",
+         HOSTILE_REPEAT},
+        {"", "garbage", HOSTILE_REPEAT},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut", NULL,
+         HOSTILE_CLOSE},
+        {"HTTP/1.1 200 OK\r\n\r\ncut", NULL, HOSTILE_RESET},
+        {"", NULL, HOSTILE_IGNORE},
+    };
+    int count = (int)(sizeof(responses) / sizeof(responses[0]));
+    Fixture_t *fixture = *state;
+    HostileServer_t server;
+
+    assert_true(start_hostile_server(&server, 0,
+                                     "Apricot-Request: ", responses, count));
+    for (int i = 0; i < count; i++) {
+        call_hostile_server(fixture, &server, (uint64_t)i + 1, APR_UNKNOWN,
+                            NULL);
+    }
+    usleep(100 * 1000);
+    assert_int_equal(atomic_load(&server.open_connections), 0);
+    /* The client stops reading after 64 KB; the rest are socket buffers. */
+    assert_true(atomic_load(&server.bytes_sent) < 64 * 1024 * 1024);
+    stop_hostile_server(&server);
+}
+
+/* Guards against a late copy of an earlier response on a kept connection that
+   is taken for the response to the next call. */
+static void
+test_late_copy_is_not_the_next_response(void **state)
+{
+    static const HostileResponse_t responses[] = {
+        {"HTTP/1.1 200 OK\r\nApricot-Request: {id}\r\nContent-Length: 5\r\n"
+         "\r\nfirst",
+         NULL, HOSTILE_KEEP},
+        {"HTTP/1.1 200 OK\r\nApricot-Request: {last}\r\nContent-Length: 5"
+         "\r\n\r\nfirst",
+         NULL, HOSTILE_KEEP},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nthird", NULL,
+         HOSTILE_KEEP},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nfourth", NULL,
+         HOSTILE_KEEP},
+    };
+    Fixture_t *fixture = *state;
+    HostileServer_t server;
+
+    assert_true(
+        start_hostile_server(&server, 0, "Apricot-Request: ", responses, 4));
+    call_hostile_server(fixture, &server, 1, APR_ANSWERED, "first");
+    assert_int_equal(atomic_load(&server.open_connections), 1);
+    call_hostile_server(fixture, &server, 2, APR_UNKNOWN, NULL);
+    /* A response that does not name its request is accepted on a connection
+       that no other call has used, which is then closed. */
+    call_hostile_server(fixture, &server, 3, APR_ANSWERED, "third");
+    usleep(100 * 1000);
+    assert_int_equal(atomic_load(&server.open_connections), 0);
+    call_hostile_server(fixture, &server, 4, APR_ANSWERED, "fourth");
+    stop_hostile_server(&server);
+}
+
 typedef struct Announcements_t {
     atomic_int count;
     char last[512];
@@ -471,6 +554,8 @@
         BACKEND_TEST(test_shed_and_stale_grant_are_not_run),
         BACKEND_TEST(test_oversized_response_is_unknown),
         BACKEND_TEST(test_each_call_gets_its_own_response),
+        BACKEND_TEST(test_responses_without_end_are_unknown),
+        BACKEND_TEST(test_late_copy_is_not_the_next_response),
         BACKEND_TEST(test_stop_ends_all_calls),
         BACKEND_TEST(test_drain_completes_running_requests),
         BACKEND_TEST(test_backend_announces_itself),
