--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -2,6 +2,7 @@
 #define APRICOT_INTERNAL_GATEWAY_H
 
 #include <ev.h>
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -178,6 +179,9 @@
     char address[APR_ADDRESS_SIZE]; /* where its gateway accepts links */
     char failure_domain[APR_NAME_SIZE];
     char service[APR_ROUTE_NAME_SIZE];
+    GQuark service_id;  /* of `service` */
+    bool is_self;       /* this host */
+    bool in_own_domain; /* in the failure domain of this host */
     AprBackendIncarnation_t incarnation; /* empty id: none */
     int slots;
     int relay_capacity; /* for passing items on, see members.c */
--- a/internal/gateway_link.h
+++ b/internal/gateway_link.h
@@ -10,14 +10,22 @@
    calls; the other side responds. */
 typedef struct AprGatewayLink_t AprGatewayLink_t;
 
+/* The open links from one host. */
+typedef struct AprInboundHost_t {
+    char host[APR_NAME_SIZE];
+    int link_count;
+    int64_t last_received_ms; /* on any of them */
+} AprInboundHost_t;
+
 struct AprGatewayLink_t {
     AprGateway_t *gateway;
     AprLinks_t *links;
     bool inbound;             /* opened by the other host */
     char host[APR_NAME_SIZE]; /* of the other side; inbound: "" before HELLO */
-    AprStream_t *stream;      /* NULL: not connected */
-    AprBuffer_t receive_buffer; /* received bytes of incomplete frames */
-    bool established;           /* outbound: HELLO named the expected host */
+    AprInboundHost_t *inbound_host; /* of an inbound link after HELLO */
+    AprStream_t *stream;            /* NULL: not connected */
+    AprBuffer_t receive_buffer;     /* received bytes of incomplete frames */
+    bool established;  /* outbound: HELLO named the expected host */
     bool wrong_host;   /* HELLO named another host, which took no calls */
     int64_t opened_ms; /* start of the connect */
     int64_t last_received_ms;
--- a/internal/ownership_state.h
+++ b/internal/ownership_state.h
@@ -18,6 +18,8 @@
     char service[APR_ROUTE_NAME_SIZE];
     AprKeyMap_t map;
     int64_t revisions[APR_KEY_PARTS]; /* of the stored parts; 0: not stored */
+    /* Host -> number of keys; NULL: to be counted again. */
+    GHashTable *key_counts;
 } AprServiceKeyMap_t;
 
 struct AprOwnership_t {
@@ -69,6 +71,7 @@
     int64_t candidates_changed_ms; /* last change of candidate_count */
     int64_t started_ms;
     AprRemovalQueue_t removal_queue;
+    int64_t next_loss_check_ms; /* next check for lost hosts */
 };
 
 int64_t AprOwnership_NowMs(const AprOwnership_t *ownership);
@@ -79,6 +82,7 @@
                                          const char *service);
 AprServiceKeyMap_t *AprOwnership_FindOwnMap(AprOwnership_t *ownership);
 bool AprOwnership_IsKeyed(const AprOwnership_t *ownership);
+int AprOwnership_CountKeysOf(AprServiceKeyMap_t *entry, const char *host);
 int AprOwnership_CountOwnKeys(AprOwnership_t *ownership);
 void AprOwnership_DropProposal(AprOwnership_t *ownership);
 AprServiceKeyMap_t *AprOwnership_AddMap(AprOwnership_t *ownership,
--- a/internal/removal_queue.h
+++ b/internal/removal_queue.h
@@ -37,6 +37,7 @@
 
 typedef struct AprRemovalQueue_t {
     AprHostRemoval_t removals[APR_MAX_REMOVALS];
+    int used_limit;        /* the slots from here on have never been used */
     int reassigning_index; /* removal whose key map change was sent */
     bool has_reassigning;
 } AprRemovalQueue_t;
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -751,8 +751,8 @@
 
     (void)key;
     return call->conn != NULL &&
-           *now_ms > AprBackendConn_ResponseLimitMs(call->conn) +
-                         RESPONSE_GRACE_MS;
+           *now_ms >
+               AprBackendConn_ResponseLimitMs(call->conn) + RESPONSE_GRACE_MS;
 }
 
 /* Times out calls, closes expired idle connections, checks whether the backend
--- a/src/gateway/key_moves.c
+++ b/src/gateway/key_moves.c
@@ -49,6 +49,10 @@
    hosts. */
 #define PEER_QUERY_INTERVAL_MS 500
 
+/* Interval of the checks for lost hosts, each of which visits all ranges of
+   the key map. */
+#define LOSS_CHECK_INTERVAL_MS 150
+
 #define MAX_CANDIDATES 2048
 
 /* Number of conditions and writes together that one change of the store may
@@ -272,6 +276,8 @@
     AprMembers_t *members = ownership->gateway->members;
     AprServiceKeyMap_t *entry = AprOwnership_FindOwnMap(ownership);
     int64_t now_ms = AprOwnership_NowMs(ownership);
+    GQuark own_service_id =
+        g_quark_try_string(ownership->gateway->settings.backend_service);
     int count = 0;
 
     for (int i = 0; i < AprMembers_Count(members) && count < capacity; i++) {
@@ -281,7 +287,7 @@
 
         if (!member->registered || !member->accepts_calls ||
             member->incarnation.id[0] == '\0' ||
-            !AprOwnership_IsOwnService(ownership, member->service) ||
+            member->service_id != own_service_id ||
             (except != NULL && strcmp(member->host, except) == 0)) {
             continue;
         }
@@ -295,9 +301,8 @@
         candidate->load =
             fresh ? member->load_report.load_permille / 1000.0 : 0.5;
         candidate->keys =
-            entry == NULL ? 0
-                          : AprKeyMap_CountKeysOf(&entry->map, member->host);
-        if (strcmp(member->host, AprOwnership_OwnHost(ownership)) == 0) {
+            entry == NULL ? 0 : AprOwnership_CountKeysOf(entry, member->host);
+        if (member->is_self) {
             candidate->load =
                 AprBackend_RelativeDemand(ownership->gateway->backend);
         }
@@ -357,8 +362,9 @@
     int count;
     int moves;
 
-    if (entry == NULL || AprOwnership_CountOwnKeys(ownership) == 0 ||
+    if (entry == NULL ||
         AprOwnership_NowMs(ownership) < ownership->next_rebalance_ms ||
+        AprOwnership_CountOwnKeys(ownership) == 0 ||
         AprKeyMap_Copy(&map, &entry->map) != APR_OK) {
         return false;
     }
@@ -435,9 +441,8 @@
     AprKeyMap_t map;
     int count;
 
-    if (!is_first_plan_due(ownership) ||
-        (entry != NULL && AprKeyMap_CountKeysOf(&entry->map, "") == 0) ||
-        !is_planner(ownership)) {
+    if ((entry != NULL && AprOwnership_CountKeysOf(entry, "") == 0) ||
+        !is_first_plan_due(ownership) || !is_planner(ownership)) {
         return;
     }
     if (entry == NULL) {
@@ -535,22 +540,26 @@
     for (int i = 0; i < AprMembers_Count(gateway->members); i++) {
         const AprHost_t *other = AprMembers_At(gateway->members, i);
 
-        if (other->registered &&
-            strcmp(other->host, AprOwnership_OwnHost(ownership)) != 0) {
+        if (other->registered && !other->is_self) {
             AprLinks_QueryReachability(gateway->links, other->host, host);
         }
     }
 }
 
+/* Looks for hosts that own keys and are missing, and advances the removal of
+   those that are lost, if this host is the planner. */
 static void
 remove_lost_hosts(AprOwnership_t *ownership)
 {
     AprServiceKeyMap_t *entry = AprOwnership_FindOwnMap(ownership);
     AprGateway_t *gateway = ownership->gateway;
+    int64_t now_ms = AprOwnership_NowMs(ownership);
 
-    if (entry == NULL || !is_planner(ownership)) {
+    if (now_ms < ownership->next_loss_check_ms || entry == NULL ||
+        !is_planner(ownership)) {
         return;
     }
+    ownership->next_loss_check_ms = now_ms + LOSS_CHECK_INTERVAL_MS;
     for (int i = 0; i < entry->map.count; i++) {
         const char *host = entry->map.ranges[i].host;
         const AprHost_t *member;
@@ -567,10 +576,10 @@
         if (member != NULL) {
             AprLinks_Ping(gateway->links, host);
         }
-        if (AprRemovalQueue_AddMissingHost(
-                &ownership->removal_queue, host,
-                member == NULL ? 0 : member->lease_id,
-                AprOwnership_NowMs(ownership)) > PEER_QUERY_DELAY_MS) {
+        if (AprRemovalQueue_AddMissingHost(&ownership->removal_queue, host,
+                                           member == NULL ? 0
+                                                          : member->lease_id,
+                                           now_ms) > PEER_QUERY_DELAY_MS) {
             query_peers_about(ownership, host);
         }
     }
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -50,8 +50,10 @@
 struct AprLinks_t {
     AprGateway_t *gateway;
     AprGatewayLink_t *outbound;
+    GHashTable *outbound_by_host; /* name -> AprGatewayLink_t, not owned */
     AprGatewayLink_t *inbound;
-    AprGatewayLink_t *closed; /* freed at the next tick, when unreferenced */
+    GHashTable *inbound_hosts; /* name -> AprInboundHost_t, owned */
+    AprGatewayLink_t *closed;  /* freed at the next tick, when unreferenced */
     ReleaseNotice_t *pending_releases;
     ev_io listener;
     int listen_fd;
@@ -78,13 +80,46 @@
     }
     links->gateway = gateway;
     links->listen_fd = -1;
+    links->outbound_by_host = g_hash_table_new(g_str_hash, g_str_equal);
+    links->inbound_hosts =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     if (!msgpack_zone_init(&links->zone, MSGPACK_ZONE_CHUNK_SIZE)) {
+        g_hash_table_destroy(links->outbound_by_host);
+        g_hash_table_destroy(links->inbound_hosts);
         free(links);
         return NULL;
     }
     return links;
 }
 
+/* Adds an inbound link, whose HELLO names its host, to those of the host. */
+static void
+add_to_inbound_host(AprGatewayLink_t *link)
+{
+    GHashTable *hosts = link->links->inbound_hosts;
+    AprInboundHost_t *entry = g_hash_table_lookup(hosts, link->host);
+
+    if (entry == NULL) {
+        entry = g_new0(AprInboundHost_t, 1);
+        g_strlcpy(entry->host, link->host, sizeof(entry->host));
+        g_hash_table_insert(hosts, entry->host, entry);
+    }
+    entry->link_count++;
+    entry->last_received_ms = link->last_received_ms;
+    link->inbound_host = entry;
+}
+
+static void
+remove_from_inbound_host(AprGatewayLink_t *link)
+{
+    AprInboundHost_t *entry = link->inbound_host;
+
+    link->inbound_host = NULL;
+    if (entry != NULL && --entry->link_count == 0) {
+        g_hash_table_remove(link->links->inbound_hosts, entry->host);
+    }
+}
+
 /* Sends a frame; drops it when the link is not connected. */
 void
 AprGatewayLink_Send(AprGatewayLink_t *link, const AprLinkFrame_t *frame)
@@ -157,7 +192,12 @@
         }
         return;
     }
+    if (link->inbound_host != NULL) {
+        handle_link_failure(link, "second HELLO");
+        return;
+    }
     g_strlcpy(link->host, frame->host, sizeof(link->host));
+    add_to_inbound_host(link);
     send_hello(link);
     if (strcmp(frame->expected_host, link->gateway->settings.host) != 0) {
         AprStream_CloseAfterFlush(link->stream);
@@ -299,6 +339,9 @@
     AprGatewayLink_t *link = context;
 
     link->last_received_ms = links_now_ms(link->links);
+    if (link->inbound_host != NULL) {
+        link->inbound_host->last_received_ms = link->last_received_ms;
+    }
     if (AprBuffer_Append(&link->receive_buffer, data, size) != APR_OK) {
         handle_link_failure(link, "out of memory");
         return;
@@ -334,6 +377,7 @@
 close_inbound_link(AprGatewayLink_t *link, const char *reason)
 {
     close_stream(link, reason);
+    remove_from_inbound_host(link);
     AprLinkCalls_CancelAll(link);
     remove_link(&link->links->inbound, link);
     link->next = link->links->closed;
@@ -374,12 +418,7 @@
 static AprGatewayLink_t *
 find_outbound_link(const AprLinks_t *links, const char *host)
 {
-    AprGatewayLink_t *link = links->outbound;
-
-    while (link != NULL && strcmp(link->host, host) != 0) {
-        link = link->next;
-    }
-    return link;
+    return g_hash_table_lookup(links->outbound_by_host, host);
 }
 
 /* Returns the connected or connecting link to a host and opens it if needed.
@@ -409,6 +448,7 @@
         g_strlcpy(link->host, host, sizeof(link->host));
         link->next = links->outbound;
         links->outbound = link;
+        g_hash_table_insert(links->outbound_by_host, link->host, link);
     }
     if (link->failed_ms != 0 &&
         now_ms - link->failed_ms < RECONNECT_DELAY_MS) {
@@ -562,14 +602,13 @@
 AprLinks_LastReceivedAgeMs(const AprLinks_t *links, const char *host)
 {
     const AprGatewayLink_t *link = find_outbound_link(links, host);
+    const AprInboundHost_t *inbound =
+        g_hash_table_lookup(links->inbound_hosts, host);
     int64_t heard_ms =
         link != NULL && link->established ? link->last_received_ms : -1;
 
-    for (link = links->inbound; link != NULL; link = link->next) {
-        if (strcmp(link->host, host) == 0 &&
-            link->last_received_ms > heard_ms) {
-            heard_ms = link->last_received_ms;
-        }
+    if (inbound != NULL && inbound->last_received_ms > heard_ms) {
+        heard_ms = inbound->last_received_ms;
     }
     return heard_ms < 0 ? -1 : links_now_ms(links) - heard_ms;
 }
@@ -805,5 +844,7 @@
         close(links->listen_fd);
     }
     msgpack_zone_destroy(&links->zone);
+    g_hash_table_destroy(links->outbound_by_host);
+    g_hash_table_destroy(links->inbound_hosts);
     free(links);
 }
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -35,6 +35,7 @@
     AprHost_t *hosts;
     int host_count;
     int host_capacity;
+    GHashTable *index_by_name; /* name -> index in `hosts` */
     uint64_t random_state;
     int64_t version; /* rises with each change of an entry */
 };
@@ -47,6 +48,8 @@
 
     if (members != NULL) {
         members->gateway = gateway;
+        members->index_by_name =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
         members->random_state = g_random_int() | 1u;
     }
     return members;
@@ -56,6 +59,7 @@
 AprMembers_Free(AprMembers_t *members)
 {
     if (members != NULL) {
+        g_hash_table_destroy(members->index_by_name);
         free(members->hosts);
         free(members);
     }
@@ -66,12 +70,13 @@
 AprHost_t *
 AprMembers_Find(AprMembers_t *members, const char *host)
 {
-    for (int i = 0; i < members->host_count; i++) {
-        if (strcmp(members->hosts[i].host, host) == 0) {
-            return &members->hosts[i];
-        }
+    gpointer index;
+
+    if (!g_hash_table_lookup_extended(members->index_by_name, host, NULL,
+                                      &index)) {
+        return NULL;
     }
-    return NULL;
+    return &members->hosts[GPOINTER_TO_INT(index)];
 }
 
 /* Returns the number of known hosts, including those without an entry. */
@@ -81,7 +86,8 @@
     return members->host_count;
 }
 
-/* Returns a number that rises with each change of an entry. */
+/* Returns a number that rises when an entry is added or removed, or when the
+   failure domain or the capacity of a host changes. */
 int64_t
 AprMembers_Version(const AprMembers_t *members)
 {
@@ -116,6 +122,10 @@
     member = &members->hosts[members->host_count++];
     memset(member, 0, sizeof(*member));
     g_strlcpy(member->host, host, sizeof(member->host));
+    member->is_self =
+        strcmp(member->host, members->gateway->settings.host) == 0;
+    g_hash_table_insert(members->index_by_name, g_strdup(host),
+                        GINT_TO_POINTER(members->host_count - 1));
     return member;
 }
 
@@ -141,6 +151,7 @@
         g_strlcpy(member->failure_domain, domain,
                   sizeof(member->failure_domain));
         g_strlcpy(member->service, service, sizeof(member->service));
+        member->service_id = g_quark_from_string(service);
         g_strlcpy(member->incarnation.id, id, sizeof(member->incarnation.id));
         member->incarnation.started_ms = started_ms;
         member->slots = slots;
@@ -199,10 +210,11 @@
 {
     AprHost_t *member = AprMembers_Find(members, host);
     int64_t now_ms = AprGateway_NowMs(members->gateway);
+    AprHost_t before;
 
-    members->version++;
     if (item->removed) {
         if (member != NULL && member->registered) {
+            members->version++;
             member->registered = false;
             member->entry_removed_ms = now_ms;
             member->entry_revision = item->revision;
@@ -215,6 +227,9 @@
     if (member == NULL) {
         member = add_member(members, host);
     }
+    if (member != NULL) {
+        before = *member;
+    }
     if (member == NULL ||
         parse_entry(member, item->value, item->value_size) != APR_OK) {
         AprLog_Write(APR_LOG_WARN, "member_entry_invalid",
@@ -225,6 +240,13 @@
                  "peer=%s revision=%lld backend=%s open=%d", host,
                  (long long)item->revision, member->incarnation.id,
                  member->accepts_calls);
+    members->version +=
+        !before.registered ||
+        before.relay_capacity != member->relay_capacity ||
+        strcmp(before.failure_domain, member->failure_domain) != 0;
+    member->in_own_domain =
+        strcmp(member->failure_domain,
+               members->gateway->settings.failure_domain) == 0;
     member->registered = true;
     member->lease_id = item->lease;
     member->entry_revision = item->revision;
@@ -289,7 +311,7 @@
             continue;
         }
         known++;
-        if (strcmp(member->host, members->gateway->settings.host) == 0) {
+        if (member->is_self) {
             reports[count++] = now_ms;
         }
         else if (member->load_report_ms != 0 &&
@@ -333,9 +355,8 @@
                     AprHostCandidate_t *candidate, int64_t now_ms)
 {
     AprGateway_t *gateway = members->gateway;
-    bool own = strcmp(member->host, gateway->settings.host) == 0;
 
-    if (own) {
+    if (member->is_self) {
         AprBackend_GetLoad(gateway->backend, &member->load_report);
         member->load_report_ms = now_ms;
     }
@@ -346,10 +367,11 @@
     candidate->request_count =
         member->load_report.running + member->load_report.queued;
     candidate->in_flight =
-        own ? 0 : AprLinks_CountOutboundCalls(gateway->links, member->host);
+        member->is_self
+            ? 0
+            : AprLinks_CountOutboundCalls(gateway->links, member->host);
     candidate->slots = member->slots;
-    candidate->same_domain =
-        strcmp(member->failure_domain, gateway->settings.failure_domain) == 0;
+    candidate->same_domain = member->in_own_domain;
     candidate->suspect =
         member->unreachable_ms != 0 &&
         now_ms - member->unreachable_ms < FAILED_HOST_AVOID_MS;
@@ -363,6 +385,7 @@
                       char tried[][APR_NAME_SIZE], int tried_count)
 {
     int64_t now_ms = AprGateway_NowMs(members->gateway);
+    GQuark service_id = g_quark_try_string(service);
     AprHost_t *best = NULL;
     AprHostCandidate_t best_candidate;
 
@@ -370,7 +393,7 @@
         AprHost_t *member = &members->hosts[i];
         AprHostCandidate_t candidate;
 
-        if (strcmp(member->service, service) != 0 || !member->accepts_calls ||
+        if (member->service_id != service_id || !member->accepts_calls ||
             !member->load_report.accepts_calls ||
             member->incarnation.id[0] == '\0' ||
             was_tried(member->host, tried, tried_count) ||
--- a/src/gateway/ownership.c
+++ b/src/gateway/ownership.c
@@ -95,6 +95,9 @@
     }
     for (int i = 0; i < ownership->map_count; i++) {
         AprKeyMap_Free(&ownership->maps[i].map);
+        if (ownership->maps[i].key_counts != NULL) {
+            g_hash_table_destroy(ownership->maps[i].key_counts);
+        }
     }
     if (ownership->has_proposal) {
         AprKeyMap_Free(&ownership->proposal);
@@ -177,6 +180,10 @@
                            int64_t revision)
 {
     entry->revisions[part] = revision;
+    if (entry->key_counts != NULL) {
+        g_hash_table_destroy(entry->key_counts);
+        entry->key_counts = NULL;
+    }
     if (!AprOwnership_IsOwnService(ownership, entry->service)) {
         return;
     }
@@ -395,6 +402,28 @@
     }
 }
 
+/* Returns the number of keys that a key map assigns to a host, or that have no
+   owner if `host` is "". Counts the keys of all hosts once for each version of
+   the map. */
+int
+AprOwnership_CountKeysOf(AprServiceKeyMap_t *entry, const char *host)
+{
+    if (entry->key_counts == NULL) {
+        entry->key_counts =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        for (int i = 0; i < entry->map.count; i++) {
+            const AprKeyRange_t *range = &entry->map.ranges[i];
+            int count = GPOINTER_TO_INT(
+                g_hash_table_lookup(entry->key_counts, range->host));
+
+            g_hash_table_insert(
+                entry->key_counts, g_strdup(range->host),
+                GINT_TO_POINTER(count + range->last - range->first + 1));
+        }
+    }
+    return GPOINTER_TO_INT(g_hash_table_lookup(entry->key_counts, host));
+}
+
 /* Returns the number of keys that the key map assigns to this host. */
 int
 AprOwnership_CountOwnKeys(AprOwnership_t *ownership)
@@ -402,8 +431,8 @@
     AprServiceKeyMap_t *entry = AprOwnership_FindOwnMap(ownership);
 
     return entry == NULL ? 0
-                         : AprKeyMap_CountKeysOf(
-                               &entry->map, AprOwnership_OwnHost(ownership));
+                         : AprOwnership_CountKeysOf(
+                               entry, AprOwnership_OwnHost(ownership));
 }
 
 /* Sends the handover tokens of released keys to the hosts that now own the
--- a/src/gateway/removal_queue.c
+++ b/src/gateway/removal_queue.c
@@ -24,11 +24,15 @@
 static AprHostRemoval_t *
 find_removal(AprRemovalQueue_t *queue, const char *host)
 {
-    for (int i = 0; i < APR_MAX_REMOVALS; i++) {
+    /* Slots from used_limit on have never been used, and are free. */
+    for (int i = 0; i < queue->used_limit; i++) {
         if (strcmp(queue->removals[i].host, host) == 0) {
             return &queue->removals[i];
         }
     }
+    if (host[0] == '\0' && queue->used_limit < APR_MAX_REMOVALS) {
+        return &queue->removals[queue->used_limit++];
+    }
     return NULL;
 }
 
--- a/src/gateway/store_cache.c
+++ b/src/gateway/store_cache.c
@@ -87,6 +87,7 @@
 struct AprStoreCache_t {
     AprGateway_t *gateway;
     Item_t *items;
+    GHashTable *item_index; /* key -> index in `items` */
     int item_count;
     int item_capacity;
     int64_t last_change_sequence;
@@ -155,12 +156,12 @@
 static Item_t *
 find_item(AprStoreCache_t *cache, const char *key)
 {
-    for (int i = 0; i < cache->item_count; i++) {
-        if (strcmp(cache->items[i].key, key) == 0) {
-            return &cache->items[i];
-        }
+    gpointer index;
+
+    if (!g_hash_table_lookup_extended(cache->item_index, key, NULL, &index)) {
+        return NULL;
     }
-    return NULL;
+    return &cache->items[GPOINTER_TO_INT(index)];
 }
 
 static Item_t *
@@ -186,6 +187,8 @@
     if (item->key == NULL) {
         return NULL;
     }
+    g_hash_table_insert(cache->item_index, item->key,
+                        GINT_TO_POINTER(cache->item_count));
     cache->item_count++;
     return item;
 }
@@ -458,6 +461,7 @@
         return NULL;
     }
     cache->gateway = gateway;
+    cache->item_index = g_hash_table_new(g_str_hash, g_str_equal);
     AprWatchers_Init(&cache->watchers, gateway->members, &gateway->settings);
     cache->config_watch.cache = cache;
     cache->prefix_watch.cache = cache;
@@ -480,6 +484,7 @@
         free(cache->items[i].value);
     }
     AprWatchers_Clear(&cache->watchers);
+    g_hash_table_destroy(cache->item_index);
     free(cache->items);
     free(cache->stored_entry);
     free(cache->pending_entry);
@@ -615,7 +620,7 @@
         const AprHost_t *member = AprMembers_At(
             gateway->members, cache->next_renewal_peer++ % count);
 
-        if (strcmp(member->host, gateway->settings.host) == 0 ||
+        if (member->is_self ||
             !AprLinks_IsHostAlive(gateway->links, member->host)) {
             continue;
         }
@@ -797,7 +802,9 @@
 {
     AprItemFrame_t frame = {0};
 
-    for (int i = 0; i < cache->item_count; i++) {
+    for (int i = 0;
+         after_sequence < cache->last_change_sequence && i < cache->item_count;
+         i++) {
         const Item_t *item = &cache->items[i];
 
         if (item->revision <= after_revision ||
@@ -867,7 +874,7 @@
     for (int i = 0; i < AprMembers_Count(gateway->members); i++) {
         const AprHost_t *member = AprMembers_At(gateway->members, i);
 
-        if (strcmp(member->host, gateway->settings.host) != 0) {
+        if (!member->is_self) {
             AprLinks_Ping(gateway->links, member->host);
         }
     }
@@ -893,7 +900,7 @@
 
         if (member->load_report_ms != 0 &&
             member->load_report.known_revision > revision &&
-            strcmp(member->host, gateway->settings.host) != 0) {
+            !member->is_self) {
             ahead = member;
         }
     }
--- a/src/gateway/watchers.c
+++ b/src/gateway/watchers.c
@@ -36,6 +36,7 @@
 
 typedef struct HostRef_t {
     const AprHost_t *host;
+    uint64_t hash; /* of its name */
 } HostRef_t;
 
 static uint64_t
@@ -52,8 +53,8 @@
     const AprHost_t *left = ((const HostRef_t *)left_pointer)->host;
     const AprHost_t *right = ((const HostRef_t *)right_pointer)->host;
     int domains = strcmp(left->failure_domain, right->failure_domain);
-    uint64_t left_hash = host_hash(left->host);
-    uint64_t right_hash = host_hash(right->host);
+    uint64_t left_hash = ((const HostRef_t *)left_pointer)->hash;
+    uint64_t right_hash = ((const HostRef_t *)right_pointer)->hash;
 
     if (domains != 0) {
         return domains;
@@ -75,6 +76,7 @@
         const AprHost_t *host = AprMembers_At(watchers->members, i);
 
         if (host->registered) {
+            hosts[count].hash = host_hash(host->host);
             hosts[count++].host = host;
         }
     }
