--- a/include/apricot/kv.h
+++ b/include/apricot/kv.h
@@ -76,9 +76,10 @@
 typedef struct AprKvStore_t {
     void *self; /* first argument of all operations */
     /* Lists the items whose key has the prefix and sorts after `after` (all
-       of them if that is empty), possibly in several pages. */
+       of them if that is empty), possibly in several pages. `allow_stale`
+       permits an outdated result, which costs the store less. */
     void (*range)(void *self, const char *prefix, const char *after,
-                  AprKvCallback_t done, void *context);
+                  bool allow_stale, AprKvCallback_t done, void *context);
     /* Waits up to `wait_ms` for changes below the prefix after a revision; no
        items: there were none in this time. */
     void (*watch)(void *self, const char *prefix, int64_t after_revision,
--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -66,7 +66,8 @@
     APR_STOP_NONE,
     APR_STOP_REFUSE_CALLERS, /* callers are told to use another host */
     APR_STOP_REFUSE_PEERS,   /* calls from other hosts are refused as well */
-    APR_STOP_CLOSE_LISTENER  /* no new connections are accepted */
+    APR_STOP_CLOSE_LISTENER, /* no new connections are accepted */
+    APR_STOP_EXIT            /* the other hosts were told so */
 } AprStopStep_t;
 
 struct AprGateway_t {
@@ -124,6 +125,7 @@
 void AprBackend_OnHeartbeat(AprBackend_t *backend,
                             const AprHeartbeat_t *heartbeat);
 void AprBackend_StartDrain(AprBackend_t *backend);
+void AprBackend_EndDrain(AprBackend_t *backend);
 void AprBackend_Tick(AprBackend_t *backend);
 void AprBackend_GetLoad(const AprBackend_t *backend, AprHostLoad_t *load);
 double AprBackend_RelativeDemand(const AprBackend_t *backend);
@@ -159,6 +161,9 @@
                                int64_t revision);
 /* Sends the changed items to the hosts that subscribed to them. */
 void AprLinks_SendChangedItems(AprLinks_t *links);
+/* Tells the other hosts which of their calls this host has read. Later ones
+   are ignored. */
+void AprLinks_SendGoaway(AprLinks_t *links);
 /* Returns the milliseconds since a host last sent bytes; -1: never. */
 int64_t AprLinks_LastReceivedAgeMs(const AprLinks_t *links, const char *host);
 bool AprLinks_IsHostAlive(const AprLinks_t *links, const char *host);
@@ -186,6 +191,7 @@
     int slots;
     int relay_capacity; /* for passing items on, see members.c */
     bool accepts_calls; /* its backend server accepts new work */
+    bool leaving;       /* its backend server is shutting down */
     bool registered;    /* it has an entry in the store */
     int64_t entry_removed_ms;
     int64_t lease_id;          /* id of the entry's lease */
@@ -247,6 +253,15 @@
                               const AprHeartbeat_t *heartbeat,
                               AprHeartbeatReply_t reply, void *context);
 void AprOwnership_OnBackendLeaving(AprOwnership_t *ownership, const char *id);
+bool AprOwnership_IsKeyed(const AprOwnership_t *ownership);
+bool AprOwnership_IsBackendLeaving(const AprOwnership_t *ownership);
+void AprOwnership_RestoreLeaving(AprOwnership_t *ownership,
+                                 const AprBackendIncarnation_t *incarnation);
+bool AprOwnership_AddGenerationWrite(AprOwnership_t *ownership,
+                                     AprKvTransaction_t *transaction,
+                                     char *key, size_t key_size, char **text);
+void AprOwnership_OnGenerationStored(AprOwnership_t *ownership,
+                                     const AprKvResult_t *result);
 void AprOwnership_Tick(AprOwnership_t *ownership);
 void AprOwnership_ExtendAuthority(AprOwnership_t *ownership, int64_t until_ms);
 const AprKeyMap_t *AprOwnership_GetOwnKeyMap(AprOwnership_t *ownership,
@@ -266,6 +281,7 @@
 void AprStoreCache_Stop(AprStoreCache_t *cache);
 void AprStoreCache_Tick(AprStoreCache_t *cache);
 bool AprStoreCache_IsLoaded(const AprStoreCache_t *cache);
+bool AprStoreCache_IsCurrent(const AprStoreCache_t *cache);
 int64_t AprStoreCache_Revision(const AprStoreCache_t *cache);
 void AprStoreCache_PublishOwnEntry(AprStoreCache_t *cache);
 void AprStoreCache_ApplyItem(AprStoreCache_t *cache,
@@ -284,6 +300,7 @@
                                   int64_t lease);
 void AprStoreCache_OnPeerRenewalResult(AprStoreCache_t *cache, int64_t lease,
                                        int64_t age_ms);
+bool AprStoreCache_IsRegistered(const AprStoreCache_t *cache);
 bool AprStoreCache_IsStoreReachable(const AprStoreCache_t *cache);
 bool AprStoreCache_IsWatcher(AprStoreCache_t *cache);
 const char *AprStoreCache_FormatGenerationKey(AprStoreCache_t *cache,
@@ -299,6 +316,7 @@
 void AprIngress_StopListening(AprIngress_t *ingress);
 void AprIngress_CloseIdleConnections(AprIngress_t *ingress);
 void AprIngress_Tick(AprIngress_t *ingress);
+bool AprIngress_HasConnections(const AprIngress_t *ingress);
 int AprIngress_CountRequests(const AprIngress_t *ingress);
 
 #endif
--- a/internal/link_frame.h
+++ b/internal/link_frame.h
@@ -30,7 +30,8 @@
     APR_LINK_RENEW_LEASE,
     APR_LINK_RENEWAL_RESULT,
     APR_LINK_REACHABILITY_QUERY,
-    APR_LINK_REACHABILITY_REPLY
+    APR_LINK_REACHABILITY_REPLY,
+    APR_LINK_GOAWAY
 } AprLinkType_t;
 
 /* Load of a gateway and how far its copy of the store goes; part of pings and
@@ -57,9 +58,10 @@
     int64_t revision;
     int64_t lease_id; /* id of the store lease of the item; 0: none */
     bool removed;
-    /* End of a series; only `store_lost` and `complete_revision` apply. */
+    /* End of a series; only the members below apply. */
     bool end_of_series;
-    bool store_lost; /* the sender cannot reach the store or is no watcher */
+    /* Time since the sender's items were complete, in ms; -1: too long. */
+    int64_t source_age_ms;
     int64_t complete_revision; /* store revision up to which the series has all
                                   items */
 } AprItemFrame_t;
@@ -89,6 +91,7 @@
     /* APR_LINK_PING and APR_LINK_PONG: value that the reply repeats.
        APR_LINK_SUBSCRIBE: store revision after which changes are requested.
        APR_LINK_RENEW_LEASE and APR_LINK_RENEWAL_RESULT: lease id.
+       APR_LINK_GOAWAY: the last stream that the sender has read.
        APR_LINK_CALL: send time on the sender's clock, in ms. */
     int64_t sequence;
     /* APR_LINK_RENEWAL_RESULT: age of the renewal in ms, -1 if not renewed.
--- a/internal/ownership_state.h
+++ b/internal/ownership_state.h
@@ -36,6 +36,9 @@
     int64_t last_heartbeat_sequence;
     int64_t last_heartbeat_ms; /* receipt; 0: none */
     bool backend_leaving;
+    /* Incarnation that an earlier process knew to be leaving; empty id: none.
+     */
+    AprBackendIncarnation_t left_incarnation;
     /* Reply to a heartbeat that waits for a change; NULL if none waits. */
     AprHeartbeatReply_t pending_reply;
     void *pending_reply_context;
@@ -81,7 +84,6 @@
 AprServiceKeyMap_t *AprOwnership_FindMap(AprOwnership_t *ownership,
                                          const char *service);
 AprServiceKeyMap_t *AprOwnership_FindOwnMap(AprOwnership_t *ownership);
-bool AprOwnership_IsKeyed(const AprOwnership_t *ownership);
 int AprOwnership_CountKeysOf(AprServiceKeyMap_t *entry, const char *host);
 int AprOwnership_CountOwnKeys(AprOwnership_t *ownership);
 void AprOwnership_DropProposal(AprOwnership_t *ownership);
--- /dev/null
+++ b/internal/store_cache_state.h
@@ -0,0 +1,130 @@
+#ifndef APRICOT_INTERNAL_STORE_CACHE_STATE_H
+#define APRICOT_INTERNAL_STORE_CACHE_STATE_H
+
+/* State of the local copy of the store, shared by store_cache.c (items),
+   item_source.c (where changes come from) and registration.c (the entry of
+   this host and its lease). */
+
+#include <glib.h>
+
+#include "internal/gateway.h"
+#include "internal/watchers.h"
+
+/* Store keys of each kind of item, relative to the prefix in the settings. */
+#define APR_MEMBER_KEY_PREFIX "hosts/"
+#define APR_KEY_MAP_KEY_PREFIX "keys/"
+#define APR_FENCE_KEY_PREFIX "fences/"
+#define APR_GENERATION_KEY_PREFIX "lives/"
+
+#define APR_CACHE_KEY_SIZE 200
+
+typedef struct AprItem_t {
+    char *key;
+    char *value;
+    size_t value_size;
+    int64_t revision;
+    int64_t lease;
+    int64_t change_sequence; /* order in which changes reached this process */
+    bool removed;
+    bool seen_in_reload;
+} AprItem_t;
+
+/* Initial read, in pages, and watch of the keys with a prefix. */
+typedef struct AprWatch_t {
+    AprStoreCache_t *cache;
+    char prefix[APR_CACHE_KEY_SIZE];
+    bool allow_stale; /* the initial read may be seconds old */
+    bool loaded;      /* all pages were read */
+    bool loading;     /* some pages were read */
+    bool call_pending;
+    bool answered; /* since this host began to watch */
+    int64_t call_sent_ms;
+    int64_t reload_revision;                /* lowest revision of the pages */
+    char last_page_key[APR_CACHE_KEY_SIZE]; /* the next page starts after it */
+    int64_t cursor; /* revision up to which changes are known */
+    int failures;   /* in a row */
+    int64_t next_call_ms;
+} AprWatch_t;
+
+typedef enum AprLeaseStep_t {
+    APR_LEASE_NONE, /* a lease must be requested */
+    APR_LEASE_REQUESTED,
+    APR_LEASE_GRANTED, /* the entry must be written, and the fence removed */
+    APR_LEASE_WRITING_ENTRY,
+    APR_LEASE_REGISTERED /* the entry is stored; the lease must be renewed */
+} AprLeaseStep_t;
+
+/* The entry of this host in the store and its lease. */
+typedef struct AprRegistration_t {
+    AprLeaseStep_t step;
+    bool started;       /* an earlier process's entry was looked for */
+    bool resumed;       /* the entry was written by an earlier process */
+    int64_t started_ms; /* when the store was read for the first time */
+    int64_t lease_id;
+    int lease_failures; /* in a row */
+    int64_t next_lease_call_ms;
+    bool renewal_pending;
+    int64_t lease_call_sent_ms;   /* last renewal or write of the entry */
+    int64_t peer_renewal_sent_ms; /* last renewal through another host */
+    int64_t last_renewal_sent_ms; /* of the last success; 0: none */
+    int next_renewal_peer;        /* counts up; modulo the member count */
+    bool entry_changed;           /* the stored entry is out of date */
+    char *stored_entry;
+    char *pending_entry;     /* being written */
+    bool writing_generation; /* the pending write stores a generation */
+} AprRegistration_t;
+
+struct AprStoreCache_t {
+    AprGateway_t *gateway;
+    AprItem_t *items;
+    GHashTable *item_index; /* key -> index in `items` */
+    int item_count;
+    int item_capacity;
+    int64_t last_change_sequence;
+    int64_t forwarded_sequence; /* last change passed on from another host */
+    AprWatch_t config_watch;    /* the operators' configuration */
+    AprWatch_t prefix_watch;    /* all keys with the prefix of the settings */
+    AprRegistration_t registration;
+    int64_t store_answered_ms;
+    bool store_lost;
+    int64_t peer_revision; /* up to which other hosts sent all items */
+    /* Latest time at which a host that watches the store was known to have all
+       items; directly or through other hosts. 0: none. */
+    int64_t source_confirmed_ms;
+    int64_t subscribed_ms;
+    AprWatchers_t watchers;
+    int64_t source_since_ms; /* first use of the present source; 0: none yet */
+    int source_attempt;      /* selects the host to subscribe to */
+    bool watching_store;
+    bool source_heard; /* another host confirmed its items since this host
+                          began to watch */
+    bool discovery_pending;
+    int64_t next_discovery_ms;
+    int64_t loaded_ms;       /* when all items were first read */
+    int64_t behind_since_ms; /* another host has newer items; 0: none has */
+    bool stopping;
+};
+
+int64_t AprStoreCache_NowMs(const AprStoreCache_t *cache);
+int64_t AprStoreCache_RandomBackoffMs(int failures);
+void AprStoreCache_RecordStoreResult(AprStoreCache_t *cache, int code);
+const AprItem_t *AprStoreCache_FindItem(AprStoreCache_t *cache,
+                                        const char *key);
+void AprStoreCache_MarkSeen(AprStoreCache_t *cache, const char *key);
+void AprStoreCache_ApplyRemoteItem(AprStoreCache_t *cache,
+                                   const AprKvItem_t *update);
+
+/* Where changes come from (item_source.c). */
+void AprItemSource_Update(AprStoreCache_t *cache);
+int64_t AprItemSource_AgeMs(const AprStoreCache_t *cache);
+void AprItemSource_Confirm(AprStoreCache_t *cache, int64_t age_ms);
+
+/* Entry and lease of this host (registration.c). */
+int64_t AprRegistration_RenewIntervalMs(const AprStoreCache_t *cache);
+void AprRegistration_Advance(AprStoreCache_t *cache);
+void AprRegistration_OnOwnEntryRemoved(AprStoreCache_t *cache,
+                                       int64_t revision);
+void AprRegistration_ExtendAuthorityInOutage(AprStoreCache_t *cache);
+void AprRegistration_Clear(AprStoreCache_t *cache);
+
+#endif
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -674,6 +674,15 @@
     }
 }
 
+/* Ends the drain time: a backend server that was told to an earlier process to
+   be leaving accepts no new requests. */
+void
+AprBackend_EndDrain(AprBackend_t *backend)
+{
+    AprBackend_StartDrain(backend);
+    backend->leaving_since_ms = INT64_MIN / 2;
+}
+
 /* Returns whether the backend server accepts new requests. */
 bool
 AprBackend_AcceptsCalls(const AprBackend_t *backend)
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -117,7 +117,7 @@
 AprGateway_IsReady(const AprGateway_t *gateway)
 {
     return gateway->routes != NULL && gateway->stop_step == APR_STOP_NONE &&
-           AprStoreCache_IsLoaded(gateway->store_cache);
+           AprStoreCache_IsCurrent(gateway->store_cache);
 }
 
 /* Detects by the time between ticks that the process is lagging. */
@@ -208,8 +208,15 @@
             enter_stop_step(gateway, APR_STOP_CLOSE_LISTENER);
         }
         break;
-    default:
+    case APR_STOP_CLOSE_LISTENER:
         if (caller_requests + peer_calls == 0 || age_ms >= limit_ms) {
+            AprLinks_SendGoaway(gateway->links);
+            enter_stop_step(gateway, APR_STOP_EXIT);
+        }
+        break;
+    default:
+        if (!AprIngress_HasConnections(gateway->ingress) ||
+            age_ms >= limit_ms) {
             AprLog_Write(APR_LOG_INFO, "stop", "in_flight=%d took_ms=%lld",
                          caller_requests + peer_calls, (long long)age_ms);
             ev_break(loop, EVBREAK_ALL);
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -141,12 +141,13 @@
     int slots;
     int capacity;
     int open;
+    int leaving = 0;
     int result = APR_E_PARSE;
 
-    if (json_unpack(root, "{s:s,s:s,s:s,s:s,s:I,s:i,s:i,s:b}", "address",
+    if (json_unpack(root, "{s:s,s:s,s:s,s:s,s:I,s:i,s:i,s:b,s?b}", "address",
                     &address, "domain", &domain, "service", &service, "id",
                     &id, "born", &started_ms, "slots", &slots, "capacity",
-                    &capacity, "open", &open) == 0) {
+                    &capacity, "open", &open, "leaving", &leaving) == 0) {
         g_strlcpy(member->address, address, sizeof(member->address));
         g_strlcpy(member->failure_domain, domain,
                   sizeof(member->failure_domain));
@@ -157,6 +158,7 @@
         member->slots = slots;
         member->relay_capacity = capacity;
         member->accepts_calls = open != 0;
+        member->leaving = leaving != 0;
         member->load_report.accepts_calls = member->accepts_calls;
         result = APR_OK;
     }
@@ -191,12 +193,13 @@
         address = settings->advertise_peers;
     }
     AprBackend_GetLoad(gateway->backend, &load);
-    root = json_pack("{s:s,s:s,s:s,s:s,s:I,s:i,s:i,s:b}", "address", address,
-                     "domain", settings->failure_domain, "service",
-                     settings->backend_service, "id", incarnation->id, "born",
-                     (json_int_t)incarnation->started_ms, "slots", load.slots,
-                     "capacity", relay_capacity(settings), "open",
-                     load.accepts_calls && incarnation->id[0] != '\0');
+    root = json_pack(
+        "{s:s,s:s,s:s,s:s,s:I,s:i,s:i,s:b,s:b}", "address", address, "domain",
+        settings->failure_domain, "service", settings->backend_service, "id",
+        incarnation->id, "born", (json_int_t)incarnation->started_ms, "slots",
+        load.slots, "capacity", relay_capacity(settings), "open",
+        load.accepts_calls && incarnation->id[0] != '\0', "leaving",
+        AprOwnership_IsBackendLeaving(gateway->ownership));
     text = json_dumps(root, JSON_COMPACT);
     json_decref(root);
     return text;
--- a/src/gateway/ownership.c
+++ b/src/gateway/ownership.c
@@ -477,11 +477,15 @@
 is_stale_heartbeat(const AprOwnership_t *ownership,
                    const AprHeartbeat_t *heartbeat)
 {
-    if (heartbeat->incarnation.started_ms !=
-        ownership->incarnation.started_ms) {
+    /* After a restart of this process the store knows the last incarnation. */
+    const AprBackendIncarnation_t *known =
+        ownership->incarnation.id[0] != '\0'
+            ? &ownership->incarnation
+            : &ownership->generation_record.incarnation;
+
+    if (heartbeat->incarnation.started_ms != known->started_ms) {
         /* The wall clock may have been set back since the last start. */
-        return heartbeat->incarnation.started_ms <
-                   ownership->incarnation.started_ms &&
+        return heartbeat->incarnation.started_ms < known->started_ms &&
                AprOwnership_NowMs(ownership) <
                    ownership->grant_table.latest_expiry_ms +
                        EARLIER_INCARNATION_DELAY_MS;
@@ -496,6 +500,7 @@
     AprGateway_t *gateway = ownership->gateway;
     bool new_incarnation = !AprBackendIncarnation_Equal(
         &ownership->incarnation, &heartbeat->incarnation);
+    bool left_before;
 
     if (new_incarnation) {
         /* The previous incarnation at this address has ended, and its grants
@@ -511,20 +516,42 @@
     }
     ownership->last_heartbeat_sequence = heartbeat->sequence;
     ownership->last_heartbeat_ms = AprOwnership_NowMs(ownership);
-    ownership->backend_leaving |= heartbeat->leaving;
+    left_before = AprBackendIncarnation_Equal(&ownership->left_incarnation,
+                                              &heartbeat->incarnation);
+    ownership->backend_leaving |= heartbeat->leaving || left_before;
     AprGrantTable_RecordHeldKeys(
         &ownership->grant_table, heartbeat->held, heartbeat->held_count,
         AprGenerationRecord_Find(&ownership->generation_record,
                                  &ownership->incarnation));
     AprBackend_OnHeartbeat(gateway->backend, heartbeat);
+    if (left_before) {
+        AprBackend_EndDrain(gateway->backend);
+    }
     AprStoreCache_PublishOwnEntry(gateway->store_cache);
 }
 
-static void
-on_generation_stored(void *context, const AprKvResult_t *result)
+/* Returns whether the backend server is shutting down. */
+bool
+AprOwnership_IsBackendLeaving(const AprOwnership_t *ownership)
+{
+    return ownership->backend_leaving;
+}
+
+/* Records that an earlier process of this host knew an incarnation of the
+   backend server to be shutting down. A late heartbeat of it may tell
+   otherwise. */
+void
+AprOwnership_RestoreLeaving(AprOwnership_t *ownership,
+                            const AprBackendIncarnation_t *incarnation)
 {
-    AprOwnership_t *ownership = context;
+    ownership->left_incarnation = *incarnation;
+}
 
+/* Handles the result of a change that stored a generation. */
+void
+AprOwnership_OnGenerationStored(AprOwnership_t *ownership,
+                                const AprKvResult_t *result)
+{
     AprGenerationRecord_EndWrite(&ownership->generation_record, result);
     AprStoreCache_ApplyConflictItems(ownership->gateway->store_cache, result);
     AprLog_Write(APR_LOG_INFO, "generation_stored",
@@ -534,6 +561,47 @@
     AprOwnership_SendPendingReply(ownership);
 }
 
+static void
+on_generation_stored(void *context, const AprKvResult_t *result)
+{
+    AprOwnership_OnGenerationStored(context, result);
+}
+
+/* Adds the write of a new generation to a change, if the incarnation of the
+   backend server has none. `key` and `*text`, which the caller frees, must
+   outlive the transaction. Returns whether a write was added; the caller then
+   passes the result to AprOwnership_OnGenerationStored(). */
+bool
+AprOwnership_AddGenerationWrite(AprOwnership_t *ownership,
+                                AprKvTransaction_t *transaction, char *key,
+                                size_t key_size, char **text)
+{
+    AprGenerationRecord_t *record = &ownership->generation_record;
+    int at = transaction->write_count;
+
+    *text = NULL;
+    if (!AprOwnership_IsKeyed(ownership) || record->write_pending ||
+        ownership->incarnation.id[0] == '\0' ||
+        AprGenerationRecord_Find(record, &ownership->incarnation) > 0) {
+        return false;
+    }
+    *text = AprGenerationRecord_BeginWrite(record, &ownership->incarnation);
+    if (*text == NULL) {
+        return false;
+    }
+    AprStoreCache_FormatGenerationKey(ownership->gateway->store_cache, key,
+                                      key_size);
+    transaction->conditions[transaction->condition_count].key = key;
+    transaction->conditions[transaction->condition_count].revision =
+        record->revision;
+    transaction->condition_count++;
+    transaction->writes[at].key = key;
+    transaction->writes[at].value = *text;
+    transaction->writes[at].value_size = strlen(*text);
+    transaction->write_count++;
+    return true;
+}
+
 /* Stores a new generation for a new incarnation of the backend server. Returns
    whether the answer to the heartbeat must wait for the store's result. */
 static bool
@@ -550,21 +618,15 @@
         !AprStoreCache_IsStoreReachable(gateway->store_cache)) {
         return false;
     }
-    if (record->write_pending) {
+    /* Until this host is registered, the write of its entry stores it. */
+    if (record->write_pending ||
+        !AprStoreCache_IsRegistered(gateway->store_cache)) {
         return true;
     }
-    text = AprGenerationRecord_BeginWrite(record, &ownership->incarnation);
-    if (text == NULL) {
+    if (!AprOwnership_AddGenerationWrite(ownership, &transaction, key,
+                                         sizeof(key), &text)) {
         return false;
     }
-    transaction.conditions[0].key = AprStoreCache_FormatGenerationKey(
-        gateway->store_cache, key, sizeof(key));
-    transaction.conditions[0].revision = record->revision;
-    transaction.condition_count = 1;
-    transaction.writes[0].key = key;
-    transaction.writes[0].value = text;
-    transaction.writes[0].value_size = strlen(text);
-    transaction.write_count = 1;
     gateway->kv->commit(gateway->kv->self, &transaction, on_generation_stored,
                         ownership);
     free(text);
--- /dev/null
+++ b/src/gateway/registration.c
@@ -0,0 +1,433 @@
+/* The entry of this host in the store, the lease under which it is stored, and
+   the authority to grant keys that the lease gives. */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "apricot/error.h"
+#include "apricot/log.h"
+#include "internal/lease_timing.h"
+#include "internal/store_cache_state.h"
+
+/* Interval of the renewals of a host that grants no keys and needs no
+   authority for that. Leaves time for two further renewals before the lease
+   ends. */
+#define PLAIN_RENEW_INTERVAL_MS 1500
+
+/* Time for which the first entry waits for a heartbeat of the backend server,
+   so that entry and generation are stored in one change. */
+#define FIRST_HEARTBEAT_WAIT_MS 1500
+
+/* Time after which an entry of an earlier process is written again if the
+   backend server that it names has sent no heartbeat to this process. */
+#define RESUMED_ENTRY_TIMEOUT_MS 2500
+
+/* Returns the time between renewals of the lease. */
+int64_t
+AprRegistration_RenewIntervalMs(const AprStoreCache_t *cache)
+{
+    const AprGateway_t *gateway = cache->gateway;
+
+    return gateway->routes == NULL || AprOwnership_IsKeyed(gateway->ownership)
+               ? APR_LEASE_RENEW_INTERVAL_MS
+               : PLAIN_RENEW_INTERVAL_MS;
+}
+
+static void
+extend_authority(AprStoreCache_t *cache, int64_t sent_ms)
+{
+    AprRegistration_t *registration = &cache->registration;
+    registration->last_renewal_sent_ms = sent_ms;
+    AprOwnership_ExtendAuthority(cache->gateway->ownership,
+                                 sent_ms + APR_GRANT_AUTHORITY_MS);
+}
+
+static void
+back_off_lease(AprStoreCache_t *cache, int code)
+{
+    AprRegistration_t *registration = &cache->registration;
+
+    registration->lease_failures++;
+    registration->next_lease_call_ms =
+        AprStoreCache_NowMs(cache) +
+        AprStoreCache_RandomBackoffMs(registration->lease_failures);
+    AprStoreCache_RecordStoreResult(cache, code);
+}
+
+static void
+on_entry_written(void *context, const AprKvResult_t *result)
+{
+    AprStoreCache_t *cache = context;
+    AprRegistration_t *registration = &cache->registration;
+
+    if (registration->writing_generation) {
+        registration->writing_generation = false;
+        AprOwnership_OnGenerationStored(cache->gateway->ownership, result);
+    }
+    if (result->code == APR_OK) {
+        AprStoreCache_RecordStoreResult(cache, APR_OK);
+        registration->step = APR_LEASE_REGISTERED;
+        registration->resumed = false;
+        registration->lease_failures = 0;
+        registration->next_lease_call_ms =
+            AprStoreCache_NowMs(cache) +
+            AprRegistration_RenewIntervalMs(cache);
+        free(registration->stored_entry);
+        registration->stored_entry = registration->pending_entry;
+        registration->pending_entry = NULL;
+        extend_authority(cache, registration->lease_call_sent_ms);
+        AprLog_Write(APR_LOG_INFO, "registered", "lease=%lld revision=%lld",
+                     (long long)registration->lease_id,
+                     (long long)result->revision);
+        return;
+    }
+    free(registration->pending_entry);
+    registration->pending_entry = NULL;
+    registration->step =
+        result->code == APR_E_NOT_FOUND ? APR_LEASE_NONE : APR_LEASE_GRANTED;
+    back_off_lease(cache, result->code);
+}
+
+/* Writes the entry of this host, and a new generation of its backend server if
+   there is one. */
+static void
+write_entry(AprStoreCache_t *cache)
+{
+    AprRegistration_t *registration = &cache->registration;
+    const AprKvStore_t *kv = cache->gateway->kv;
+    const AprGatewaySettings_t *settings = &cache->gateway->settings;
+    char member[APR_CACHE_KEY_SIZE];
+    char fence[APR_CACHE_KEY_SIZE];
+    char generation[APR_CACHE_KEY_SIZE];
+    char *generation_text;
+    AprKvTransaction_t transaction = {0};
+
+    registration->pending_entry = AprMembers_FormatOwnEntry(cache->gateway);
+    if (registration->pending_entry == NULL) {
+        back_off_lease(cache, APR_E_NOMEM);
+        return;
+    }
+    snprintf(member, sizeof(member), "%s" APR_MEMBER_KEY_PREFIX "%s",
+             settings->store_prefix, settings->host);
+    snprintf(fence, sizeof(fence), "%s" APR_FENCE_KEY_PREFIX "%s",
+             settings->store_prefix, settings->host);
+    transaction.write_count = 1;
+    transaction.writes[0].key = member;
+    transaction.writes[0].value = registration->pending_entry;
+    transaction.writes[0].value_size = strlen(registration->pending_entry);
+    transaction.writes[0].lease = registration->lease_id;
+    if (registration->step == APR_LEASE_GRANTED) {
+        transaction.removal_count = 1;
+        transaction.removals[0] = fence;
+    }
+    registration->writing_generation = AprOwnership_AddGenerationWrite(
+        cache->gateway->ownership, &transaction, generation,
+        sizeof(generation), &generation_text);
+    registration->step = APR_LEASE_WRITING_ENTRY;
+    registration->entry_changed = false;
+    registration->lease_call_sent_ms = AprStoreCache_NowMs(cache);
+    kv->commit(kv->self, &transaction, on_entry_written, cache);
+    free(generation_text);
+}
+
+static void
+on_lease_granted(void *context, const AprKvResult_t *result)
+{
+    AprStoreCache_t *cache = context;
+    AprRegistration_t *registration = &cache->registration;
+
+    if (result->code != APR_OK) {
+        registration->step = APR_LEASE_NONE;
+        back_off_lease(cache, result->code);
+        return;
+    }
+    AprStoreCache_RecordStoreResult(cache, APR_OK);
+    registration->lease_id = result->lease;
+    registration->step = APR_LEASE_GRANTED;
+}
+
+static void
+on_lease_renewed(void *context, const AprKvResult_t *result)
+{
+    AprStoreCache_t *cache = context;
+    AprRegistration_t *registration = &cache->registration;
+
+    registration->renewal_pending = false;
+    if (result->code == APR_OK) {
+        AprStoreCache_RecordStoreResult(cache, APR_OK);
+        registration->lease_failures = 0;
+        registration->next_lease_call_ms =
+            AprStoreCache_NowMs(cache) +
+            AprRegistration_RenewIntervalMs(cache);
+        if (registration->step == APR_LEASE_REGISTERED) {
+            extend_authority(cache, registration->lease_call_sent_ms);
+        }
+        return;
+    }
+    if (result->code == APR_E_NOT_FOUND) {
+        AprLog_Write(APR_LOG_WARN, "lease_ended", "lease=%lld",
+                     (long long)registration->lease_id);
+        registration->step = APR_LEASE_NONE;
+        return;
+    }
+    back_off_lease(cache, result->code);
+}
+
+/* Asks another host to renew the lease of this one; each call asks the next
+   host that can be reached. */
+static void
+renew_through_peer(AprStoreCache_t *cache)
+{
+    AprRegistration_t *registration = &cache->registration;
+    AprGateway_t *gateway = cache->gateway;
+    int count = AprMembers_Count(gateway->members);
+    int64_t now_ms = AprStoreCache_NowMs(cache);
+
+    for (int i = 0; i < count; i++) {
+        const AprHost_t *member = AprMembers_At(
+            gateway->members, registration->next_renewal_peer++ % count);
+
+        if (member->is_self ||
+            !AprLinks_IsHostAlive(gateway->links, member->host)) {
+            continue;
+        }
+        registration->peer_renewal_sent_ms = now_ms;
+        AprLinks_RequestLeaseRenewal(gateway->links, member->host,
+                                     registration->lease_id);
+        return;
+    }
+}
+
+static bool
+has_heartbeat(const AprStoreCache_t *cache)
+{
+    return AprBackend_GetIncarnation(cache->gateway->backend)->id[0] != '\0';
+}
+
+/* Goes on with the entry of an earlier process of this host, if that still
+   exists: its lease only has to be renewed. Any change of the key map without
+   the consent of this host is conditional on the absence of the entry. */
+static void
+resume_registration(AprStoreCache_t *cache)
+{
+    AprRegistration_t *registration = &cache->registration;
+    AprGateway_t *gateway = cache->gateway;
+    const AprHost_t *self =
+        AprMembers_Find(gateway->members, gateway->settings.host);
+    const AprItem_t *item;
+    char key[APR_CACHE_KEY_SIZE];
+
+    registration->started = true;
+    registration->started_ms = AprStoreCache_NowMs(cache);
+    snprintf(key, sizeof(key), "%s" APR_MEMBER_KEY_PREFIX "%s",
+             gateway->settings.store_prefix, gateway->settings.host);
+    item = AprStoreCache_FindItem(cache, key);
+    if (item == NULL || item->removed || item->lease == 0 || self == NULL) {
+        return;
+    }
+    if (self->leaving) {
+        AprOwnership_RestoreLeaving(gateway->ownership, &self->incarnation);
+    }
+    registration->resumed = true;
+    registration->lease_id = item->lease;
+    registration->step = APR_LEASE_REGISTERED;
+    registration->stored_entry = strdup(item->value);
+    AprLog_Write(APR_LOG_INFO, "registration_resumed",
+                 "lease=%lld revision=%lld backend=%s leaving=%d",
+                 (long long)item->lease, (long long)item->revision,
+                 self->incarnation.id, self->leaving);
+}
+
+static void
+advance_lease(AprStoreCache_t *cache)
+{
+    AprRegistration_t *registration = &cache->registration;
+    const AprKvStore_t *kv = cache->gateway->kv;
+    int64_t now_ms = AprStoreCache_NowMs(cache);
+
+    if (!registration->started || now_ms < registration->next_lease_call_ms) {
+        return;
+    }
+    switch (registration->step) {
+    case APR_LEASE_NONE:
+        if (!has_heartbeat(cache) &&
+            now_ms - registration->started_ms < FIRST_HEARTBEAT_WAIT_MS) {
+            break;
+        }
+        registration->step = APR_LEASE_REQUESTED;
+        kv->create_lease(kv->self, APR_LEASE_TTL_MS, on_lease_granted, cache);
+        break;
+    case APR_LEASE_GRANTED:
+        write_entry(cache);
+        break;
+    case APR_LEASE_REGISTERED:
+        if (registration->renewal_pending) {
+            break;
+        }
+        if (registration->entry_changed) {
+            write_entry(cache);
+            break;
+        }
+        registration->renewal_pending = true;
+        registration->lease_call_sent_ms = now_ms;
+        kv->renew_lease(kv->self, registration->lease_id, on_lease_renewed,
+                        cache);
+        if (registration->lease_failures > 0) {
+            renew_through_peer(cache);
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+typedef struct PeerRenewal_t {
+    AprStoreCache_t *cache;
+    char host[APR_NAME_SIZE];
+    int64_t lease;
+} PeerRenewal_t;
+
+static void
+on_peer_lease_renewed(void *context, const AprKvResult_t *result)
+{
+    PeerRenewal_t *renewal = context;
+    AprStoreCache_t *cache = renewal->cache;
+
+    AprLinks_SendRenewalResult(cache->gateway->links, renewal->host,
+                               renewal->lease,
+                               result->code == APR_OK ? 0 : -1);
+    free(renewal);
+}
+
+/* Renews the lease of another host that cannot reach the store, and sends that
+   host the result. Does nothing while the store does not answer here. */
+void
+AprStoreCache_RenewPeerLease(AprStoreCache_t *cache, const char *host,
+                             int64_t lease)
+{
+    const AprKvStore_t *kv = cache->gateway->kv;
+    PeerRenewal_t *renewal;
+
+    if (!AprStoreCache_IsStoreReachable(cache)) {
+        return;
+    }
+    renewal = calloc(1, sizeof(*renewal));
+    if (renewal == NULL) {
+        return;
+    }
+    renewal->cache = cache;
+    g_strlcpy(renewal->host, host, sizeof(renewal->host));
+    renewal->lease = lease;
+    kv->renew_lease(kv->self, lease, on_peer_lease_renewed, renewal);
+}
+
+/* Handles the result of a renewal through another host; a negative `age_ms`
+   means that the renewal failed. The authority to grant keys counts from this
+   host's last request for a renewal to another host. */
+void
+AprStoreCache_OnPeerRenewalResult(AprStoreCache_t *cache, int64_t lease,
+                                  int64_t age_ms)
+{
+    AprRegistration_t *registration = &cache->registration;
+
+    if (age_ms < 0 || lease != registration->lease_id ||
+        registration->step != APR_LEASE_REGISTERED) {
+        return;
+    }
+    extend_authority(cache, registration->peer_renewal_sent_ms);
+}
+
+/* Writes this host's entry to the store again when it has changed. */
+void
+AprStoreCache_PublishOwnEntry(AprStoreCache_t *cache)
+{
+    AprRegistration_t *registration = &cache->registration;
+    char *entry = AprMembers_FormatOwnEntry(cache->gateway);
+
+    if (entry != NULL && (registration->stored_entry == NULL ||
+                          strcmp(entry, registration->stored_entry) != 0)) {
+        registration->entry_changed = true;
+        if (registration->step == APR_LEASE_REGISTERED &&
+            !registration->renewal_pending) {
+            registration->next_lease_call_ms = 0;
+        }
+    }
+    free(entry);
+    advance_lease(cache);
+}
+
+/* Takes up the registration of an earlier process, registers, or renews the
+   lease. Called many times a second once the store has been read. */
+void
+AprRegistration_Advance(AprStoreCache_t *cache)
+{
+    AprRegistration_t *registration = &cache->registration;
+
+    if (!registration->started) {
+        resume_registration(cache);
+    }
+    if (registration->resumed && !has_heartbeat(cache) &&
+        AprStoreCache_NowMs(cache) - registration->started_ms >
+            RESUMED_ENTRY_TIMEOUT_MS) {
+        registration->resumed = false;
+        AprStoreCache_PublishOwnEntry(cache);
+    }
+    advance_lease(cache);
+}
+
+/* Registers again after the entry of this host was removed from the store. */
+void
+AprRegistration_OnOwnEntryRemoved(AprStoreCache_t *cache, int64_t revision)
+{
+    if (cache->registration.step == APR_LEASE_REGISTERED) {
+        cache->registration.step = APR_LEASE_NONE;
+        AprLog_Write(APR_LOG_WARN, "own_entry_removed", "revision=%lld",
+                     (long long)revision);
+    }
+}
+
+/* Returns whether the entry of this host is stored, as far as it knows. */
+bool
+AprStoreCache_IsRegistered(const AprStoreCache_t *cache)
+{
+    return cache->registration.step == APR_LEASE_REGISTERED;
+}
+
+/* Frees what the registration holds, but not the struct itself. */
+void
+AprRegistration_Clear(AprStoreCache_t *cache)
+{
+    free(cache->registration.stored_entry);
+    free(cache->registration.pending_entry);
+}
+
+/* Extends the authority to grant keys during an outage of the store. While the
+   store answers no call of most hosts, no host can take the keys over. */
+void
+AprRegistration_ExtendAuthorityInOutage(AprStoreCache_t *cache)
+{
+    AprRegistration_t *registration = &cache->registration;
+    AprGateway_t *gateway = cache->gateway;
+    int64_t now_ms = AprStoreCache_NowMs(cache);
+    int64_t since_ms;
+
+    if (registration->last_renewal_sent_ms == 0 ||
+        AprStoreCache_IsStoreReachable(cache) ||
+        now_ms - registration->last_renewal_sent_ms >
+            APR_OUTAGE_AUTHORITY_MAX_MS) {
+        return;
+    }
+    for (int i = 0; i < AprMembers_Count(gateway->members); i++) {
+        const AprHost_t *member = AprMembers_At(gateway->members, i);
+
+        if (!member->is_self) {
+            AprLinks_Ping(gateway->links, member->host);
+        }
+    }
+    since_ms = AprMembers_StoreOutageSinceMs(gateway->members);
+    if (since_ms != 0) {
+        AprOwnership_ExtendAuthority(gateway->ownership,
+                                     since_ms + APR_OUTAGE_AUTHORITY_MS);
+    }
+}
--- a/src/gateway/watchers.c
+++ b/src/gateway/watchers.c
@@ -7,11 +7,15 @@
 
 #include "apricot/log.h"
 
-/* Smallest number of hosts that watch the store; there is at least one in each
-   failure domain. The other hosts get the items from a watcher, preferably of
-   their own domain. Few hosts watch because each change of the store answers
-   every watch, and each answer is a call. */
-#define MIN_WATCHERS 3
+/* Number of hosts that watch the store. Each change of the store answers every
+   watch, and each answer is a call, so that few hosts watch. */
+#define WATCHER_COUNT 2
+
+/* Smallest number of relays, which pass the changes on to the other hosts;
+   there is at least one in each failure domain. The watchers are relays, too.
+   The other relays get the changes from the watchers, so that an item crosses
+   to a failure domain once for each of its relays. */
+#define MIN_RELAYS 3
 
 /* Initialises an empty list that is computed on first use. `members` and
    `settings` must outlive it. */
@@ -25,13 +29,13 @@
     watchers->members_version = -1;
 }
 
-/* Frees the list of watchers, but not the struct itself. */
+/* Frees the list of sources, but not the struct itself. */
 void
 AprWatchers_Clear(AprWatchers_t *watchers)
 {
-    free(watchers->hosts);
-    watchers->hosts = NULL;
-    watchers->count = 0;
+    free(watchers->sources);
+    watchers->sources = NULL;
+    watchers->source_count = 0;
 }
 
 typedef struct HostRef_t {
@@ -96,35 +100,78 @@
     return domains;
 }
 
-/* Adds the first `per_domain` hosts of this host's failure domain if
-   `own_domain` is set, otherwise those of each other domain. This host itself
-   only sets `includes_self`. */
-static void
-add_watchers(AprWatchers_t *watchers, HostRef_t *hosts, int count,
-             int per_domain, bool own_domain)
+/* Lists the relays, the first `per_domain` hosts of each failure domain, at
+   the start of `hosts`. Returns their number. */
+static int
+select_relays(HostRef_t *hosts, int count, int per_domain)
 {
+    int relays = 0;
     int index_in_domain = 0;
+    const char *domain = "";
 
     for (int i = 0; i < count; i++) {
-        index_in_domain =
-            i > 0 && strcmp(hosts[i].host->failure_domain,
-                            hosts[i - 1].host->failure_domain) == 0
-                ? index_in_domain + 1
-                : 0;
-        if (index_in_domain >= per_domain ||
-            own_domain != (strcmp(hosts[i].host->failure_domain,
-                                  watchers->settings->failure_domain) == 0)) {
-            continue;
+        bool same = strcmp(hosts[i].host->failure_domain, domain) == 0;
+
+        index_in_domain = same ? index_in_domain + 1 : 0;
+        domain = hosts[i].host->failure_domain;
+        if (index_in_domain < per_domain) {
+            hosts[relays++] = hosts[i];
         }
-        if (strcmp(hosts[i].host->host, watchers->settings->host) == 0) {
-            watchers->includes_self = true;
-            continue;
+    }
+    return relays;
+}
+
+/* Orders relays by descending capacity, and those of equal capacity by the
+   hash of their names. The first ones watch the store. */
+static int
+compare_relays(const void *left_pointer, const void *right_pointer)
+{
+    const HostRef_t *left = left_pointer;
+    const HostRef_t *right = right_pointer;
+
+    if (left->host->relay_capacity != right->host->relay_capacity) {
+        return left->host->relay_capacity > right->host->relay_capacity ? -1
+                                                                        : 1;
+    }
+    return (left->hash > right->hash) - (left->hash < right->hash);
+}
+
+/* Adds the relays of the own failure domain if `own_domain` is set, otherwise
+   the others, except this host. */
+static void
+add_sources(AprWatchers_t *watchers, const HostRef_t *relays, int count,
+            bool own_domain)
+{
+    for (int i = 0; i < count; i++) {
+        if (relays[i].host->in_own_domain == own_domain &&
+            !relays[i].host->is_self) {
+            g_strlcpy(watchers->sources[watchers->source_count++],
+                      relays[i].host->host, APR_NAME_SIZE);
         }
-        g_strlcpy(watchers->hosts[watchers->count++], hosts[i].host->host,
-                  APR_NAME_SIZE);
     }
 }
 
+/* Lists the hosts to subscribe to: the watchers if this host is a relay,
+   otherwise the relays, those of the own failure domain first. */
+static void
+list_sources(AprWatchers_t *watchers, const HostRef_t *relays, int count)
+{
+    bool relay = false;
+
+    for (int i = 0; i < count; i++) {
+        relay |= relays[i].host->is_self;
+    }
+    watchers->includes_self = false;
+    for (int i = 0; i < count && i < WATCHER_COUNT; i++) {
+        watchers->includes_self |= relays[i].host->is_self;
+    }
+    if (relay && count > WATCHER_COUNT) {
+        count = WATCHER_COUNT;
+    }
+    add_sources(watchers, relays, count, true);
+    add_sources(watchers, relays, count, false);
+}
+
 static void
 update_if_members_changed(AprWatchers_t *watchers)
 {
@@ -133,7 +180,6 @@
     HostRef_t *hosts;
     int count;
     int domains;
-    int per_domain;
 
     if (version == watchers->members_version) {
         return;
@@ -141,9 +187,9 @@
     AprWatchers_Clear(watchers);
     watchers->includes_self = false;
     hosts = calloc((size_t)member_count + 1, sizeof(*hosts));
-    watchers->hosts =
-        calloc((size_t)member_count + 1, sizeof(*watchers->hosts));
-    if (hosts == NULL || watchers->hosts == NULL) {
+    watchers->sources =
+        calloc((size_t)member_count + 1, sizeof(*watchers->sources));
+    if (hosts == NULL || watchers->sources == NULL) {
         AprLog_Write(APR_LOG_ERROR, "watchers_no_memory", "hosts=%d",
                      member_count);
         free(hosts);
@@ -151,9 +197,12 @@
     }
     count = list_registered_hosts(watchers, hosts);
     domains = count_domains(hosts, count);
-    per_domain = domains == 0 ? 0 : (MIN_WATCHERS + domains - 1) / domains;
-    add_watchers(watchers, hosts, count, per_domain, true);
-    add_watchers(watchers, hosts, count, per_domain, false);
+    if (domains > 0) {
+        count =
+            select_relays(hosts, count, (MIN_RELAYS + domains - 1) / domains);
+        qsort(hosts, (size_t)count, sizeof(*hosts), compare_relays);
+        list_sources(watchers, hosts, count);
+    }
     watchers->members_version = version;
     free(hosts);
 }
@@ -166,14 +215,15 @@
     return watchers->includes_self;
 }
 
-/* Returns the name of the watcher to ask at the given attempt, or NULL when
-   there is none. Successive attempts go through the watchers of the own
-   failure domain, then through the others, and start over. The name is valid
-   until the list is computed again after a change of the members. */
+/* Returns the name of the host to subscribe to at the given attempt, or NULL
+   when there is none. Successive attempts go through all sources and start
+   over. The name is valid until the list is computed again after a change of
+   the members. */
 const char *
-AprWatchers_ForAttempt(AprWatchers_t *watchers, int attempt)
+AprWatchers_SourceForAttempt(AprWatchers_t *watchers, int attempt)
 {
     update_if_members_changed(watchers);
-    return watchers->count == 0 ? NULL
-                                : watchers->hosts[attempt % watchers->count];
+    return watchers->source_count == 0
+               ? NULL
+               : watchers->sources[attempt % watchers->source_count];
 }
--- a/src/protocol/link_frame.c
+++ b/src/protocol/link_frame.c
@@ -169,7 +169,7 @@
         msgpack_pack_int64(packer, frame->item.lease_id);
         pack_bool(packer, frame->item.removed);
         pack_bool(packer, frame->item.end_of_series);
-        pack_bool(packer, frame->item.store_lost);
+        msgpack_pack_int64(packer, frame->item.source_age_ms);
         msgpack_pack_int64(packer, frame->item.complete_revision);
         break;
     case APR_LINK_REACHABILITY_QUERY:
@@ -183,6 +183,11 @@
         pack_text(packer, frame->host);
         msgpack_pack_int64(packer, frame->result);
         break;
+    case APR_LINK_GOAWAY:
+        msgpack_pack_array(packer, 2);
+        msgpack_pack_int(packer, frame->type);
+        msgpack_pack_int64(packer, frame->sequence);
+        break;
     case APR_LINK_RENEWAL_RESULT:
         msgpack_pack_array(packer, 3);
         msgpack_pack_int(packer, frame->type);
@@ -364,7 +369,7 @@
     item->lease_id = read_int(reader);
     item->removed = read_bool(reader);
     item->end_of_series = read_bool(reader);
-    item->store_lost = read_bool(reader);
+    item->source_age_ms = read_int(reader);
     item->complete_revision = read_int(reader);
 }
 
@@ -447,6 +452,9 @@
         read_text(reader, frame->host, sizeof(frame->host));
         frame->result = read_int(reader);
         break;
+    case APR_LINK_GOAWAY:
+        frame->sequence = read_int(reader);
+        break;
     case APR_LINK_RENEWAL_RESULT:
         frame->sequence = read_int(reader);
         frame->result = read_int(reader);
--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -231,11 +231,12 @@
 
 static void
 store_range(void *self, const char *prefix, const char *after,
-            AprKvCallback_t done, void *context)
+            bool allow_stale, AprKvCallback_t done, void *context)
 {
     StoreRequest_t *request = store_start_request(self, done, context);
 
     (void)after;
+    (void)allow_stale;
     ev_set_cb(&request->timer, store_complete_range);
     snprintf(request->prefix, sizeof(request->prefix), "%s", prefix);
 }
@@ -461,7 +462,7 @@
 }
 
 /* Samples every 97th key and returns the number of those without a holder. */
-static int
+static inline int
 cluster_count_unheld_keys(Cluster_t *cluster)
 {
     int unheld = 0;
