--- a/internal/exchange.h
+++ b/internal/exchange.h
@@ -17,6 +17,7 @@
     AprExchange_t *last_exchange;
     AprExchange_t *reading_exchange; /* receives its body; NULL: none */
     int exchange_count;
+    bool used;    /* a request was read */
     bool parsing; /* a parser callback is on the stack */
     bool read_paused;
     bool closed; /* freed when the parser returns */
--- a/src/gateway/ingress.c
+++ b/src/gateway/ingress.c
@@ -14,6 +14,9 @@
 /* Pipelined requests of one connection; reading pauses at this number. */
 #define MAX_PIPELINED_REQUESTS 16
 
+/* Time within which a caller sends the first request on a new connection. */
+#define FIRST_REQUEST_MS 1000
+
 /* Limits before the first configuration. */
 #define DEFAULT_MAX_HEAD_BYTES 16384
 #define DEFAULT_MAX_BODY_BYTES (64ull * 1024 * 1024)
@@ -185,6 +188,7 @@
     if (exchange == NULL) {
         return 1;
     }
+    caller->used = true;
     caller->ingress->exchange_count++;
     caller->exchange_count++;
     if (caller->last_exchange == NULL) {
@@ -340,18 +344,23 @@
 }
 
 static void
-on_accept(struct ev_loop *loop, ev_io *watcher, int events)
+accept_callers(AprIngress_t *ingress)
 {
-    AprIngress_t *ingress = watcher->data;
     int fd;
 
-    (void)loop;
-    (void)events;
     while ((fd = accept(ingress->listen_fd, NULL, NULL)) >= 0) {
         add_caller(ingress, fd);
     }
 }
 
+static void
+on_accept(struct ev_loop *loop, ev_io *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    accept_callers(watcher->data);
+}
+
 /* Accepts callers at an IP:port. Returns APR_OK or the error of
    AprStream_Listen(). */
 int
@@ -367,11 +376,14 @@
     return APR_OK;
 }
 
-/* Closes the listener; open connections stay. */
+/* Closes the listener; open connections stay. Connections that the kernel has
+   established are accepted first, because closing the listener would reset
+   them. */
 void
 AprIngress_StopListening(AprIngress_t *ingress)
 {
     if (ingress->listen_fd >= 0) {
+        accept_callers(ingress);
         ev_io_stop(ingress->gateway->loop, &ingress->listener);
         close(ingress->listen_fd);
         ingress->listen_fd = -1;
@@ -386,16 +398,27 @@
            !AprHttpParser_IsInMessage(caller->parser);
 }
 
+/* Returns whether a request may be on its way on an idle connection: bytes
+   have arrived that were not read yet, or the connection is new. */
+static bool
+may_carry_request(const AprCallerConn_t *caller, int64_t now_ms)
+{
+    return AprStream_HasReceivedBytes(caller->stream) ||
+           (!caller->used &&
+            now_ms - caller->idle_since_ms < FIRST_REQUEST_MS);
+}
+
 /* Closes the connections without a request in progress. */
 void
 AprIngress_CloseIdleConnections(AprIngress_t *ingress)
 {
+    int64_t now_ms = AprGateway_NowMs(ingress->gateway);
     AprCallerConn_t *caller = ingress->callers;
 
     while (caller != NULL) {
         AprCallerConn_t *next = caller->next;
 
-        if (is_idle(caller)) {
+        if (is_idle(caller) && !may_carry_request(caller, now_ms)) {
             close_caller(caller, false);
         }
         caller = next;
@@ -428,6 +451,13 @@
     }
 }
 
+/* Returns whether callers have open connections. */
+bool
+AprIngress_HasConnections(const AprIngress_t *ingress)
+{
+    return ingress->callers != NULL;
+}
+
 /* Returns the number of requests in progress. */
 int
 AprIngress_CountRequests(const AprIngress_t *ingress)
--- a/src/gateway/link_calls.c
+++ b/src/gateway/link_calls.c
@@ -171,6 +171,10 @@
     AprCallFailure_t failure = {APR_CALL_FULL, true, 0};
     InboundCall_t *call;
 
+    if (link->going_away) {
+        return; /* its sender takes it for not delivered */
+    }
+    link->last_stream = frame->stream;
     subtract_queueing_delay(link, frame);
     if (link->gateway->stop_step >= APR_STOP_REFUSE_PEERS) {
         failure.error = APR_CALL_LEAVING;
@@ -375,6 +379,28 @@
     }
 }
 
+/* Fails the calls that the other host had not read when it ended. */
+void
+AprLinkCalls_OnGoaway(AprGatewayLink_t *link, int64_t last_stream)
+{
+    AprCallFailure_t failure = {APR_CALL_UNREACHABLE, true,
+                                RESTART_RETRY_AFTER_MS};
+    GHashTableIter calls;
+    gpointer value;
+
+    link->going_away = true;
+    g_hash_table_iter_init(&calls, link->calls);
+    while (g_hash_table_iter_next(&calls, NULL, &value)) {
+        OutboundCall_t *call = value;
+
+        if ((uint32_t)call->stream > (uint32_t)last_stream) {
+            fail_outbound_call(call, &failure);
+            /* The failed call may have ended others on this link. */
+            g_hash_table_iter_init(&calls, link->calls);
+        }
+    }
+}
+
 /* Sends a call on an outbound link and fills in `ref`. `head` and `data` are
    encoded and `handlers` is copied before this returns. */
 void
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -271,6 +271,11 @@
         AprMembers_RecordReachability(gateway->members, frame->host,
                                       frame->result);
         break;
+    case APR_LINK_GOAWAY:
+        if (!link->inbound) {
+            AprLinkCalls_OnGoaway(link, frame->sequence);
+        }
+        break;
     case APR_LINK_RENEWAL_RESULT:
         AprStoreCache_OnPeerRenewalResult(gateway->store_cache,
                                           frame->sequence, frame->result);
@@ -463,6 +468,7 @@
     }
     link->established = false;
     link->wrong_host = false;
+    link->going_away = false;
     link->opened_ms = now_ms;
     link->last_received_ms = now_ms;
     link->last_ping_ms = now_ms;
@@ -482,7 +488,7 @@
 {
     AprGatewayLink_t *link = ensure_outbound_link(links, host);
 
-    if (link == NULL) {
+    if (link == NULL || link->going_away) {
         failure->error = APR_CALL_UNREACHABLE;
         failure->not_run = true;
         failure->retry_after_ms = RECONNECT_DELAY_MS;
@@ -613,6 +619,22 @@
     return heard_ms < 0 ? -1 : links_now_ms(links) - heard_ms;
 }
 
+/* Tells each host that opened a link which of its calls were read; this
+   process ends and ignores later ones. */
+void
+AprLinks_SendGoaway(AprLinks_t *links)
+{
+    for (AprGatewayLink_t *link = links->inbound; link != NULL;
+         link = link->next) {
+        AprLinkFrame_t frame = {0};
+
+        frame.type = APR_LINK_GOAWAY;
+        frame.sequence = link->last_stream;
+        AprGatewayLink_Send(link, &frame);
+        link->going_away = true;
+    }
+}
+
 /* Sends changed items to the hosts that fetched items within
    SUBSCRIPTION_TTL_MS. */
 void
--- a/src/transport/stream.c
+++ b/src/transport/stream.c
@@ -467,6 +467,16 @@
     return stream->connecting;
 }
 
+/* Returns whether bytes that were not read yet have arrived. */
+bool
+AprStream_HasReceivedBytes(const AprStream_t *stream)
+{
+    char byte;
+
+    return !stream->is_closed && !stream->connecting &&
+           recv(stream->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 /* Stops or resumes reading, so that a slow receiver applies back-pressure to
    the sender. */
 void
--- /dev/null
+++ b/tests/test_gateway_restart.c
@@ -0,0 +1,276 @@
+/* What a restarted or stopping gateway may still believe, and what it must not
+   cut off. */
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "gateway_cluster.h"
+#include "internal/store_cache_state.h"
+
+#define START_TIMEOUT_S 6.0
+
+static Cluster_t cluster;
+
+static void
+start_with_all_keys_held(void)
+{
+    cluster_start(&cluster);
+    assert_true(cluster_wait_until_held(&cluster, START_TIMEOUT_S) <
+                START_TIMEOUT_S);
+}
+
+/* Delivers an entry of a host as another host that lags behind would. */
+static void
+deliver_outdated_entry(ClusterHost_t *to, const char *name, int64_t revision)
+{
+    char key[128];
+    AprItemFrame_t frame = {0};
+
+    snprintf(key, sizeof(key), "apricot/hosts/%s", name);
+    frame.key = key;
+    frame.key_size = strlen(key);
+    frame.value = "{\"address\":\"127.0.0.1:9\",\"domain\":\"d0\","
+                  "\"service\":\"desk\",\"id\":\"gone\",\"born\":1,"
+                  "\"slots\":4,\"capacity\":1,\"open\":true}";
+    frame.value_size = strlen(frame.value);
+    frame.revision = revision;
+    AprStoreCache_ApplyPeerItem(to->gateway->store_cache, &frame);
+}
+
+static bool
+is_listed(ClusterHost_t *at, const char *name)
+{
+    const AprHost_t *host = AprMembers_Find(at->gateway->members, name);
+
+    return host != NULL && host->registered;
+}
+
+/* Guards against a host that had left but is used again after a restart,
+   because another host that lags behind sends its old entry, before or after
+   the restarted process has read the store. */
+static void
+test_restart_does_not_bring_back_a_lost_host(void **state)
+{
+    ClusterHost_t *restarted = &cluster.hosts[1];
+
+    (void)state;
+    start_with_all_keys_held();
+    host_kill_gateway(restarted);
+    cluster.store.revision += 10;
+    host_start_gateway(restarted);
+    deliver_outdated_entry(restarted, "early", 3);
+    cluster_run_for(&cluster, 1.0);
+    assert_false(is_listed(restarted, "early"));
+    deliver_outdated_entry(restarted, "late", 3);
+    assert_false(is_listed(restarted, "late"));
+    deliver_outdated_entry(restarted, "new", cluster.store.revision + 1);
+    assert_true(is_listed(restarted, "new"));
+    cluster_stop(&cluster);
+}
+
+static void
+send_heartbeat(ClusterHost_t *host, int64_t born, int64_t sequence,
+               bool leaving)
+{
+    AprHeartbeat_t heartbeat = {0};
+
+    heartbeat.incarnation = host->incarnation;
+    heartbeat.incarnation.started_ms = born;
+    heartbeat.sequence = sequence;
+    heartbeat.slots = 4;
+    heartbeat.leaving = leaving;
+    strcpy(heartbeat.service, CLUSTER_SERVICE);
+    strcpy(heartbeat.address, host->settings.backend_address);
+    AprOwnership_OnHeartbeat(host->gateway->ownership, &heartbeat,
+                             host_on_grants, host);
+}
+
+/* Guards against a backend server that had said that it leaves, and that a
+   restarted process uses again because of a late heartbeat. */
+static void
+test_restart_does_not_bring_back_a_leaving_server(void **state)
+{
+    ClusterHost_t *host = &cluster.hosts[2];
+
+    (void)state;
+    start_with_all_keys_held();
+    host->leaving = true;
+    cluster_run_for(&cluster, 1.0);
+    ev_timer_stop(cluster.loop, &host->heartbeat_timer);
+    host_kill_gateway(host);
+    cluster_run_for(&cluster, 0.3);
+    host_start_gateway(host);
+    cluster_run_for(&cluster, 0.5);
+    send_heartbeat(host, host->incarnation.started_ms, 1, false);
+    assert_false(AprBackend_AcceptsCalls(host->gateway->backend));
+    assert_true(AprOwnership_IsBackendLeaving(host->gateway->ownership));
+    cluster_stop(&cluster);
+}
+
+/* Guards against an earlier incarnation whose late heartbeat is the first one
+   that a restarted process gets. */
+static void
+test_restart_does_not_bring_back_an_incarnation(void **state)
+{
+    ClusterHost_t *host = &cluster.hosts[2];
+
+    (void)state;
+    start_with_all_keys_held();
+    ev_timer_stop(cluster.loop, &host->heartbeat_timer);
+    host_kill_gateway(host);
+    host_start_gateway(host);
+    cluster_run_for(&cluster, 0.5);
+    send_heartbeat(host, host->incarnation.started_ms - 1, 99, false);
+    assert_string_equal(AprBackend_GetIncarnation(host->gateway->backend)->id,
+                        "");
+    send_heartbeat(host, host->incarnation.started_ms, 100, false);
+    assert_string_not_equal(
+        AprBackend_GetIncarnation(host->gateway->backend)->id, "");
+    cluster_stop(&cluster);
+}
+
+/* Guards against a restart that registers anew although the entry of the
+   earlier process still exists, which each host would learn of. */
+static void
+test_restart_writes_nothing(void **state)
+{
+    int commits;
+    int leases;
+
+    (void)state;
+    start_with_all_keys_held();
+    cluster_run_for(&cluster, 1.0);
+    commits = cluster.store.commit_count;
+    leases = cluster.store.lease_count;
+    host_kill_gateway(&cluster.hosts[1]);
+    cluster_run_for(&cluster, 0.5);
+    host_start_gateway(&cluster.hosts[1]);
+    cluster_run_for(&cluster, 2.0);
+    assert_int_equal(cluster.store.commit_count, commits);
+    assert_int_equal(cluster.store.lease_count, leases);
+    assert_int_equal(cluster_count_unheld_keys(&cluster), 0);
+    assert_int_equal(cluster.overlaps, 0);
+    cluster_stop(&cluster);
+}
+
+/* Opens a blocking connection to the callers' address of a host. */
+static int
+connect_caller(const ClusterHost_t *host)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port =
+        htons((uint16_t)atoi(strrchr(host->settings.listen_callers, ':') + 1));
+    assert_int_equal(connect(fd, (struct sockaddr *)&address, sizeof(address)),
+                     0);
+    fcntl(fd, F_SETFL, O_NONBLOCK);
+    return fd;
+}
+
+static void
+send_request_on(int fd, int key)
+{
+    char text[256];
+    int size = snprintf(text, sizeof(text),
+                        "GET /k/%d HTTP/1.1\r\nHost: desk.example\r\n"
+                        "Attempt: s%d\r\nTime-Left: 1000\r\nKey: %d\r\n\r\n",
+                        key, fd, key);
+
+    assert_int_equal(send(fd, text, (size_t)size, MSG_NOSIGNAL), size);
+}
+
+/* Returns whether a connection got a response. */
+static bool
+has_response(int fd)
+{
+    char text[64] = "";
+    ssize_t size = recv(fd, text, sizeof(text) - 1, 0);
+
+    close(fd);
+    return size > 0 && strncmp(text, "HTTP/1.1 ", 9) == 0;
+}
+
+/* Guards against requests that a planned stop cuts off although they were just
+   accepted: on a connection that the kernel has established when the listener
+   closes, on a new one whose request is on its way, and on a kept one whose
+   request has arrived but was not read yet. */
+static void
+test_stop_answers_what_was_just_accepted(void **state)
+{
+    ClusterHost_t *host = &cluster.hosts[1];
+    int kept;
+    int fresh;
+    int backlog;
+    int key;
+
+    (void)state;
+    start_with_all_keys_held();
+    key = cluster.hosts[0].held[0].first;
+    kept = connect_caller(host);
+    send_request_on(kept, key);
+    cluster_run_for(&cluster, 0.2);
+    assert_true(recv(kept, (char[512]){0}, 512, 0) > 0);
+    AprGateway_Stop(host->gateway);
+    cluster_run_for(&cluster, 2.3);
+    fresh = connect_caller(host);
+    cluster_run_for(&cluster, 0.1);
+    send_request_on(kept, key);
+    AprIngress_CloseIdleConnections(host->gateway->ingress);
+    backlog = connect_caller(host);
+    send_request_on(backlog, key);
+    AprIngress_StopListening(host->gateway->ingress);
+    cluster_run_for(&cluster, 0.2);
+    send_request_on(fresh, key);
+    cluster_run_for(&cluster, 0.5);
+    assert_true(has_response(kept));
+    assert_true(has_response(backlog));
+    assert_true(has_response(fresh));
+    cluster_stop(&cluster);
+}
+
+/* Guards against a call that a stopping gateway has not read but that its
+   sender takes for one that may have run. */
+static void
+test_goaway_returns_unread_calls(void **state)
+{
+    ClusterHost_t *host = &cluster.hosts[0];
+    int key;
+
+    (void)state;
+    start_with_all_keys_held();
+    key = host->held[0].first;
+    cluster_send_request(&cluster, 1, key, "POST");
+    cluster_run_for(&cluster, 0.2);
+    assert_int_equal(cluster.answered, 1);
+    AprLinks_SendGoaway(host->gateway->links);
+    cluster_send_request(&cluster, 1, key, "POST");
+    cluster_run_for(&cluster, 1.2);
+    /* A 502 would say that the request may have run. */
+    assert_int_equal(cluster.failed, 0);
+    assert_int_equal(cluster.answered + cluster.refused, 2);
+    cluster_stop(&cluster);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_restart_does_not_bring_back_a_lost_host),
+        cmocka_unit_test(test_restart_does_not_bring_back_a_leaving_server),
+        cmocka_unit_test(test_restart_does_not_bring_back_an_incarnation),
+        cmocka_unit_test(test_restart_writes_nothing),
+        cmocka_unit_test(test_stop_answers_what_was_just_accepted),
+        cmocka_unit_test(test_goaway_returns_unread_calls),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
