--- a/src/state/key_plan.c
+++ b/src/state/key_plan.c
@@ -9,11 +9,11 @@
 #define MIN_SPARE_FRACTION 0.05
 
 /* A host moves keys to other hosts only when its load exceeds this value. */
-#define REBALANCE_MIN_LOAD 0.6
+#define REBALANCE_MIN_LOAD 0.45
 
 /* A host moves keys to other hosts only when its load exceeds that of the
    least loaded host by this difference. */
-#define REBALANCE_MIN_LOAD_DIFFERENCE 0.2
+#define REBALANCE_MIN_LOAD_DIFFERENCE 0.15
 
 /* Candidates whose load exceeds the lowest by at most this difference are
    considered equal. */
