--- a/include/apricot/admission.h
+++ b/include/apricot/admission.h
@@ -28,7 +28,8 @@
     int64_t arrived_ms;
     int64_t objective_ms; /* latest time of a timely answer */
     int64_t deadline_ms;  /* time after which the caller no longer waits */
-    double expected_service_ms; /* set on admission */
+    double expected_service_ms;  /* set on admission */
+    double service_deviation_ms; /* usual error of that; set on admission */
 } AprAdmissionRequest_t;
 
 /* A request that occupies a slot. */
@@ -44,6 +45,8 @@
     uint32_t kind; /* 0: the entry is free */
     /* Moving average of the service time; 0 before the first sample. */
     double mean_service_ms;
+    /* Moving average of the difference between a service time and the mean. */
+    double deviation_ms;
     /* Service time that the kind is owed under its minimum share. */
     double owed_ms;
 } AprKindStats_t;
--- a/internal/call.h
+++ b/internal/call.h
@@ -30,6 +30,7 @@
     bool nested;       /* made by a request that a backend server runs */
     int rank;          /* priority; 0 is the most urgent */
     int key;           /* APR_NO_KEY: none */
+    /* Start of the caller's first attempt, as far as it can be told. */
     int64_t arrived_ms;
     int64_t objective_ms; /* target time of the response */
     int64_t deadline_ms;  /* the caller stops waiting */
--- a/internal/exchange.h
+++ b/internal/exchange.h
@@ -35,7 +35,7 @@
     bool keyed;               /* the service assigns keys to owners */
     int reject_status; /* sent after the body was read; 0: not rejected */
     const char *reject_reason;
-    int64_t limit_ms; /* unused */
+    int64_t received_ms; /* arrival of this attempt */
     bool http_1_0;
     bool omit_response_body; /* set for HEAD requests */
     bool keep_alive;
--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -14,6 +14,7 @@
 #include "apricot/metrics.h"
 #include "apricot/retry_budget.h"
 #include "apricot/route_table.h"
+#include "apricot/time_limits.h"
 #include "internal/call.h"
 #include "internal/link_frame.h"
 #include "internal/stream.h"
@@ -89,6 +90,7 @@
     AprMetrics_t *metrics;
     AprMetric_t *duration_buckets[APR_DURATION_BUCKETS];
     AprRetryBudget_t retry_budget;
+    GHashTable *time_limits; /* route name -> AprTimeLimits_t, owned */
     AprStopStep_t stop_step;
     int64_t stopping_since_ms;
     int64_t last_tick_ms;
@@ -108,6 +110,10 @@
 void AprGateway_Stop(AprGateway_t *gateway);
 bool AprGateway_IsReady(const AprGateway_t *gateway);
 AprRetryBudget_t *AprGateway_GetRetryBudget(AprGateway_t *gateway);
+/* Returns the estimated time since the caller's first attempt of a request
+   that arrives with this time limit. */
+int64_t AprGateway_EstimateWaitedMs(AprGateway_t *gateway, const char *route,
+                                    int64_t limit_ms);
 void AprGateway_GetLoad(AprGateway_t *gateway, AprHostLoad_t *load);
 char *AprGateway_FormatState(AprGateway_t *gateway);
 /* Adds a request to the histogram of response times. */
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -65,7 +65,7 @@
             ? exchange->tried_hosts[exchange->attempt_count - 1]
             : "none",
         exchange->status, exchange->attempt_count,
-        (long long)(exchange_now_ms(exchange) - head->arrived_ms),
+        (long long)(exchange_now_ms(exchange) - exchange->received_ms),
         (long long)(head->deadline_ms - exchange_now_ms(exchange)),
         (unsigned long long)head->config_version, reason);
 }
@@ -179,7 +179,7 @@
 has_time_to_retry(const AprExchange_t *exchange)
 {
     const AprCallHead_t *head = &exchange->head;
-    double span_ms = (double)(head->deadline_ms - head->arrived_ms);
+    double span_ms = (double)(head->deadline_ms - exchange->received_ms);
 
     return (double)(head->deadline_ms - exchange_now_ms(exchange)) >
            MIN_RETRY_TIME_FRACTION * span_ms;
@@ -319,9 +319,8 @@
     log_exchange(exchange, "answered");
     AprGateway_IncrementCounter(exchange->gateway, "requests_answered_total",
                                 "");
-    AprGateway_ObserveDuration(exchange->gateway,
-                               exchange_now_ms(exchange) -
-                                   exchange->head.arrived_ms);
+    AprGateway_ObserveDuration(exchange->gateway, exchange_now_ms(exchange) -
+                                                      exchange->received_ms);
     finish_exchange(exchange);
 }
 
@@ -550,17 +549,22 @@
                            : DEFAULT_TIMEOUT_MS;
     char text[32];
 
-    head->arrived_ms = exchange_now_ms(exchange);
+    exchange->received_ms = exchange_now_ms(exchange);
+    head->arrived_ms = exchange->received_ms;
     if (AprHttpHead_CopyValue(http, exchange->gateway->header_names->timeout,
                               text, sizeof(text)) == APR_OK) {
         int64_t left_ms = strtoll(text, NULL, 10);
 
         head->has_deadline = left_ms > 0;
+        if (left_ms > 0 && route != NULL) {
+            head->arrived_ms -= AprGateway_EstimateWaitedMs(
+                exchange->gateway, route->name, left_ms);
+        }
         if (left_ms > 0 && left_ms < limit_ms) {
             limit_ms = left_ms;
         }
     }
-    head->deadline_ms = head->arrived_ms + limit_ms;
+    head->deadline_ms = exchange->received_ms + limit_ms;
     head->objective_ms =
         head->arrived_ms + (route != NULL && route->objective_ms > 0
                                 ? route->objective_ms
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -54,6 +54,19 @@
     return &gateway->retry_budget;
 }
 
+int64_t
+AprGateway_EstimateWaitedMs(AprGateway_t *gateway, const char *route,
+                            int64_t limit_ms)
+{
+    AprTimeLimits_t *limits = g_hash_table_lookup(gateway->time_limits, route);
+
+    if (limits == NULL) {
+        limits = g_new0(AprTimeLimits_t, 1);
+        g_hash_table_insert(gateway->time_limits, g_strdup(route), limits);
+    }
+    return AprTimeLimits_AddSample(limits, limit_ms);
+}
+
 /* Increments a counter, which is created on first use. */
 void
 AprGateway_IncrementCounter(AprGateway_t *gateway, const char *name,
@@ -246,6 +259,8 @@
     gateway->config_key = options->config_key;
     gateway->parse_routes = options->parse_routes;
     AprRetryBudget_Init(&gateway->retry_budget);
+    gateway->time_limits =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     gateway->metrics = AprMetrics_New();
     gateway->backend = AprBackend_New(gateway);
     gateway->links = AprLinks_New(gateway);
@@ -289,6 +304,7 @@
     AprMembers_Free(gateway->members);
     AprRouteTable_Free(gateway->routes);
     AprMetrics_Free(gateway->metrics);
+    g_hash_table_destroy(gateway->time_limits);
     free(gateway);
 }
 
--- a/src/state/admission.c
+++ b/src/state/admission.c
@@ -1,5 +1,6 @@
 #include "apricot/admission.h"
 
+#include <math.h>
 #include <string.h>
 
 /* Minimum share of the service time of each kind that has queued requests.
@@ -75,14 +76,28 @@
     return INITIAL_SERVICE_TIME_FRACTION * (double)(span_ms > 0 ? span_ms : 0);
 }
 
-/* Whether a request would miss its objective if it started now. A nested call
-   never counts as late: its caller occupies a slot until the answer arrives,
-   and without the answer the caller's work is lost. */
+/* Returns the usual difference between a service time of a kind and the mean;
+   0 while the kind has no samples. */
+static double
+expected_deviation_ms(AprAdmission_t *admission, uint32_t kind)
+{
+    const AprKindStats_t *stats = find_kind_stats(admission, kind);
+
+    return stats->kind == kind ? stats->deviation_ms : 0;
+}
+
+/* Whether a request would probably miss its objective if it started now. Under
+   overload the requests that start are those whose objective is close, so that
+   half of them would end late if only the mean service time counted. A nested
+   call never counts as late: its caller occupies a slot until the answer
+   arrives, and without the answer the caller's work is lost. */
 static bool
 would_miss_objective(const AprAdmissionRequest_t *request, int64_t now_ms)
 {
-    return !request->nested && now_ms + (int64_t)request->expected_service_ms >
-                                   request->objective_ms;
+    return !request->nested &&
+           now_ms + (int64_t)(request->expected_service_ms +
+                              request->service_deviation_ms) >
+               request->objective_ms;
 }
 
 /* Whether `left` starts before `right`. Requests that can meet their objective
@@ -140,6 +155,8 @@
 typedef struct ExpectedWait_t {
     double by_order_ms; /* after all queued requests that precede it */
     double by_share_ms; /* upper bound by the minimum share of its kind */
+    bool slot_free;     /* the request would start at once */
+    bool idle;          /* nothing runs and nothing precedes the request */
 } ExpectedWait_t;
 
 static ExpectedWait_t
@@ -170,6 +187,8 @@
         }
     }
     wait.by_order_ms = free_after_ms[find_earliest_slot(free_after_ms, slots)];
+    wait.slot_free = wait.by_order_ms <= 0;
+    wait.idle = wait.slot_free && admission->running_count == 0;
     wait.by_share_ms += own_kind_ms / (MIN_KIND_SHARE * slots);
     return wait;
 }
@@ -177,7 +196,9 @@
 /* Whether a request should be rejected because it is not expected to be
    answered in time. The minimum share of its kind counts only if it lets the
    request meet its objective: what remains of the share serves requests that
-   arrive later. */
+   arrive later. An idle backend server rejects nothing that has time left: its
+   expected service times may date from a time when it was slow, and only new
+   samples correct them. */
 static bool
 should_reject(const AprAdmissionRequest_t *request, int64_t now_ms,
               ExpectedWait_t wait)
@@ -188,6 +209,13 @@
         (double)now_ms + wait.by_share_ms + request->expected_service_ms;
     double span_ms = (double)(request->deadline_ms - request->arrived_ms);
 
+    if (wait.idle) {
+        return now_ms >= request->deadline_ms;
+    }
+    if (!wait.slot_free && !request->nested) {
+        end_ms += request->service_deviation_ms;
+        share_end_ms += request->service_deviation_ms;
+    }
     if (share_end_ms < end_ms &&
         share_end_ms <= (double)request->objective_ms) {
         end_ms = share_end_ms;
@@ -235,6 +263,8 @@
     }
     request->expected_service_ms = AprAdmission_ExpectedServiceMs(
         admission, request->kind, request->objective_ms - request->arrived_ms);
+    request->service_deviation_ms =
+        expected_deviation_ms(admission, request->kind);
     wait = expected_wait(admission, request, now_ms);
     decision.wait_ms = (int64_t)wait.by_order_ms;
     decision.admitted = admission->queue_count < APR_ADMISSION_MAX_QUEUE &&
@@ -424,14 +454,18 @@
 add_service_sample(AprAdmission_t *admission, uint32_t kind, double service_ms)
 {
     AprKindStats_t *stats = find_kind_stats(admission, kind);
+    double error_ms;
 
     if (stats->kind != kind || stats->mean_service_ms <= 0) {
         stats->kind = kind;
         stats->mean_service_ms = service_ms;
+        stats->deviation_ms = 0;
         return;
     }
-    stats->mean_service_ms +=
-        SERVICE_TIME_SAMPLE_WEIGHT * (service_ms - stats->mean_service_ms);
+    error_ms = service_ms - stats->mean_service_ms;
+    stats->mean_service_ms += SERVICE_TIME_SAMPLE_WEIGHT * error_ms;
+    stats->deviation_ms +=
+        SERVICE_TIME_SAMPLE_WEIGHT * (fabs(error_ms) - stats->deviation_ms);
 }
 
 /* Frees the slot of a started request; an unknown id has no effect. `measured`
