--- a/include/apricot/key_plan.h
+++ b/include/apricot/key_plan.h
@@ -24,7 +24,7 @@
 } AprKeyDemand_t;
 
 int AprKeyPlan_Distribute(AprKeyMap_t *map, const char *host,
-                          const AprKeyCandidate_t *candidates, int count,
+                          AprKeyCandidate_t *candidates, int count,
                           const char *releasing_host);
 int AprKeyPlan_Rebalance(AprKeyMap_t *map, const char *host, double *own_load,
                          int own_slots, AprKeyDemand_t *demand,
--- a/src/state/key_plan.c
+++ b/src/state/key_plan.c
@@ -8,6 +8,10 @@
    a candidate at full load still gets a small share of the keys. */
 #define MIN_SPARE_FRACTION 0.05
 
+/* The keys of a host are handed on in pieces of at least this part of a usual
+   share. */
+#define PIECES_PER_USUAL_SHARE 4
+
 /* A host moves keys to other hosts only when its load exceeds this value. */
 #define REBALANCE_MIN_LOAD 0.45
 
@@ -56,13 +60,73 @@
            candidate->slots;
 }
 
+/* Hashes a host name with FNV-1a, offset by the number of the move. */
+static uint32_t
+hash_host(const char *host, int move)
+{
+    uint32_t hash = 2166136261u + (uint32_t)move;
+
+    for (const char *at = host; *at != '\0'; at++) {
+        hash = (hash ^ (uint8_t)*at) * 16777619u;
+    }
+    return hash;
+}
+
+/* Returns how many candidates receive the keys of a host: so many that a piece
+   is not smaller than a quarter of a host's usual share, within the bounds of
+   the number of candidates. When hundreds of hosts each received a few keys of
+   every host that leaves, each later change would touch all parts of the key
+   map and conflict with every other. */
+static int
+count_receivers(int keys, int candidate_count)
+{
+    int least_keys =
+        APR_KEY_COUNT / (candidate_count + 1) / PIECES_PER_USUAL_SHARE;
+    int receivers = least_keys > 0 ? (keys + least_keys - 1) / least_keys
+                                   : candidate_count;
+
+    return receivers < candidate_count ? receivers : candidate_count;
+}
+
+/* Returns the spare capacity of a candidate, varied by a quarter either way so
+   that hosts which plan at the same time choose different candidates. */
+static double
+varied_capacity(const AprKeyCandidate_t *candidate, const char *host)
+{
+    uint32_t hash = hash_host(candidate->host, (int)hash_host(host, 0));
+
+    return spare_capacity(candidate) * (0.75 + (double)(hash % 1024) / 2048);
+}
+
+/* Moves the `wanted` candidates with the most spare capacity to the front. */
+static void
+select_receivers(AprKeyCandidate_t *candidates, int count, int wanted,
+                 const char *host)
+{
+    for (int i = 0; i < wanted && wanted < count; i++) {
+        AprKeyCandidate_t chosen;
+        int best = i;
+
+        for (int j = i + 1; j < count; j++) {
+            if (varied_capacity(&candidates[j], host) >
+                varied_capacity(&candidates[best], host)) {
+                best = j;
+            }
+        }
+        chosen = candidates[best];
+        candidates[best] = candidates[i];
+        candidates[i] = chosen;
+    }
+}
+
 /* Assigns all keys of a host, or those without an owner if `host` is an empty
-   string, to the candidates in proportion to their spare capacity, in few
-   ranges. `releasing_host` is passed to AprKeyMap_Assign. Returns the number
-   of reassigned keys, which is lower when memory runs out. */
+   string, to some of the candidates in proportion to their spare capacity, in
+   few ranges. Changes the order of the candidates. `releasing_host` is passed
+   to AprKeyMap_Assign. Returns the number of reassigned keys, which is lower
+   when memory runs out. */
 int
 AprKeyPlan_Distribute(AprKeyMap_t *map, const char *host,
-                      const AprKeyCandidate_t *candidates, int count,
+                      AprKeyCandidate_t *candidates, int count,
                       const char *releasing_host)
 {
     int total = AprKeyMap_CountKeysOf(map, host);
@@ -72,6 +136,12 @@
     int at = 0;
     int key = 0;
 
+    if (host[0] != '\0') {
+        int receivers = count_receivers(total, count);
+
+        select_receivers(candidates, count, receivers, host);
+        count = receivers;
+    }
     for (int i = 0; i < count; i++) {
         spare_sum += spare_capacity(&candidates[i]);
     }
@@ -150,18 +220,6 @@
     return best;
 }
 
-/* Hashes a host name with FNV-1a, offset by the number of the move. */
-static uint32_t
-hash_host(const char *host, int move)
-{
-    uint32_t hash = 2166136261u + (uint32_t)move;
-
-    for (const char *at = host; *at != '\0'; at++) {
-        hash = (hash ^ (uint8_t)*at) * 16777619u;
-    }
-    return hash;
-}
-
 /* Chooses a candidate that can take over keys, or returns -1. A candidate
    without keys is chosen first if this host is the most loaded one, because
    that candidate can serve no requests until it has keys. Among the candidates
--- a/tests/test_grants.c
+++ b/tests/test_grants.c
@@ -435,6 +435,54 @@
     AprKeyMap_Free(&map);
 }
 
+/* Guards against a key map that falls into pieces: when many of hundreds of
+   hosts leave one after the other, each must hand its keys to a few others, so
+   that its change touches few parts and rarely conflicts. */
+static void
+test_leaving_hosts_keep_few_ranges(void **state)
+{
+    enum { HOSTS = 227, LEAVING = 70 };
+    static AprKeyCandidate_t all[HOSTS];
+    static AprKeyCandidate_t candidates[HOSTS];
+    AprKeyMap_t map;
+    int parts_touched = 0;
+
+    (void)state;
+    for (int i = 0; i < HOSTS; i++) {
+        snprintf(all[i].host, sizeof(all[i].host), "h%d", i);
+        all[i].load = 0.5;
+        all[i].slots = 4;
+    }
+    AprKeyMap_Init(&map);
+    memcpy(candidates, all, sizeof(all));
+    AprKeyPlan_Distribute(&map, "", candidates, HOSTS, NULL);
+    assert_int_equal(map.count, HOSTS);
+    for (int i = 0; i < LEAVING; i++) {
+        AprKeyMap_t before;
+        uint32_t parts;
+
+        memcpy(candidates, all + LEAVING, (HOSTS - LEAVING) * sizeof(all[0]));
+        AprKeyMap_Copy(&before, &map);
+        AprKeyPlan_Distribute(&map, all[i].host, candidates, HOSTS - LEAVING,
+                              all[i].host);
+        assert_int_equal(AprKeyMap_CountKeysOf(&map, all[i].host), 0);
+        for (parts = AprKeyMap_ChangedParts(&before, &map); parts != 0;
+             parts &= parts - 1) {
+            parts_touched++;
+        }
+        AprKeyMap_Free(&before);
+    }
+    print_message("%d ranges, %d parts touched\n", map.count, parts_touched);
+    assert_true(map.count <= HOSTS + 5 * LEAVING);
+    assert_true(parts_touched <= 2 * LEAVING);
+    /* No host takes more than a few usual shares. */
+    for (int i = LEAVING; i < HOSTS; i++) {
+        assert_true(AprKeyMap_CountKeysOf(&map, all[i].host) <
+                    4 * APR_KEY_COUNT / HOSTS);
+    }
+    AprKeyMap_Free(&map);
+}
+
 /* Guards against moves of hot keys that do not reduce the load, take many
    keys, or move the overload to another host. The hot keys are adjacent on one
    of four hosts, which has a load of 1.8. */
@@ -584,6 +632,7 @@
         cmocka_unit_test(test_expiry_wait_is_per_part),
         cmocka_unit_test(test_withholds_keys_of_unknown_changes),
         cmocka_unit_test(test_distributes_by_spare_capacity),
+        cmocka_unit_test(test_leaving_hosts_keep_few_ranges),
         cmocka_unit_test(test_rebalances_hot_keys),
         cmocka_unit_test(test_moves_keys_only_when_unbalanced),
         cmocka_unit_test(test_concurrent_plans_choose_different_hosts),
