--- a/internal/gateway_link.h
+++ b/internal/gateway_link.h
@@ -30,10 +30,12 @@
     int64_t opened_ms; /* start of the connect */
     int64_t last_received_ms;
     int64_t last_ping_ms;
-    int64_t failed_ms;    /* last failure; 0: none */
-    gint next_stream;     /* outbound: id of the last call sent */
-    uint32_t last_stream; /* inbound: id of the last call read */
-    bool going_away;      /* GOAWAY was sent (inbound) or received */
+    int64_t failed_ms;      /* last failure; 0: none */
+    int64_t established_ms; /* outbound: receipt of HELLO */
+    int64_t stalled_ms;     /* see stall_link(); 0: not stalled */
+    gint next_stream;       /* outbound: id of the last call sent */
+    uint32_t last_stream;   /* inbound: id of the last call read */
+    bool going_away;        /* GOAWAY was sent (inbound) or received */
     bool has_clock_offset;
     /* Smallest receive time minus send time of a call: the offset of the two
        hosts' clocks plus the least transmission delay. */
@@ -58,6 +60,8 @@
 void AprLinkCalls_HandleFrame(AprGatewayLink_t *link, AprLinkFrame_t *frame);
 void AprLinkCalls_CancelAll(AprGatewayLink_t *link);
 void AprLinkCalls_OnGoaway(AprGatewayLink_t *link, int64_t last_stream);
+void AprLinkCalls_FailIdempotent(AprGatewayLink_t *link,
+                                 const AprCallFailure_t *failure);
 void AprLinkCalls_FailAll(AprGatewayLink_t *link,
                           const AprCallFailure_t *failure);
 
--- a/src/gateway/link_calls.c
+++ b/src/gateway/link_calls.c
@@ -13,6 +13,7 @@
 typedef struct OutboundCall_t {
     AprGatewayLink_t *link;
     gint stream;
+    bool idempotent;
     AprCallHandlers_t handlers;
     void *context;
 } OutboundCall_t;
@@ -363,6 +364,26 @@
     }
 }
 
+/* Fails the idempotent calls of an outbound link. */
+void
+AprLinkCalls_FailIdempotent(AprGatewayLink_t *link,
+                            const AprCallFailure_t *failure)
+{
+    GHashTableIter calls;
+    gpointer value;
+
+    g_hash_table_iter_init(&calls, link->calls);
+    while (g_hash_table_iter_next(&calls, NULL, &value)) {
+        OutboundCall_t *call = value;
+
+        if (call->idempotent) {
+            fail_outbound_call(call, failure);
+            /* The failed call may have ended others on this link. */
+            g_hash_table_iter_init(&calls, link->calls);
+        }
+    }
+}
+
 /* Fails all calls of an outbound link. */
 void
 AprLinkCalls_FailAll(AprGatewayLink_t *link, const AprCallFailure_t *failure)
@@ -416,6 +437,7 @@
 
     call->link = link;
     call->stream = ++link->next_stream;
+    call->idempotent = head->idempotent;
     call->handlers = *handlers;
     call->context = context;
     g_hash_table_insert(link->calls, &call->stream, call);
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -27,6 +27,10 @@
 /* Time limit for the TCP connect of a link. */
 #define CONNECT_TIMEOUT_MS 1000
 
+/* Time for which a stalled link may still resume after the host has answered
+   on a new connection. */
+#define STALLED_RESUME_MS 500
+
 /* Delay of the next connect after a failure. */
 #define RECONNECT_DELAY_MS 200
 
@@ -51,6 +55,7 @@
     AprGateway_t *gateway;
     AprGatewayLink_t *outbound;
     GHashTable *outbound_by_host; /* name -> AprGatewayLink_t, not owned */
+    AprGatewayLink_t *stalled;    /* outbound links replaced by new ones */
     AprGatewayLink_t *inbound;
     GHashTable *inbound_hosts; /* name -> AprInboundHost_t, owned */
     AprGatewayLink_t *closed;  /* freed at the next tick, when unreferenced */
@@ -185,6 +190,7 @@
     if (!link->inbound) {
         link->wrong_host = strcmp(frame->host, link->host) != 0;
         link->established = !link->wrong_host;
+        link->established_ms = links_now_ms(link->links);
         if (link->wrong_host) {
             AprLog_Write(APR_LOG_WARN, "link_wrong_host", "peer=%s found=%s",
                          link->host, frame->host);
@@ -404,7 +410,10 @@
                                 not_delivered, 0};
 
     close_stream(link, reason);
-    AprMembers_RecordUnreachable(link->links->gateway->members, link->host);
+    if (link->stalled_ms == 0) {
+        AprMembers_RecordUnreachable(link->links->gateway->members,
+                                     link->host);
+    }
     link->established = false;
     AprLinkCalls_FailAll(link, &failure);
 }
@@ -690,6 +699,67 @@
     }
 }
 
+/* Handles an outbound link on which nothing arrives: the other host is paused
+   or cut off, or only this connection has died. Idempotent calls are failed,
+   so that they can be sent elsewhere. The others may be running and have no
+   other way to end well, so the link is kept for them, apart from the link
+   that the next call opens. */
+static void
+stall_link(AprGatewayLink_t *link, int64_t now_ms)
+{
+    AprLinks_t *links = link->links;
+    AprCallFailure_t failure = {APR_CALL_BROKEN, false, 0};
+
+    AprLog_Write(APR_LOG_INFO, "link_stalled", "peer=%s calls=%u", link->host,
+                 g_hash_table_size(link->calls));
+    link->stalled_ms = now_ms;
+    AprMembers_RecordUnreachable(links->gateway->members, link->host);
+    g_hash_table_remove(links->outbound_by_host, link->host);
+    remove_link(&links->outbound, link);
+    link->next = links->stalled;
+    links->stalled = link;
+    AprLinkCalls_FailIdempotent(link, &failure);
+}
+
+/* Returns whether a stalled link is of no more use: its calls have ended, or
+   the host answers on a new connection but not on this one. */
+static bool
+is_stalled_link_over(const AprGatewayLink_t *link, int64_t now_ms)
+{
+    const AprGatewayLink_t *newer =
+        find_outbound_link(link->links, link->host);
+
+    return link->stream == NULL || g_hash_table_size(link->calls) == 0 ||
+           (link->last_received_ms < link->stalled_ms && newer != NULL &&
+            newer->established &&
+            now_ms - newer->established_ms > STALLED_RESUME_MS);
+}
+
+/* Ends the stalled links that are of no more use, and looks with a new one
+   whether the host answers again. */
+static void
+check_stalled_links(AprLinks_t *links, int64_t now_ms)
+{
+    AprGatewayLink_t *link = links->stalled;
+
+    while (link != NULL) {
+        AprGatewayLink_t *next = link->next;
+
+        if (is_stalled_link_over(link, now_ms)) {
+            remove_link(&links->stalled, link);
+            if (link->stream != NULL) {
+                close_outbound_link(link, "replaced");
+            }
+            link->next = links->closed;
+            links->closed = link;
+        }
+        else {
+            ensure_outbound_link(links, link->host);
+        }
+        link = next;
+    }
+}
+
 /* Closes a link that timed out; pings one without recent traffic. */
 static void
 check_outbound_link(AprGatewayLink_t *link, int64_t now_ms)
@@ -706,7 +776,7 @@
     if ((busy || link->last_ping_ms > link->last_received_ms) &&
         silence_ms > PEER_TIMEOUT_MS &&
         now_ms - link->last_ping_ms > BUSY_PING_INTERVAL_MS) {
-        close_outbound_link(link, "silent");
+        stall_link(link, now_ms);
         return;
     }
     if (silence_ms > (busy ? BUSY_PING_INTERVAL_MS : IDLE_PING_INTERVAL_MS) &&
@@ -756,12 +826,15 @@
     int64_t now_ms = links_now_ms(links);
 
     free_closed_links(links);
-    for (AprGatewayLink_t *link = links->outbound; link != NULL;
-         link = link->next) {
+    for (AprGatewayLink_t *link = links->outbound; link != NULL;) {
+        AprGatewayLink_t *next = link->next;
+
         if (link->stream != NULL) {
             check_outbound_link(link, now_ms);
         }
+        link = next;
     }
+    check_stalled_links(links, now_ms);
     if (now_ms - links->last_release_send_ms >= BUSY_PING_INTERVAL_MS) {
         links->last_release_send_ms = now_ms;
         resend_releases(links);
@@ -846,6 +919,13 @@
         free_link(link);
     }
     free_closed_links(links);
+    while (links->stalled != NULL) {
+        AprGatewayLink_t *link = links->stalled;
+
+        links->stalled = link->next;
+        link->next = links->outbound;
+        links->outbound = link;
+    }
     while (links->outbound != NULL) {
         AprGatewayLink_t *link = links->outbound;
 
