--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -107,7 +107,8 @@
 {
     AprHost_t *member;
 
-    if (members->host_count == members->host_capacity) {
+    if (members->hosts == NULL ||
+        members->host_count == members->host_capacity) {
         int capacity =
             members->host_capacity == 0 ? 16 : members->host_capacity * 2;
         AprHost_t *grown =
--- a/src/gateway/store_cache.c
+++ b/src/gateway/store_cache.c
@@ -80,7 +80,7 @@
 {
     AprItem_t *item;
 
-    if (cache->item_count == cache->item_capacity) {
+    if (cache->items == NULL || cache->item_count == cache->item_capacity) {
         int capacity =
             cache->item_capacity == 0 ? 32 : cache->item_capacity * 2;
         AprItem_t *grown =
