--- a/internal/http_entry.h
+++ b/internal/http_entry.h
@@ -47,7 +47,11 @@
     int rank;
     bool idempotent;
     uint64_t key_hash;
-    uint64_t arrival_epoch; /* of the key's partition; 0: not known */
+    /* Of the key's partition at the arrival: epoch (0: not known), owner and
+       the owner's incarnation. */
+    uint64_t arrival_epoch;
+    AprMember_t arrival_owner;
+    uint64_t arrival_incarnation;
     struct timespec deadline;
     struct timespec retry_at;
     AprLinkHandle_t link;
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -389,6 +389,7 @@
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     core->entries = g_hash_table_new(g_int64_hash, g_int64_equal);
     core->next_entry_id = 1;
+    core->router_ran_at = core->started_at;
     core->owned_requests = g_ptr_array_new_with_free_func(free);
     core->free_owned_handles = g_array_new(FALSE, FALSE, sizeof(uint32_t));
     g_queue_init(&core->pending_changes);
--- a/src/coordination/router.c
+++ b/src/coordination/router.c
@@ -134,14 +134,38 @@
     return &core->record->services[service].partitions[partition];
 }
 
-/* Returns the epoch of the partition of a request's key; 0 when it is not
-   known. */
-static uint64_t
-partition_epoch(const AprCore_t *core, const AprEntryRequest_t *request)
+/* Remembers epoch and owner of the key's partition at the arrival of a
+   request. */
+static void
+record_arrival_owner(const AprCore_t *core, AprEntryRequest_t *request)
+{
+    const AprPartitionEntry_t *partition = find_partition(core, request);
+
+    request->arrival_epoch = partition == NULL ? 0 : partition->epoch;
+    request->arrival_owner =
+        partition == NULL ? APR_NO_MEMBER : partition->owner;
+    request->arrival_incarnation =
+        request->arrival_owner == APR_NO_MEMBER
+            ? 0
+            : core->record->members[request->arrival_owner].incarnation;
+}
+
+/* Returns whether the key's partition has had no owner since the arrival of a
+   request that was lost with its outcomes: the owner is the same, or a planned
+   move took the outcomes along and the former owner is still a member. */
+static bool
+outcomes_were_kept(const AprCore_t *core, const AprEntryRequest_t *request)
 {
     const AprPartitionEntry_t *partition = find_partition(core, request);
+    const AprMemberEntry_t *former;
 
-    return partition == NULL ? 0 : partition->epoch;
+    if (partition == NULL || request->arrival_owner == APR_NO_MEMBER) {
+        return false;
+    }
+    former = &core->record->members[request->arrival_owner];
+    return partition->epoch == request->arrival_epoch ||
+           (partition->handover_id != 0 && former->state != APR_MEMBER_FREE &&
+            former->incarnation == request->arrival_incarnation);
 }
 
 /* Returns whether the owner can still rely on the caller's statement that this
@@ -151,9 +175,8 @@
 static bool
 is_first_attempt_still(const AprCore_t *core, const AprEntryRequest_t *entry)
 {
-    return entry->first_attempt &&
-           (!apr_routing_rules.check_first_attempt ||
-            entry->arrival_epoch == partition_epoch(core, entry));
+    return entry->first_attempt && (!apr_routing_rules.check_first_attempt ||
+                                    outcomes_were_kept(core, entry));
 }
 
 static void
@@ -427,7 +450,7 @@
     set_deadline(core, request);
     request->key_hash =
         AprKey_Hash(request->service, request->key, strlen(request->key));
-    request->arrival_epoch = partition_epoch(core, request);
+    record_arrival_owner(core, request);
     AprRetryBudget_Deposit(
         &core->services[request->service_index]->retry_budget);
     route_request(core, request);
