Log where a configuration comes from, and how old the items are

Four causes were thought possible for a configuration that is in force too late, and the logs could not tell them apart: they did not say whom a host follows, how old its items are, or that a watch went unanswered.

Change: config_in_force names the sending host and the age of the items; source_changed and watch_failed are logged and counted; the state dump shows source, age and whether the host watches the store itself.

--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -294,7 +294,7 @@
                              const AprKvItem_t *update);
 void AprStoreCache_ApplyConflictItems(AprStoreCache_t *cache,
                                       const AprKvResult_t *result);
-void AprStoreCache_ApplyPeerItem(AprStoreCache_t *cache,
+void AprStoreCache_ApplyPeerItem(AprStoreCache_t *cache, const char *host,
                                  const AprItemFrame_t *frame);
 /* Receives an item. Its texts are valid during the call only. */
 typedef void (*AprItemVisitor_t)(void *context, const AprItemFrame_t *item);
@@ -309,6 +309,9 @@
 bool AprStoreCache_IsRegistered(const AprStoreCache_t *cache);
 bool AprStoreCache_IsStoreReachable(const AprStoreCache_t *cache);
 bool AprStoreCache_IsWatcher(AprStoreCache_t *cache);
+bool AprStoreCache_IsWatchingStore(const AprStoreCache_t *cache);
+int64_t AprStoreCache_ItemsAgeMs(const AprStoreCache_t *cache);
+const char *AprStoreCache_Source(const AprStoreCache_t *cache);
 const char *AprStoreCache_FormatGenerationKey(AprStoreCache_t *cache,
                                               char *key, size_t size);
 const char *AprStoreCache_FormatKeyMapKey(AprStoreCache_t *cache,
--- a/internal/store_cache_state.h
+++ b/internal/store_cache_state.h
@@ -95,6 +95,9 @@
     AprWatchers_t watchers;
     int64_t source_since_ms; /* first use of the present source; 0: none yet */
     int source_attempt;      /* selects the host to subscribe to */
+    char source[APR_NAME_SIZE]; /* present source; "": none */
+    /* Host that sent the items being applied; "": the store. */
+    char applying_from[APR_NAME_SIZE];
     bool watching_store;
     bool source_heard; /* another host confirmed its items since this host
                           began to watch */
--- a/src/gateway/item_source.c
+++ b/src/gateway/item_source.c
@@ -64,6 +64,16 @@
 static void
 back_off_watch(AprWatch_t *watch, int code)
 {
+    AprStoreCache_t *cache = watch->cache;
+
+    AprLog_Write(APR_LOG_INFO, "watch_failed",
+                 "prefix=%s error=%s waited_ms=%lld cursor=%lld "
+                 "items_age_ms=%lld",
+                 watch->prefix, AprError_Name(code),
+                 (long long)(AprStoreCache_NowMs(cache) - watch->call_sent_ms),
+                 (long long)watch->cursor,
+                 (long long)AprStoreCache_ItemsAgeMs(cache));
+    AprGateway_IncrementCounter(cache->gateway, "watch_failures_total", "");
     watch->failures++;
     watch->next_call_ms = AprStoreCache_NowMs(watch->cache) +
                           AprStoreCache_RandomBackoffMs(watch->failures);
@@ -309,6 +319,16 @@
     source =
         AprWatchers_SourceForAttempt(&cache->watchers, cache->source_attempt);
     if (source != NULL) {
+        if (strcmp(source, cache->source) != 0) {
+            AprLog_Write(APR_LOG_INFO, "source_changed",
+                         "from=%s to=%s revision=%lld items_age_ms=%lld",
+                         cache->source, source,
+                         (long long)AprStoreCache_Revision(cache),
+                         (long long)AprStoreCache_ItemsAgeMs(cache));
+            AprGateway_IncrementCounter(cache->gateway, "source_changes_total",
+                                        "");
+            g_strlcpy(cache->source, source, sizeof(cache->source));
+        }
         cache->subscribed_ms = now_ms;
         AprLinks_SubscribeToItems(cache->gateway->links, source,
                                   AprStoreCache_Revision(cache));
@@ -370,8 +390,10 @@
         cache->source_heard = false;
         cache->config_watch.answered = false;
         cache->prefix_watch.answered = false;
-        AprLog_Write(APR_LOG_INFO, "watching", "own=%d revision=%lld", watch,
-                     (long long)AprStoreCache_Revision(cache));
+        AprLog_Write(APR_LOG_INFO, "watching",
+                     "own=%d revision=%lld items_age_ms=%lld", watch,
+                     (long long)AprStoreCache_Revision(cache),
+                     (long long)AprStoreCache_ItemsAgeMs(cache));
     }
     if (watch) {
         advance_own_watches(cache);
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -264,7 +264,8 @@
         send_changed_items(link);
         break;
     case APR_LINK_ITEM:
-        AprStoreCache_ApplyPeerItem(gateway->store_cache, &frame->item);
+        AprStoreCache_ApplyPeerItem(gateway->store_cache, link->host,
+                                    &frame->item);
         break;
     case APR_LINK_RENEW_LEASE:
         AprStoreCache_RenewPeerLease(gateway->store_cache, link->host,
--- a/src/gateway/state_dump.c
+++ b/src/gateway/state_dump.c
@@ -62,11 +62,14 @@
 
     AprGateway_GetLoad(gateway, &load);
     root = json_pack(
-        "{s:s,s:I,s:I,s:b,s:b,s:I,s:i,s:i,s:i,s:s,s:o,s:o}", "host",
-        gateway->settings.host, "config_version",
+        "{s:s,s:I,s:I,s:s,s:I,s:b,s:b,s:b,s:I,s:i,s:i,s:i,s:s,s:o,s:o}",
+        "host", gateway->settings.host, "config_version",
         (json_int_t)(gateway->routes == NULL ? 0 : gateway->routes->version),
-        "revision", (json_int_t)load.known_revision, "ready",
-        AprGateway_IsReady(gateway), "store_lost", load.store_lost,
+        "revision", (json_int_t)load.known_revision, "item_source",
+        AprStoreCache_Source(gateway->store_cache), "items_age_ms",
+        (json_int_t)AprStoreCache_ItemsAgeMs(gateway->store_cache),
+        "watching_store", AprStoreCache_IsWatchingStore(gateway->store_cache),
+        "ready", AprGateway_IsReady(gateway), "store_lost", load.store_lost,
         "authority_ms", (json_int_t)authority_ms, "running", load.running,
         "queued", load.queued, "load_permille", load.load_permille, "backend",
         AprBackend_GetIncarnation(gateway->backend)->id, "members",
--- a/src/gateway/store_cache.c
+++ b/src/gateway/store_cache.c
@@ -133,9 +133,13 @@
     AprRouteTable_Free(gateway->routes);
     gateway->routes = table;
     AprLog_Write(APR_LOG_INFO, "config_in_force",
-                 "version=%llx routes=%d revision=%lld",
+                 "version=%llx routes=%d revision=%lld from=%s "
+                 "items_age_ms=%lld",
                  (unsigned long long)table->version, table->route_count,
-                 (long long)item->revision);
+                 (long long)item->revision,
+                 cache->applying_from[0] == '\0' ? "store"
+                                                 : cache->applying_from,
+                 (long long)AprStoreCache_ItemsAgeMs(cache));
 }
 
 /* Returns the part of `key` after the settings' prefix and `subfolder`, or
@@ -410,9 +414,9 @@
     return cache->last_change_sequence;
 }
 
-/* Applies an item, or the end of a list of items, that another host sent. */
+/* Applies an item, or the end of a list of items, that `host` sent. */
 void
-AprStoreCache_ApplyPeerItem(AprStoreCache_t *cache,
+AprStoreCache_ApplyPeerItem(AprStoreCache_t *cache, const char *host,
                             const AprItemFrame_t *frame)
 {
     AprKvItem_t item = {0};
@@ -439,7 +443,9 @@
     item.revision = frame->revision;
     item.lease = frame->lease_id;
     item.removed = frame->removed;
+    g_strlcpy(cache->applying_from, host, sizeof(cache->applying_from));
     AprStoreCache_ApplyRemoteItem(cache, &item);
+    cache->applying_from[0] = '\0';
     g_free(key);
 }
 
@@ -450,6 +456,31 @@
     return AprWatchers_IncludesSelf(&cache->watchers);
 }
 
+/* Returns whether this host watches the store, for the others or because it
+   has no other source. */
+bool
+AprStoreCache_IsWatchingStore(const AprStoreCache_t *cache)
+{
+    return cache->watching_store;
+}
+
+/* Returns the milliseconds since the items were last known to be complete; -1:
+   never. */
+int64_t
+AprStoreCache_ItemsAgeMs(const AprStoreCache_t *cache)
+{
+    return cache->source_confirmed_ms == 0
+               ? -1
+               : AprStoreCache_NowMs(cache) - cache->source_confirmed_ms;
+}
+
+/* Returns the name of the host that this host last subscribed to; "": none. */
+const char *
+AprStoreCache_Source(const AprStoreCache_t *cache)
+{
+    return cache->source;
+}
+
 /* Continues watches, subscription and lease. Called many times a second. */
 void
 AprStoreCache_Tick(AprStoreCache_t *cache)
--- a/tests/test_gateway_restart.c
+++ b/tests/test_gateway_restart.c
@@ -41,7 +41,7 @@
                   "\"slots\":4,\"capacity\":1,\"open\":true}";
     frame.value_size = strlen(frame.value);
     frame.revision = revision;
-    AprStoreCache_ApplyPeerItem(to->gateway->store_cache, &frame);
+    AprStoreCache_ApplyPeerItem(to->gateway->store_cache, "peer", &frame);
 }
 
 static bool
