--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -20,6 +20,7 @@
 #define CLUSTER_SERVICE "desk"
 #define CLUSTER_HEARTBEAT_S 0.3
 #define CLUSTER_SERVICE_TIME_S 0.01
+#define CLUSTER_STORE_TIMEOUT_S 1.0
 #define CLUSTER_MAX_ITEMS 64
 #define CLUSTER_MAX_GRANTS 64
 
@@ -66,6 +67,9 @@
     int64_t sequence;
     bool leaving;
     bool unresponsive; /* the backend server answers no request */
+    /* The store answers no request of this host, not even those that are in
+       flight; they time out. */
+    bool store_silent;
     int slots;
     AprGrant_t held[CLUSTER_MAX_GRANTS];
     int held_count;
@@ -106,6 +110,8 @@
     char prefix[128];
     int64_t after_revision;
     double deadline_s; /* of a watch; loop time */
+    double timeout_s;  /* when the gateway gives up; loop time */
+    bool lost;         /* it has timed out */
 } StoreRequest_t;
 
 /* Lists the items below a prefix that changed after a revision and returns
@@ -136,6 +142,20 @@
     return count;
 }
 
+/* Returns whether a request gets no answer for now, and lets it wait in that
+   case. Once it has timed out, its result is an unknown outcome. */
+static bool
+store_keep_silent(struct ev_loop *loop, StoreRequest_t *request)
+{
+    if (!request->host->store_silent || request->lost) {
+        return false;
+    }
+    request->lost = ev_now(loop) >= request->timeout_s;
+    ev_timer_set(&request->timer, request->lost ? 0.0 : 0.02, 0.0);
+    ev_timer_start(loop, &request->timer);
+    return true;
+}
+
 /* Completes a request, or lets a watch without changes poll again until its
    deadline. A request of a killed gateway is dropped. */
 static void
@@ -149,7 +169,10 @@
         free(request);
         return;
     }
-    if (request->store->down) {
+    if (store_keep_silent(loop, request)) {
+        return;
+    }
+    if (request->store->down || request->lost) {
         request->result.code = APR_E_UNKNOWN_OUTCOME;
     }
     else if (request->is_watch) {
@@ -185,6 +208,7 @@
     ev_timer_init(&request->timer, store_complete_request,
                   store->down ? 0.5 : 0.003, 0.0);
     request->timer.data = request;
+    request->timeout_s = ev_now(store->loop) + CLUSTER_STORE_TIMEOUT_S;
     ev_timer_start(store->loop, &request->timer);
     return request;
 }
@@ -195,14 +219,16 @@
     StoreRequest_t *request = timer->data;
     AprKvItem_t items[CLUSTER_MAX_ITEMS];
 
-    (void)loop;
     (void)events;
     if (request->gateway_generation != request->host->gateway_generation) {
         free(request);
         return;
     }
+    if (store_keep_silent(loop, request)) {
+        return;
+    }
     request->result.code =
-        request->store->down ? APR_E_UNKNOWN_OUTCOME : APR_OK;
+        request->store->down || request->lost ? APR_E_UNKNOWN_OUTCOME : APR_OK;
     request->result.items = items;
     request->result.item_count =
         store_collect_items(request->store, request->prefix, 0, false, items);
@@ -251,13 +277,15 @@
     if (store->ignores_watches) {
         request->result.code = APR_E_UNKNOWN_OUTCOME;
         ev_timer_stop(store->loop, &request->timer);
-        ev_timer_set(&request->timer, (double)wait_ms / 1000.0 + 1.0, 0.0);
+        ev_timer_set(&request->timer,
+                     (double)wait_ms / 1000.0 + CLUSTER_STORE_TIMEOUT_S, 0.0);
         ev_timer_start(store->loop, &request->timer);
         return;
     }
     request->is_watch = true;
     request->after_revision = after_revision;
     request->deadline_s = ev_now(store->loop) + (double)wait_ms / 1000.0;
+    request->timeout_s = request->deadline_s + CLUSTER_STORE_TIMEOUT_S;
     snprintf(request->prefix, sizeof(request->prefix), "%s", prefix);
 }
 
