Prove that items are complete by answers of the store, within the deadline

Callers were refused or routed as an older configuration says, at hosts that nothing was wrong with, more than 2 s after a newer one had been acknowledged (CONFIG), when the hosts that watch the store were cut off or not answered.

Cause: a watcher called its items fresh while its watch was pending and no call had failed, so a silent store went unnoticed until a call timed out; the limits of the hosts behind it (1.5 s, 1.5 s again, 2 s) began after that.

Change: only an answer of the store confirms the items. The wait before fetching from a host that is ahead now ends when the revision that it began with is reached.

--- a/include/apricot/gateway_settings.h
+++ b/include/apricot/gateway_settings.h
@@ -24,6 +24,8 @@
     double heartbeat_s; /* heartbeat interval of the backend server */
     char store_address[APR_ADDRESS_SIZE];
     char store_prefix[APR_NAME_SIZE];
+    /* Within this time a change of the configuration must be in force. */
+    double config_deadline_s;
     double hold_max_s; /* longest grant that the backend server accepts */
     double drain_s;    /* from a leave until no request may start */
     /* From the stop signal to the process exit, at most. */
--- /dev/null
+++ b/internal/freshness.h
@@ -0,0 +1,39 @@
+#ifndef APRICOT_INTERNAL_FRESHNESS_H
+#define APRICOT_INTERNAL_FRESHNESS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Limits on the age of a host's copy of the store: the time since the copy was
+   last known to be complete. */
+typedef struct AprFreshness_t {
+    int64_t deadline_ms;    /* a change must be in force after this time */
+    int64_t watch_wait_ms;  /* longest time until a watch is answered */
+    int64_t catch_up_ms;    /* time to reach the revision of another host */
+    int64_t source_age_ms;  /* age at which the next source is tried */
+    int64_t source_wait_ms; /* time that each further source is given */
+    int64_t relay_age_ms;   /* age at which a relay watches the store itself */
+    int64_t host_age_ms;    /* age at which any other host does */
+} AprFreshness_t;
+
+/* What a host knows about its copy of the store and the sources of changes. */
+typedef struct AprSourceState_t {
+    int64_t age_ms;        /* of the copy; -1: it was never complete */
+    int64_t loaded_age_ms; /* time since the first read */
+    int64_t source_ms;     /* time since the present source is used */
+    bool is_watcher;       /* watches the store for the others */
+    bool is_relay;         /* passes changes on to the others */
+    bool watching;         /* watches the store now */
+    bool source_heard;     /* a source has been fresh since `watching` began */
+    bool store_reachable;
+} AprSourceState_t;
+
+AprFreshness_t AprFreshness_FromDeadline(double deadline_s);
+bool AprFreshness_IsOutdated(const AprFreshness_t *freshness,
+                             const AprSourceState_t *state);
+bool AprFreshness_ShouldChangeSource(const AprFreshness_t *freshness,
+                                     const AprSourceState_t *state);
+bool AprFreshness_ShouldWatch(const AprFreshness_t *freshness,
+                              const AprSourceState_t *state);
+
+#endif
--- a/internal/store_cache_state.h
+++ b/internal/store_cache_state.h
@@ -7,6 +7,7 @@
 
 #include <glib.h>
 
+#include "internal/freshness.h"
 #include "internal/gateway.h"
 #include "internal/watchers.h"
 
@@ -37,7 +38,7 @@
     bool loaded;      /* all pages were read */
     bool loading;     /* some pages were read */
     bool call_pending;
-    bool answered; /* since this host began to watch */
+    int64_t answered_ms; /* last answer of the store; 0: none */
     int64_t call_sent_ms;
     int64_t reload_revision;                /* lowest revision of the pages */
     char last_page_key[APR_CACHE_KEY_SIZE]; /* the next page starts after it */
@@ -81,9 +82,11 @@
     int item_count;
     int item_capacity;
     int64_t last_change_sequence;
-    int64_t forwarded_sequence; /* last change passed on from another host */
-    AprWatch_t config_watch;    /* the operators' configuration */
-    AprWatch_t prefix_watch;    /* all keys with the prefix of the settings */
+    int64_t forwarded_sequence; /* last change passed on to other hosts */
+    /* `source_confirmed_ms` when it was last passed on */
+    int64_t forwarded_confirmed_ms;
+    AprWatch_t config_watch; /* the operators' configuration */
+    AprWatch_t prefix_watch; /* all keys with the prefix of the settings */
     AprRegistration_t registration;
     int64_t store_answered_ms;
     bool store_lost;
@@ -99,12 +102,14 @@
     /* Host that sent the items being applied; "": the store. */
     char applying_from[APR_NAME_SIZE];
     bool watching_store;
-    bool source_heard; /* another host confirmed its items since this host
-                          began to watch */
+    bool source_heard; /* another host had recent items since this host began
+                          or ended to watch */
     bool discovery_pending;
     int64_t next_discovery_ms;
-    int64_t loaded_ms;       /* when all items were first read */
-    int64_t behind_since_ms; /* another host has newer items; 0: none has */
+    int64_t loaded_ms; /* when all items were first read */
+    int64_t
+        awaited_revision;    /* newest one of another host; 0: none is newer */
+    int64_t behind_since_ms; /* when `awaited_revision` was set */
     bool stopping;
 };
 
@@ -120,7 +125,8 @@
 /* Where changes come from (item_source.c). */
 void AprItemSource_Update(AprStoreCache_t *cache);
 int64_t AprItemSource_AgeMs(const AprStoreCache_t *cache);
-void AprItemSource_Confirm(AprStoreCache_t *cache, int64_t age_ms);
+void AprItemSource_ConfirmByPeer(AprStoreCache_t *cache, int64_t age_ms);
+void AprItemSource_Forward(AprStoreCache_t *cache);
 
 /* Entry and lease of this host (registration.c). */
 int64_t AprRegistration_RenewIntervalMs(const AprStoreCache_t *cache);
--- a/internal/watchers.h
+++ b/internal/watchers.h
@@ -13,6 +13,7 @@
     const AprGatewaySettings_t *settings;
     int64_t members_version; /* of the table the list was computed from */
     bool includes_self;      /* this host is a watcher */
+    bool self_is_relay;      /* this host is a relay; all watchers are */
     char (*sources)[APR_NAME_SIZE]; /* hosts to subscribe to, in this order */
     int source_count;
 } AprWatchers_t;
@@ -21,6 +22,7 @@
                       const AprGatewaySettings_t *settings);
 void AprWatchers_Clear(AprWatchers_t *watchers);
 bool AprWatchers_IncludesSelf(AprWatchers_t *watchers);
+bool AprWatchers_IsRelay(AprWatchers_t *watchers);
 const char *AprWatchers_SourceForAttempt(AprWatchers_t *watchers, int attempt);
 
 #endif
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -349,6 +349,7 @@
 AprGateway_ApplySettings(AprGateway_t *gateway,
                          const AprGatewaySettings_t *settings)
 {
+    gateway->settings.config_deadline_s = settings->config_deadline_s;
     gateway->settings.drain_s = settings->drain_s;
     gateway->settings.stop_grace_s = settings->stop_grace_s;
     gateway->settings.heartbeat_s = settings->heartbeat_s;
--- a/src/gateway/item_source.c
+++ b/src/gateway/item_source.c
@@ -8,11 +8,6 @@
 #include "apricot/log.h"
 #include "internal/store_cache_state.h"
 
-/* Time after which the store answers a watch without a change. A watch that
-   arrives at the store during an outage is never answered, so changes go
-   unnoticed until the next watch. */
-#define WATCH_TIMEOUT_MS 4000
-
 /* Pause before the next watch, so that changes which follow each other within
    this time are fetched together. */
 #define WATCH_BATCH_MS 60
@@ -20,16 +15,26 @@
 /* Interval at which a host renews its subscription. */
 #define SUBSCRIBE_INTERVAL_MS 500
 
-/* Age of the items of the present source after which this host subscribes to
-   the next one. */
-#define SOURCE_TIMEOUT_MS 1500
+/* Least advance of the time up to which the items are complete that is passed
+   on without a change. Less than the interval of the watches, and more than
+   the time that frames usually take, so that two hosts which follow each other
+   do not answer each other's frames. */
+#define FORWARD_STEP_MS 100
 
-/* Age of the items, or time since they were first read, after which this host
-   watches the store itself. */
-#define OWN_WATCH_FALLBACK_MS 2000
+/* Interval at which a host that knows no source reads the entries of the
+   others. Such reads may be outdated and cost the store little, whereas a
+   watch is answered with each host that registers. */
+#define DISCOVERY_INTERVAL_MS 300
 
-/* Time after which a watch has reached the store. */
-#define WATCH_START_MS 100
+/* Time after the first read from which hosts are looked for even if this host
+   has not registered. When all start at once, none has registered before. */
+#define DISCOVERY_START_MS 1000
+
+/* Least advance of the time up to which the items are complete that is passed
+   on without a change. Less than the interval of the watches, and more than
+   the time that frames usually take, so that two hosts which follow each other
+   do not answer each other's frames. */
+#define FORWARD_STEP_MS 100
 
 /* Interval at which a host that knows no source reads the entries of the
    others. Such reads may be outdated and cost the store little, whereas a
@@ -44,6 +49,54 @@
    fetches them from there. Longer than a watch usually takes. */
 #define CATCH_UP_DELAY_MS 400
 
+static AprFreshness_t
+get_freshness(const AprStoreCache_t *cache)
+{
+    return AprFreshness_FromDeadline(
+        cache->gateway->settings.config_deadline_s);
+}
+
+/* Records that the items of this host were complete at a time. */
+static void
+confirm_items(AprStoreCache_t *cache, int64_t confirmed_ms)
+{
+    if (confirmed_ms > cache->source_confirmed_ms) {
+        cache->source_confirmed_ms = confirmed_ms;
+    }
+}
+
+/* Records an answer of the store, up to which the watch's items are complete.
+   Only an answer proves that: a watch without one may have been lost. */
+static void
+record_watch_answer(AprWatch_t *watch)
+{
+    AprStoreCache_t *cache = watch->cache;
+    int64_t config_ms;
+    int64_t prefix_ms;
+
+    watch->answered_ms = AprStoreCache_NowMs(cache);
+    config_ms = cache->config_watch.answered_ms;
+    prefix_ms = cache->prefix_watch.answered_ms;
+    if (config_ms != 0 && prefix_ms != 0) {
+        confirm_items(cache, config_ms < prefix_ms ? config_ms : prefix_ms);
+    }
+}
+
+/* Passes changed items, or the time up to which the items are complete, on to
+   the hosts that subscribed to this one. */
+void
+AprItemSource_Forward(AprStoreCache_t *cache)
+{
+    if (cache->forwarded_sequence == cache->last_change_sequence &&
+        cache->source_confirmed_ms - cache->forwarded_confirmed_ms <
+            FORWARD_STEP_MS) {
+        return;
+    }
+    cache->forwarded_sequence = cache->last_change_sequence;
+    cache->forwarded_confirmed_ms = cache->source_confirmed_ms;
+    AprLinks_SendChangedItems(cache->gateway->links);
+}
+
 /* Removes the items with the watch's prefix that its reload did not return. */
 static void
 remove_unseen_items(AprStoreCache_t *cache, const AprWatch_t *watch)
@@ -112,6 +165,10 @@
     watch->loading = false;
     watch->loaded = true;
     watch->cursor = watch->reload_revision;
+    if (!watch->allow_stale) {
+        record_watch_answer(watch);
+    }
+    AprItemSource_Forward(cache);
     if (cache->loaded_ms == 0 && cache->config_watch.loaded &&
         cache->prefix_watch.loaded) {
         cache->loaded_ms = AprStoreCache_NowMs(cache);
@@ -137,8 +194,7 @@
         back_off_watch(watch, result->code);
         return;
     }
-    watch->answered = true;
-    AprItemSource_Confirm(cache, 0);
+    record_watch_answer(watch);
     AprStoreCache_RecordStoreResult(cache, APR_OK);
     watch->failures = 0;
     for (int i = 0; i < result->item_count; i++) {
@@ -147,9 +203,7 @@
     if (result->revision > watch->cursor) {
         watch->cursor = result->revision;
     }
-    if (result->item_count > 0) {
-        AprLinks_SendChangedItems(cache->gateway->links);
-    }
+    AprItemSource_Forward(cache);
     watch->next_call_ms = AprStoreCache_NowMs(cache) + WATCH_BATCH_MS;
 }
 
@@ -189,76 +243,70 @@
                   watch->allow_stale, on_range_page, watch);
         return;
     }
-    kv->watch(kv->self, watch->prefix, watch->cursor, WATCH_TIMEOUT_MS,
-              on_watch_events, watch);
+    kv->watch(kv->self, watch->prefix, watch->cursor,
+              get_freshness(cache).watch_wait_ms, on_watch_events, watch);
+}
+
+/* Returns the host that reported the newest revision, or NULL when none is
+   newer than `revision`. */
+static const AprHost_t *
+find_newer_peer(const AprStoreCache_t *cache, int64_t revision)
+{
+    AprMembers_t *members = cache->gateway->members;
+    const AprHost_t *newest = NULL;
+
+    for (int i = 0; i < AprMembers_Count(members); i++) {
+        const AprHost_t *member = AprMembers_At(members, i);
+
+        if (member->load_report_ms != 0 && !member->is_self &&
+            member->load_report.known_revision > revision) {
+            newest = member;
+            revision = member->load_report.known_revision;
+        }
+    }
+    return newest;
 }
 
 /* Fetches items from a host with a newer revision when this host has not
-   received them within CATCH_UP_DELAY_MS. */
+   reached that revision within the usual time. */
 static void
 fetch_from_newer_peer(AprStoreCache_t *cache)
 {
-    AprGateway_t *gateway = cache->gateway;
     int64_t revision = AprStoreCache_Revision(cache);
     int64_t now_ms = AprStoreCache_NowMs(cache);
-    const AprHost_t *ahead = NULL;
+    const AprHost_t *newest = find_newer_peer(cache, revision);
 
-    for (int i = 0; i < AprMembers_Count(gateway->members); i++) {
-        const AprHost_t *member = AprMembers_At(gateway->members, i);
-
-        if (member->load_report_ms != 0 &&
-            member->load_report.known_revision > revision &&
-            !member->is_self) {
-            ahead = member;
-        }
-    }
-    if (ahead == NULL) {
-        cache->behind_since_ms = 0;
-    }
-    else if (cache->behind_since_ms == 0) {
+    if (newest == NULL || revision >= cache->awaited_revision) {
+        cache->awaited_revision =
+            newest == NULL ? 0 : newest->load_report.known_revision;
         cache->behind_since_ms = now_ms;
     }
-    else if (now_ms - cache->behind_since_ms > CATCH_UP_DELAY_MS) {
+    else if (now_ms - cache->behind_since_ms >
+             get_freshness(cache).catch_up_ms) {
         cache->behind_since_ms = now_ms;
-        AprLinks_SubscribeToItems(gateway->links, ahead->host, revision);
+        AprLinks_SubscribeToItems(cache->gateway->links, newest->host,
+                                  revision);
     }
 }
 
-/* Returns whether a watch that this process has begun surely reports changes
-   by now. */
-static bool
-is_watch_in_force(const AprStoreCache_t *cache, const AprWatch_t *watch)
-{
-    return watch->answered ||
-           (watch->call_pending &&
-            AprStoreCache_NowMs(cache) - watch->call_sent_ms > WATCH_START_MS);
-}
-
 /* Returns the time since the items of this host were known to be complete, in
-   milliseconds; -1 when it is longer than OWN_WATCH_FALLBACK_MS. */
+   milliseconds; -1 when it is too long for a source of changes. */
 int64_t
 AprItemSource_AgeMs(const AprStoreCache_t *cache)
 {
-    int64_t age_ms = AprStoreCache_NowMs(cache) - cache->source_confirmed_ms;
+    int64_t age_ms = AprStoreCache_ItemsAgeMs(cache);
 
-    if (cache->watching_store && AprStoreCache_IsStoreReachable(cache) &&
-        is_watch_in_force(cache, &cache->config_watch) &&
-        is_watch_in_force(cache, &cache->prefix_watch)) {
-        return 0;
-    }
-    return cache->source_confirmed_ms != 0 && age_ms <= OWN_WATCH_FALLBACK_MS
-               ? age_ms
-               : -1;
+    return age_ms <= get_freshness(cache).host_age_ms ? age_ms : -1;
 }
 
-/* Records that the items of this host were complete `age_ms` ago. */
+/* Records that another host, which has passed its items on, knew `age_ms` ago
+   that they were complete. */
 void
-AprItemSource_Confirm(AprStoreCache_t *cache, int64_t age_ms)
+AprItemSource_ConfirmByPeer(AprStoreCache_t *cache, int64_t age_ms)
 {
-    int64_t confirmed_ms = AprStoreCache_NowMs(cache) - age_ms;
-
-    if (confirmed_ms > cache->source_confirmed_ms) {
-        cache->source_confirmed_ms = confirmed_ms;
+    confirm_items(cache, AprStoreCache_NowMs(cache) - age_ms);
+    if (age_ms <= get_freshness(cache).source_age_ms) {
+        cache->source_heard = true;
     }
 }
 
@@ -292,73 +340,90 @@
     kv->range(kv->self, prefix, "", true, on_entries_read, cache);
 }
 
-/* Renews the subscription to a host that passes changes on, and goes on to the
-   next one when the items of the present one are too old. */
 static void
-renew_subscription(AprStoreCache_t *cache)
+get_source_state(AprStoreCache_t *cache, AprSourceState_t *state)
+{
+    int64_t now_ms = AprStoreCache_NowMs(cache);
+
+    state->age_ms = AprStoreCache_ItemsAgeMs(cache);
+    state->loaded_age_ms = now_ms - cache->loaded_ms;
+    state->source_ms = now_ms - cache->source_since_ms;
+    state->is_watcher = AprWatchers_IncludesSelf(&cache->watchers);
+    state->is_relay = AprWatchers_IsRelay(&cache->watchers);
+    state->watching = cache->watching_store;
+    state->source_heard = cache->source_heard;
+    state->store_reachable = AprStoreCache_IsStoreReachable(cache);
+}
+
+static void
+log_source_change(AprStoreCache_t *cache, const char *source)
+{
+    AprLog_Write(APR_LOG_INFO, "source_changed",
+                 "from=%s to=%s revision=%lld items_age_ms=%lld",
+                 cache->source, source,
+                 (long long)AprStoreCache_Revision(cache),
+                 (long long)AprStoreCache_ItemsAgeMs(cache));
+    AprGateway_IncrementCounter(cache->gateway, "source_changes_total", "");
+}
+
+/* Renews the subscription to the present source. */
+static void
+subscribe(AprStoreCache_t *cache)
+{
+    int64_t now_ms = AprStoreCache_NowMs(cache);
+    const char *source =
+        AprWatchers_SourceForAttempt(&cache->watchers, cache->source_attempt);
+
+    if (now_ms - cache->subscribed_ms < SUBSCRIBE_INTERVAL_MS ||
+        source == NULL) {
+        return;
+    }
+    if (strcmp(source, cache->source) != 0) {
+        log_source_change(cache, source);
+        g_strlcpy(cache->source, source, sizeof(cache->source));
+    }
+    cache->subscribed_ms = now_ms;
+    AprLinks_SubscribeToItems(cache->gateway->links, source,
+                              AprStoreCache_Revision(cache));
+}
+
+/* Follows a host that passes changes on, and goes on to the next one when the
+   items become outdated. */
+static void
+follow_source(AprStoreCache_t *cache, const AprFreshness_t *freshness,
+              const AprSourceState_t *state)
 {
     int64_t now_ms = AprStoreCache_NowMs(cache);
-    bool outdated = now_ms - cache->source_confirmed_ms > SOURCE_TIMEOUT_MS;
-    const char *source;
 
     if (cache->source_since_ms == 0) {
         cache->source_since_ms = now_ms;
     }
-    else if (outdated && now_ms - cache->source_since_ms > SOURCE_TIMEOUT_MS) {
+    else if (AprFreshness_ShouldChangeSource(freshness, state)) {
         cache->source_attempt++;
         cache->source_since_ms = now_ms;
         cache->subscribed_ms = 0;
     }
-    if (outdated && (AprStoreCache_IsRegistered(cache) ||
-                     now_ms - cache->loaded_ms > DISCOVERY_START_MS)) {
+    if ((state->age_ms < 0 || AprFreshness_IsOutdated(freshness, state)) &&
+        (AprStoreCache_IsRegistered(cache) ||
+         state->loaded_age_ms > DISCOVERY_START_MS)) {
         discover_hosts(cache);
     }
-    if (now_ms - cache->subscribed_ms < SUBSCRIBE_INTERVAL_MS) {
-        return;
-    }
-    source =
-        AprWatchers_SourceForAttempt(&cache->watchers, cache->source_attempt);
-    if (source != NULL) {
-        if (strcmp(source, cache->source) != 0) {
-            AprLog_Write(APR_LOG_INFO, "source_changed",
-                         "from=%s to=%s revision=%lld items_age_ms=%lld",
-                         cache->source, source,
-                         (long long)AprStoreCache_Revision(cache),
-                         (long long)AprStoreCache_ItemsAgeMs(cache));
-            AprGateway_IncrementCounter(cache->gateway, "source_changes_total",
-                                        "");
-            g_strlcpy(cache->source, source, sizeof(cache->source));
-        }
-        cache->subscribed_ms = now_ms;
-        AprLinks_SubscribeToItems(cache->gateway->links, source,
-                                  AprStoreCache_Revision(cache));
-    }
-}
-
-/* Returns whether no other host has passed on complete items for
-   OWN_WATCH_FALLBACK_MS although the store answers this host. */
-static bool
-needs_own_watch(const AprStoreCache_t *cache)
-{
-    int64_t since_ms = cache->source_confirmed_ms > cache->loaded_ms
-                           ? cache->source_confirmed_ms
-                           : cache->loaded_ms;
-
-    return AprStoreCache_NowMs(cache) - since_ms > OWN_WATCH_FALLBACK_MS &&
-           AprStoreCache_IsStoreReachable(cache);
+    subscribe(cache);
 }
 
-/* Decides whether this host watches the store itself. */
+/* Decides whether this host watches the store itself, and follows another one
+   unless its own watches are answered. */
 static bool
 should_watch_store(AprStoreCache_t *cache)
 {
-    if (AprStoreCache_IsWatcher(cache)) {
-        return true;
+    AprFreshness_t freshness = get_freshness(cache);
+    AprSourceState_t state;
+
+    get_source_state(cache, &state);
+    if (!state.is_watcher || AprFreshness_IsOutdated(&freshness, &state)) {
+        follow_source(cache, &freshness, &state);
     }
-    renew_subscription(cache);
-    /* Confirmed by its own watches, which it ends once others are heard. */
-    return cache->watching_store ? !cache->source_heard
-                                 : needs_own_watch(cache);
+    return AprFreshness_ShouldWatch(&freshness, &state);
 }
 
 static void
@@ -388,8 +453,6 @@
     if (watch != cache->watching_store) {
         cache->watching_store = watch;
         cache->source_heard = false;
-        cache->config_watch.answered = false;
-        cache->prefix_watch.answered = false;
         AprLog_Write(APR_LOG_INFO, "watching",
                      "own=%d revision=%lld items_age_ms=%lld", watch,
                      (long long)AprStoreCache_Revision(cache),
--- a/src/gateway/store_cache.c
+++ b/src/gateway/store_cache.c
@@ -427,13 +427,9 @@
             cache->peer_revision = frame->complete_revision;
         }
         if (frame->source_age_ms >= 0) {
-            AprItemSource_Confirm(cache, frame->source_age_ms);
-            cache->source_heard = true;
-        }
-        if (cache->forwarded_sequence != cache->last_change_sequence) {
-            cache->forwarded_sequence = cache->last_change_sequence;
-            AprLinks_SendChangedItems(cache->gateway->links);
+            AprItemSource_ConfirmByPeer(cache, frame->source_age_ms);
         }
+        AprItemSource_Forward(cache);
         return;
     }
     key = g_strndup(frame->key, frame->key_size);
--- a/src/gateway/watchers.c
+++ b/src/gateway/watchers.c
@@ -151,25 +151,25 @@
     }
 }
 
-/* Lists the hosts to subscribe to: the watchers if this host is a relay,
-   otherwise the relays, those of the own failure domain first. */
+/* Lists the hosts to subscribe to: the relays, those of the own failure domain
+   first. For a relay, the watchers come before the other relays. */
 static void
 list_sources(AprWatchers_t *watchers, const HostRef_t *relays, int count)
 {
-    bool relay = false;
+    int first = 0;
 
     for (int i = 0; i < count; i++) {
-        relay |= relays[i].host->is_self;
+        watchers->self_is_relay |= relays[i].host->is_self;
+        watchers->includes_self |=
+            relays[i].host->is_self && i < WATCHER_COUNT;
     }
-    watchers->includes_self = false;
-    for (int i = 0; i < count && i < WATCHER_COUNT; i++) {
-        watchers->includes_self |= relays[i].host->is_self;
-    }
-    if (relay && count > WATCHER_COUNT) {
-        count = WATCHER_COUNT;
+    if (watchers->self_is_relay && count > WATCHER_COUNT) {
+        first = WATCHER_COUNT;
     }
-    add_sources(watchers, relays, count, true);
-    add_sources(watchers, relays, count, false);
+    add_sources(watchers, relays, first, true);
+    add_sources(watchers, relays, first, false);
+    add_sources(watchers, relays + first, count - first, true);
+    add_sources(watchers, relays + first, count - first, false);
 }
 
 static void
@@ -186,6 +186,7 @@
     }
     AprWatchers_Clear(watchers);
     watchers->includes_self = false;
+    watchers->self_is_relay = false;
     hosts = calloc((size_t)member_count + 1, sizeof(*hosts));
     watchers->sources =
         calloc((size_t)member_count + 1, sizeof(*watchers->sources));
@@ -215,6 +216,14 @@
     return watchers->includes_self;
 }
 
+/* Returns whether this host passes changes on to the others. */
+bool
+AprWatchers_IsRelay(AprWatchers_t *watchers)
+{
+    update_if_members_changed(watchers);
+    return watchers->self_is_relay;
+}
+
 /* Returns the name of the host to subscribe to at the given attempt, or NULL
    when there is none. Successive attempts go through all sources and start
    over. The name is valid until the list is computed again after a change of
--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -840,6 +840,7 @@
         host->settings.cpu_share = 1;
         host->settings.link_mbps = 1000;
         host->settings.heartbeat_s = CLUSTER_HEARTBEAT_S;
+        host->settings.config_deadline_s = 2;
         host->settings.hold_max_s = 10;
         host->settings.drain_s = 2;
         host->settings.stop_grace_s = 6;
--- a/tests/test_gateway_config.c
+++ b/tests/test_gateway_config.c
@@ -22,6 +22,9 @@
 #define MOMENT_STEP_S 0.37
 #define CHANGE_DELAY_S 0.1
 
+/* Interval at which the hosts are asked. */
+#define STEP_S 0.02
+
 static Cluster_t cluster;
 static bool excused[CLUSTER_HOSTS]; /* the fault concerns the host itself */
 static unsigned version;
@@ -81,7 +84,7 @@
 static double
 wait_until_in_force(void)
 {
-    for (double waited_s = 0; waited_s < 6.0; waited_s += 0.02) {
+    for (int step = 0; step < 300; step++) {
         bool everywhere = true;
 
         for (int i = 0; i < CLUSTER_HOSTS; i++) {
@@ -91,11 +94,11 @@
                 excused[i] || host->gateway->routes->version == version;
         }
         if (everywhere) {
-            return waited_s;
+            return step * STEP_S;
         }
-        cluster_run_for(&cluster, 0.02);
+        cluster_run_for(&cluster, STEP_S);
     }
-    return 6.0;
+    return 300 * STEP_S;
 }
 
 static void
