Log the limits that backend servers name, and count what they are sent

The timeline of the exceeded limits could not tell whether the limit is unknown or gone round: neither it nor the requests sent to a backend server were logged.

Change: each response is read for the limit and for the notice that the backend server shuts down; changes of them are logged with the number of requests sent so far, which is a metric, too. Nothing acts on them yet.

--- a/internal/backend_conn.h
+++ b/internal/backend_conn.h
@@ -22,6 +22,15 @@
     APR_CONN_MALFORMED       /* the response is not valid HTTP */
 } AprConnOutcome_t;
 
+/* A response without a limit on the requests that follow. */
+#define APR_NO_REQUEST_LIMIT (-1.0)
+
+/* What a backend server tells about itself in each response. */
+typedef struct AprBackendNotice_t {
+    double request_limit; /* requests a second, or APR_NO_REQUEST_LIMIT */
+    bool leaving;         /* it is shutting down */
+} AprBackendNotice_t;
+
 /* A request for the local backend server, queued or running. */
 struct AprBackendCall_t {
     AprBackend_t *backend;
@@ -80,6 +89,7 @@
 /* Implemented in backend.c; AprBackend_OnConnDone() may free `conn`. */
 void AprBackend_OnConnDone(AprBackendConn_t *conn, AprConnOutcome_t outcome);
 void AprBackend_SendOnConn(AprBackendCall_t *call);
-void AprBackend_RecordResponse(AprBackend_t *backend);
+void AprBackend_RecordResponse(AprBackend_t *backend,
+                               const AprBackendNotice_t *notice);
 
 #endif
--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -31,6 +31,9 @@
     const char *not_executed; /* in an answer: the request was not executed */
     const char *caller_service; /* service on the host of the caller */
     const char *key;            /* for a service with keys */
+    /* In a response: requests a second that the backend server takes. */
+    const char *request_limit;
+    const char *leaving; /* in a response: "1" if the backend server leaves */
     /* Ends the id of the running request at the start of the id of a call that
        this request makes; 0: ids do not show which request made a call. */
     char nested_separator;
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -54,8 +54,10 @@
     int64_t leaving_since_ms;
     bool unreachable;
     bool unresponsive;
-    int64_t last_response_ms; /* arrival of the last response head */
-    int consecutive_refusals; /* refused connections */
+    AprBackendNotice_t notice; /* of the last response */
+    int64_t sent_requests;     /* to this incarnation, with resends */
+    int64_t last_response_ms;  /* arrival of the last response head */
+    int consecutive_refusals;  /* refused connections */
     int64_t first_refusal_ms;
     uint64_t next_id;
     GHashTable *calls; /* by id */
@@ -95,6 +97,7 @@
     if (backend != NULL) {
         backend->gateway = gateway;
         AprAdmission_Init(&backend->admission, DEFAULT_SLOTS);
+        backend->notice.request_limit = APR_NO_REQUEST_LIMIT;
         backend->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal,
                                                NULL, destroy_call);
     }
@@ -190,10 +193,33 @@
     return g_hash_table_lookup(backend->calls, &id);
 }
 
-/* Records a response head, which ends the unresponsive state. */
+static void
+log_notice_changes(AprBackend_t *backend, const AprBackendNotice_t *notice)
+{
+    if (notice->request_limit != backend->notice.request_limit) {
+        AprLog_Write(APR_LOG_INFO, "backend_limit",
+                     "id=%s per_s=%g earlier=%g sent=%lld",
+                     backend->incarnation.id, notice->request_limit,
+                     backend->notice.request_limit,
+                     (long long)backend->sent_requests);
+    }
+    if (notice->leaving && !backend->notice.leaving) {
+        AprLog_Write(APR_LOG_INFO, "backend_answers_leaving",
+                     "id=%s known=%d age_ms=%lld", backend->incarnation.id,
+                     backend->leaving,
+                     (long long)(AprGateway_NowMs(backend->gateway) -
+                                 backend->leaving_since_ms));
+    }
+}
+
+/* Records a response head, which ends the unresponsive state, and what the
+   backend server tells about itself in it. */
 void
-AprBackend_RecordResponse(AprBackend_t *backend)
+AprBackend_RecordResponse(AprBackend_t *backend,
+                          const AprBackendNotice_t *notice)
 {
+    log_notice_changes(backend, notice);
+    backend->notice = *notice;
     backend->last_response_ms = AprGateway_NowMs(backend->gateway);
     if (backend->unresponsive) {
         backend->unresponsive = false;
@@ -345,6 +371,9 @@
         AprGateway_IncrementCounter(backend->gateway,
                                     "backend_connections_total", "");
     }
+    backend->sent_requests++;
+    AprGateway_IncrementCounter(backend->gateway, "backend_requests_total",
+                                "");
     AprBackendConn_SendRequest(conn, call, backend->incarnation.id, now_ms);
 }
 
@@ -653,6 +682,8 @@
         backend->incarnation = heartbeat->incarnation;
         backend->leaving = false;
         backend->unresponsive = false;
+        backend->notice = (AprBackendNotice_t){APR_NO_REQUEST_LIMIT, false};
+        backend->sent_requests = 0;
     }
     backend->unreachable = false;
     backend->consecutive_refusals = 0;
--- a/src/gateway/backend_conn.c
+++ b/src/gateway/backend_conn.c
@@ -1,6 +1,7 @@
 #include "internal/backend_conn.h"
 
 #include <errno.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -117,11 +118,35 @@
     return RESPONSE_FOREIGN;
 }
 
+/* Reads what the backend server tells about itself. A limit that is no number
+   of requests counts as none. */
+static AprBackendNotice_t
+parse_notice(const AprHeaderNames_t *names, const AprHttpHead_t *head)
+{
+    AprBackendNotice_t notice = {APR_NO_REQUEST_LIMIT, false};
+    char text[32];
+    char *end;
+
+    if (AprHttpHead_CopyValue(head, names->request_limit, text,
+                              sizeof(text)) == APR_OK) {
+        double limit = g_ascii_strtod(text, &end);
+
+        if (end != text && *end == '\0' && isfinite(limit) && limit >= 0) {
+            notice.request_limit = limit;
+        }
+    }
+    notice.leaving = AprHttpHead_CopyValue(head, names->leaving, text,
+                                           sizeof(text)) == APR_OK &&
+                     strcmp(text, "1") == 0;
+    return notice;
+}
+
 static int
 on_head(void *context, const AprHttpHead_t *head)
 {
     AprBackendConn_t *conn = context;
     const AprHeaderNames_t *names = conn->gateway->header_names;
+    AprBackendNotice_t notice;
     ResponseOwner_t owner;
     int64_t keep_ms;
     size_t size;
@@ -142,7 +167,8 @@
     }
     conn->response_started = true;
     conn->response_has_length = head->has_content_length;
-    AprBackend_RecordResponse(conn->backend);
+    notice = parse_notice(names, head);
+    AprBackend_RecordResponse(conn->backend, &notice);
     conn->keep_alive = head->keep_alive && conn->request_sent;
     keep_ms = parse_keep_alive_ms(head);
     if (keep_ms >= 0) {
--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -716,8 +716,8 @@
 }
 
 static const AprHeaderNames_t cluster_header_names = {
-    "Attempt", "Time-Left", "Expected", "Not-Run",
-    "Caller",  "Key",       '.',        false};
+    "Attempt", "Time-Left", "Expected", "Not-Run", "Caller",
+    "Key",     "Limit",     "Leaving",  '.',       false};
 
 /* Creates a configuration with one route to one keyed service; `text` is its
    version. */
