Send a backend server no more requests than it says that it takes

Cause: nothing read the limit; admission knew slots and service times only.

Change: admission keeps an allowance, which rises with the named rate up to a quarter of a second of it. A request starts when the allowance covers it, each one sent counts, resends too, and expected waits, rejections and Retry-After follow the limit, so that who cannot get a turn in time is told at once. The limit ends with the first response without it, or with the incarnation. The host beside the backend server is the only one that sends to it, so keeping the rate there keeps the sum.

--- a/include/apricot/admission.h
+++ b/include/apricot/admission.h
@@ -17,6 +17,9 @@
 #define APR_ADMISSION_MAX_RANKS 8
 #define APR_ADMISSION_MAX_KINDS 128
 
+/* The backend server names no limit on the requests that it takes. */
+#define APR_NO_REQUEST_LIMIT (-1.0)
+
 /* A request that waits for a slot of the backend server. */
 typedef struct AprAdmissionRequest_t {
     uint64_t id;
@@ -59,6 +62,13 @@
     AprAdmissionRequest_t queue[APR_ADMISSION_MAX_QUEUE];
     int queue_count;
     AprKindStats_t kinds[APR_ADMISSION_MAX_KINDS];
+    /* Requests a second that the backend server takes, or
+       APR_NO_REQUEST_LIMIT. */
+    double request_limit;
+    /* Requests that may start now without exceeding the limit, at
+       `allowance_ms`; negative after starts that had to exceed it. */
+    double allowance;
+    int64_t allowance_ms;
 } AprAdmission_t;
 
 typedef struct AprAdmissionDecision_t {
@@ -69,6 +79,11 @@
 } AprAdmissionDecision_t;
 
 void AprAdmission_Init(AprAdmission_t *admission, int slots);
+void AprAdmission_SetRequestLimit(AprAdmission_t *admission, double per_s,
+                                  int64_t now_ms);
+void AprAdmission_CountSent(AprAdmission_t *admission, int64_t now_ms);
+int64_t AprAdmission_AllowanceWaitMs(const AprAdmission_t *admission,
+                                     int64_t now_ms);
 AprAdmissionDecision_t AprAdmission_Offer(AprAdmission_t *admission,
                                           AprAdmissionRequest_t *request,
                                           int64_t now_ms);
--- a/internal/backend_conn.h
+++ b/internal/backend_conn.h
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 
+#include "apricot/admission.h"
 #include "internal/call.h"
 #include "internal/gateway.h"
 #include "internal/http_message.h"
@@ -22,9 +23,6 @@
     APR_CONN_MALFORMED       /* the response is not valid HTTP */
 } AprConnOutcome_t;
 
-/* A response without a limit on the requests that follow. */
-#define APR_NO_REQUEST_LIMIT (-1.0)
-
 /* What a backend server tells about itself in each response. */
 typedef struct AprBackendNotice_t {
     double request_limit; /* requests a second, or APR_NO_REQUEST_LIMIT */
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -64,7 +64,8 @@
     AprBackendConn_t *conns;
     double demand_ms; /* decaying sum of the expected service times */
     int64_t demand_updated_ms;
-    bool starting_calls; /* start_queued_calls() is on the stack */
+    bool starting_calls;      /* start_queued_calls() is on the stack */
+    ev_timer allowance_timer; /* fires when the limit allows the next start */
 };
 
 /* Returns a non-zero hash of the route: requests of one route take similar
@@ -87,6 +88,9 @@
     free(call);
 }
 
+static void on_allowance_timer(struct ev_loop *loop, ev_timer *timer,
+                               int events);
+
 /* Creates the state; the backend server is unknown until its first heartbeat.
    Returns NULL when out of memory. */
 AprBackend_t *
@@ -98,6 +102,8 @@
         backend->gateway = gateway;
         AprAdmission_Init(&backend->admission, DEFAULT_SLOTS);
         backend->notice.request_limit = APR_NO_REQUEST_LIMIT;
+        ev_timer_init(&backend->allowance_timer, on_allowance_timer, 0.0, 0.0);
+        backend->allowance_timer.data = backend;
         backend->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal,
                                                NULL, destroy_call);
     }
@@ -218,9 +224,14 @@
 AprBackend_RecordResponse(AprBackend_t *backend,
                           const AprBackendNotice_t *notice)
 {
+    backend->last_response_ms = AprGateway_NowMs(backend->gateway);
     log_notice_changes(backend, notice);
+    if (notice->request_limit != backend->notice.request_limit) {
+        AprAdmission_SetRequestLimit(&backend->admission,
+                                     notice->request_limit,
+                                     backend->last_response_ms);
+    }
     backend->notice = *notice;
-    backend->last_response_ms = AprGateway_NowMs(backend->gateway);
     if (backend->unresponsive) {
         backend->unresponsive = false;
         AprLog_Write(APR_LOG_INFO, "backend_answers", "id=%s",
@@ -372,6 +383,7 @@
                                     "backend_connections_total", "");
     }
     backend->sent_requests++;
+    AprAdmission_CountSent(&backend->admission, now_ms);
     AprGateway_IncrementCounter(backend->gateway, "backend_requests_total",
                                 "");
     AprBackendConn_SendRequest(conn, call, backend->incarnation.id, now_ms);
@@ -437,6 +449,30 @@
     return check_key_held(backend, call->head.key, failure);
 }
 
+static void
+on_allowance_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)loop;
+    (void)events;
+    start_queued_calls(timer->data);
+}
+
+/* Sets the timer for the next call that waits only for the limit of the
+   backend server. */
+static void
+schedule_next_start(AprBackend_t *backend, int64_t now_ms)
+{
+    const AprAdmission_t *admission = &backend->admission;
+    int64_t wait_ms = AprAdmission_AllowanceWaitMs(admission, now_ms);
+
+    ev_timer_stop(backend->gateway->loop, &backend->allowance_timer);
+    if (wait_ms > 0 && admission->queue_count > 0 &&
+        admission->running_count < admission->slots) {
+        ev_timer_set(&backend->allowance_timer, (double)wait_ms / 1000.0, 0.0);
+        ev_timer_start(backend->gateway->loop, &backend->allowance_timer);
+    }
+}
+
 /* Starts queued calls while slots are free. Does nothing when called again
    from within, as finished calls do. */
 static void
@@ -468,6 +504,7 @@
     if (backend->admission.queue_count > 0) {
         refuse_unmeetable_calls(backend, now_ms);
     }
+    schedule_next_start(backend, now_ms);
     backend->starting_calls = false;
 }
 
@@ -684,6 +721,8 @@
         backend->unresponsive = false;
         backend->notice = (AprBackendNotice_t){APR_NO_REQUEST_LIMIT, false};
         backend->sent_requests = 0;
+        AprAdmission_SetRequestLimit(&backend->admission, APR_NO_REQUEST_LIMIT,
+                                     AprGateway_NowMs(backend->gateway));
     }
     backend->unreachable = false;
     backend->consecutive_refusals = 0;
@@ -834,6 +873,7 @@
     if (backend == NULL) {
         return;
     }
+    ev_timer_stop(backend->gateway->loop, &backend->allowance_timer);
     while (backend->conns != NULL) {
         AprBackendConn_t *conn = backend->conns;
 
--- a/src/state/admission.c
+++ b/src/state/admission.c
@@ -28,6 +28,14 @@
    than expected is expected to need this much more. */
 #define MIN_REMAINING_FRACTION 0.3
 
+/* Time within which the starts that a limit allows may follow each other at
+   once, so that a short pause in the arrivals does not waste them. */
+#define ALLOWANCE_SPAN_MS 250.0
+
+/* Least limit that is kept. Without any response the backend server could not
+   tell that it takes more again. */
+#define MIN_REQUEST_LIMIT 0.25
+
 /* Bounds of the retry delay that is returned with a rejection. */
 #define RETRY_AFTER_MIN_MS 20
 #define RETRY_AFTER_MAX_MS 2000
@@ -38,12 +46,87 @@
 AprAdmission_Init(AprAdmission_t *admission, int slots)
 {
     memset(admission, 0, sizeof(*admission));
+    admission->request_limit = APR_NO_REQUEST_LIMIT;
     admission->slots = slots < 1 ? 1 : slots;
     if (admission->slots > APR_ADMISSION_MAX_SLOTS) {
         admission->slots = APR_ADMISSION_MAX_SLOTS;
     }
 }
 
+static bool
+is_limited(const AprAdmission_t *admission)
+{
+    return admission->request_limit >= 0;
+}
+
+/* Returns the number of requests that may start now. */
+static double
+current_allowance(const AprAdmission_t *admission, int64_t now_ms)
+{
+    double most = admission->request_limit * ALLOWANCE_SPAN_MS / 1000.0;
+    double allowance = admission->allowance +
+                       admission->request_limit *
+                           (double)(now_ms - admission->allowance_ms) / 1000.0;
+
+    if (most < 1) {
+        most = 1;
+    }
+    return allowance < most ? allowance : most;
+}
+
+/* Sets the number of requests a second that the backend server takes;
+   APR_NO_REQUEST_LIMIT ends the limit. A backend server names a limit when it
+   is in need, so the first request under it waits for its turn as well. */
+void
+AprAdmission_SetRequestLimit(AprAdmission_t *admission, double per_s,
+                             int64_t now_ms)
+{
+    if (per_s >= 0 && per_s < MIN_REQUEST_LIMIT) {
+        per_s = MIN_REQUEST_LIMIT;
+    }
+    if (is_limited(admission) && per_s >= 0) {
+        admission->allowance = current_allowance(admission, now_ms);
+    }
+    else {
+        admission->allowance = 0;
+    }
+    admission->allowance_ms = now_ms;
+    admission->request_limit = per_s;
+}
+
+/* Counts a request that is sent to the backend server, for the first time or
+   again, against its limit. */
+void
+AprAdmission_CountSent(AprAdmission_t *admission, int64_t now_ms)
+{
+    if (is_limited(admission)) {
+        admission->allowance = current_allowance(admission, now_ms) - 1;
+        admission->allowance_ms = now_ms;
+    }
+}
+
+/* Returns the milliseconds until the limit lets a request start that comes
+   after `ahead` others. */
+static double
+allowance_wait_ms(const AprAdmission_t *admission, int ahead, int64_t now_ms)
+{
+    double missing;
+
+    if (!is_limited(admission)) {
+        return 0;
+    }
+    missing = ahead + 1 - current_allowance(admission, now_ms);
+    return missing > 0 ? missing * 1000.0 / admission->request_limit : 0;
+}
+
+/* Returns the milliseconds, rounded up, until the limit lets the next request
+   start. */
+int64_t
+AprAdmission_AllowanceWaitMs(const AprAdmission_t *admission, int64_t now_ms)
+{
+    return (int64_t)ceil(allowance_wait_ms(admission, 0, now_ms));
+}
+
 /* Returns the entry of a kind, or a free one if the kind has none. When the
    table is full, returns the entry to which the kind hashes, which belongs to
    another kind. */
@@ -151,7 +234,8 @@
     return best;
 }
 
-/* Expected waiting time of a request in milliseconds. */
+/* Expected waiting time of a request in milliseconds, for a slot and for the
+   limit of the backend server. */
 typedef struct ExpectedWait_t {
     double by_order_ms; /* after all queued requests that precede it */
     double by_share_ms; /* upper bound by the minimum share of its kind */
@@ -166,6 +250,10 @@
     double free_after_ms[APR_ADMISSION_MAX_SLOTS] = {0};
     int slots = admission->slots;
     double own_kind_ms = request->expected_service_ms / 2;
+    double allowance_ms;
+    double own_kind_allowance_ms;
+    int ahead = 0;
+    int own_kind_ahead = 0;
     ExpectedWait_t wait;
 
     for (int i = 0; i < admission->running_count; i++) {
@@ -184,12 +272,23 @@
                 other->expected_service_ms;
             own_kind_ms +=
                 other->kind == request->kind ? other->expected_service_ms : 0;
+            ahead++;
+            own_kind_ahead += other->kind == request->kind;
         }
     }
     wait.by_order_ms = free_after_ms[find_earliest_slot(free_after_ms, slots)];
+    allowance_ms = allowance_wait_ms(admission, ahead, now_ms);
+    if (allowance_ms > wait.by_order_ms) {
+        wait.by_order_ms = allowance_ms;
+    }
     wait.slot_free = wait.by_order_ms <= 0;
     wait.idle = wait.slot_free && admission->running_count == 0;
     wait.by_share_ms += own_kind_ms / (MIN_KIND_SHARE * slots);
+    own_kind_allowance_ms =
+        allowance_wait_ms(admission, own_kind_ahead, now_ms) / MIN_KIND_SHARE;
+    if (own_kind_allowance_ms > wait.by_share_ms) {
+        wait.by_share_ms = own_kind_allowance_ms;
+    }
     return wait;
 }
 
@@ -399,7 +498,8 @@
 
 /* Takes the request that starts next from the queue into `request` and
    occupies a slot for it until AprAdmission_Finish. Returns false when no slot
-   is free, no request is queued or the queue is closed. */
+   is free, the limit of the backend server is reached, no request is queued or
+   the queue is closed. */
 bool
 AprAdmission_StartNext(AprAdmission_t *admission, int64_t now_ms,
                        AprAdmissionRequest_t *request)
@@ -408,7 +508,8 @@
     int index;
 
     if (admission->closed || admission->queue_count == 0 ||
-        admission->running_count >= admission->slots) {
+        admission->running_count >= admission->slots ||
+        allowance_wait_ms(admission, 0, now_ms) > 0) {
         return false;
     }
     index = find_first_of_kind(admission, find_underserved_kind(admission),
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -3,6 +3,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include <cmocka.h>
 
@@ -365,6 +366,136 @@
                 admission.urgent_offered * 95);
 }
 
+/* A backend server that names a limit. */
+#define LIMIT_PER_S 23.6
+#define LIMIT_FLOOD_MS 12000
+#define LIMIT_SPAN_MS 4000
+
+/* What became of a flood of requests, one every 5 ms, a tenth of them of an
+   urgent kind. */
+typedef struct LimitFlood_t {
+    int64_t started_ms[LIMIT_FLOOD_MS];
+    int started;
+    int started_by_rank[2];
+    int64_t longest_wait_ms; /* until a rejection */
+    int64_t least_retry_ms;  /* of the rejections */
+} LimitFlood_t;
+
+static void
+reject_in_flood(LimitFlood_t *flood, const AprAdmissionRequest_t *request,
+                const AprAdmissionDecision_t *decision, int64_t now_ms)
+{
+    if (now_ms - request->arrived_ms > flood->longest_wait_ms) {
+        flood->longest_wait_ms = now_ms - request->arrived_ms;
+    }
+    if (decision->retry_after_ms < flood->least_retry_ms) {
+        flood->least_retry_ms = decision->retry_after_ms;
+    }
+}
+
+/* Replays the flood against a backend server that answers within 10 ms. */
+static void
+replay_limited_flood(LimitFlood_t *flood)
+{
+    AprAdmission_t admission;
+    AprAdmissionRequest_t request;
+    AprAdmissionDecision_t decision;
+
+    memset(flood, 0, sizeof(*flood));
+    flood->least_retry_ms = INT64_MAX;
+    AprAdmission_Init(&admission, SLOTS);
+    AprAdmission_SetRequestLimit(&admission, LIMIT_PER_S, 0);
+    for (int64_t now_ms = 0; now_ms < LIMIT_FLOOD_MS; now_ms += 5) {
+        int rank = now_ms % 50 == 0 ? 0 : 1;
+
+        request = make_request((uint64_t)now_ms + 1, rank, now_ms, 200, 800);
+        decision = AprAdmission_Offer(&admission, &request, now_ms);
+        if (!decision.admitted) {
+            reject_in_flood(flood, &request, &decision, now_ms);
+        }
+        while (AprAdmission_StartNext(&admission, now_ms, &request)) {
+            AprAdmission_CountSent(&admission, now_ms);
+            flood->started_ms[flood->started++] = now_ms;
+            flood->started_by_rank[request.rank]++;
+            AprAdmission_Finish(&admission, request.id, now_ms + 10, true);
+        }
+        while (
+            AprAdmission_ShedNext(&admission, now_ms, &request, &decision)) {
+            reject_in_flood(flood, &request, &decision, now_ms);
+        }
+    }
+}
+
+/* Guards against a flood that a backend server gets although it has named a
+   limit, in any span, and against a limit that is not used. */
+static void
+test_limit_holds_in_every_span(void **state)
+{
+    static LimitFlood_t flood;
+    int most = 0;
+
+    (void)state;
+    replay_limited_flood(&flood);
+    for (int i = 0; i < flood.started; i++) {
+        int end = i;
+
+        while (end < flood.started &&
+               flood.started_ms[end] - flood.started_ms[i] < LIMIT_SPAN_MS) {
+            end++;
+        }
+        most = end - i > most ? end - i : most;
+    }
+    /* The rule allows half as much again, and 5 requests. */
+    assert_true(most <= LIMIT_PER_S * LIMIT_SPAN_MS / 1000 * 1.5 + 5);
+    assert_true(flood.started >= LIMIT_PER_S * LIMIT_FLOOD_MS / 1000 * 0.95);
+}
+
+/* Guards against callers who wait for a turn that the limit can't give them,
+   and against those who are told to come back before it could. */
+static void
+test_limit_rejects_at_once(void **state)
+{
+    static LimitFlood_t flood;
+
+    (void)state;
+    replay_limited_flood(&flood);
+    assert_true(flood.longest_wait_ms < 200);
+    assert_true(flood.least_retry_ms >= (int64_t)(1000 / LIMIT_PER_S / 2));
+}
+
+/* Guards against a limit that is spent on what came first: urgent requests
+   still go before the others, which keep their share. */
+static void
+test_limit_serves_urgent_requests_first(void **state)
+{
+    static LimitFlood_t flood;
+
+    (void)state;
+    replay_limited_flood(&flood);
+    assert_true(flood.started_by_rank[0] >= LIMIT_FLOOD_MS / 50 * 8 / 10);
+    assert_true(flood.started_by_rank[1] >= flood.started / 10);
+}
+
+/* Guards against a backend server that never gets the request whose response
+   would tell that it takes more again. */
+static void
+test_limit_of_nothing_lets_a_request_through(void **state)
+{
+    AprAdmission_t admission;
+    AprAdmissionRequest_t request = make_request(1, 0, 0, 200, 60000);
+    int64_t at_ms = 0;
+
+    (void)state;
+    AprAdmission_Init(&admission, SLOTS);
+    AprAdmission_SetRequestLimit(&admission, 0, 0);
+    assert_true(AprAdmission_Offer(&admission, &request, 0).admitted);
+    while (at_ms < LIMIT_SPAN_MS * 2 &&
+           !AprAdmission_StartNext(&admission, at_ms, &request)) {
+        at_ms += 50;
+    }
+    assert_true(at_ms <= LIMIT_SPAN_MS);
+}
+
 int
 main(void)
 {
@@ -377,6 +508,10 @@
         cmocka_unit_test(test_minimum_share_under_flood),
         cmocka_unit_test(test_minimum_share_of_each_kind_of_a_rank),
         cmocka_unit_test(test_overload_against_first_come_first_served),
+        cmocka_unit_test(test_limit_holds_in_every_span),
+        cmocka_unit_test(test_limit_rejects_at_once),
+        cmocka_unit_test(test_limit_serves_urgent_requests_first),
+        cmocka_unit_test(test_limit_of_nothing_lets_a_request_through),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
