Start the drain when a response says that the backend server leaves

By the users' new rule a backend server that leaves says so in its responses, and gets no request from a host that has passed one on, later than the drain time after it (DRAIN). Its heartbeats may come late or be lost.

Cause: only heartbeats and the deletion of the entry were asked. Evidence: a scripted backend server whose responses say it and whose heartbeats do not got 150 of 150 requests after the drain time, and 89 after a restart of its gateway.

Change: the first response with the notice does what the deletion does: drain, hand over the keys, store it in the entry, from which a restarted process knows it. The host beside the backend server sees each response before the host of the caller passes it on, so its drain ends first.

--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -231,6 +231,10 @@
                                      notice->request_limit,
                                      backend->last_response_ms);
     }
+    if (notice->leaving && !backend->notice.leaving) {
+        AprOwnership_OnBackendLeaving(backend->gateway->ownership,
+                                      backend->incarnation.id);
+    }
     backend->notice = *notice;
     if (backend->unresponsive) {
         backend->unresponsive = false;
--- a/tests/test_backend_limit.c
+++ b/tests/test_backend_limit.c
@@ -9,10 +9,7 @@
 
 #include <cmocka.h>
 
-#include "gateway_cluster.h"
-#include "hostile_server.h"
-
-#define START_TIMEOUT_S 6.0
+#include "scripted_backend.h"
 
 /* The users' rule: from STABLE_S after the first response with a limit, a span
    of SPAN_S may bring this many requests. */
@@ -30,49 +27,18 @@
 static Cluster_t cluster;
 static HostileServer_t server;
 
-/* Starts the cluster with a scripted backend server at host 0, which gives one
-   of the responses to each request. */
-static void
-start_with_responses(const HostileResponse_t *responses, int count)
-{
-    const char *port;
-
-    cluster_start(&cluster);
-    port = strrchr(cluster.hosts[0].settings.backend_address, ':') + 1;
-    AprHttpServer_Free(cluster.hosts[0].backend);
-    assert_true(start_hostile_server(&server, atoi(port),
-                                     "Attempt: ", responses, count));
-    cluster.hosts[0].backend = (AprHttpServer_t *)&server;
-    assert_true(cluster_wait_until_held(&cluster, START_TIMEOUT_S) <
-                START_TIMEOUT_S);
-}
-
 static int
 stop_all(void **state)
 {
     (void)state;
-    cluster.hosts[0].backend = NULL;
-    cluster_stop(&cluster);
-    stop_hostile_server(&server);
+    stop_scripted_backend(&cluster, &server);
     return 0;
 }
 
-/* Sends requests for keys of host 0 to all hosts, one every 20 ms. Returns how
-   many the backend server got. */
 static int
 send_load(double seconds)
 {
-    int before = atomic_load(&server.requests);
-    int steps = (int)(seconds / 0.02);
-
-    for (int i = 0; i < steps; i++) {
-        if (cluster.hosts[0].held_count > 0) {
-            cluster_send_request(&cluster, i % CLUSTER_HOSTS,
-                                 cluster.hosts[0].held[0].first, "GET");
-        }
-        cluster_run_for(&cluster, 0.02);
-    }
-    return atomic_load(&server.requests) - before;
+    return send_to_scripted_backend(&cluster, &server, seconds);
 }
 
 /* Guards against a backend server that gets more requests than it says that it
@@ -85,7 +51,7 @@
     int received;
 
     (void)state;
-    start_with_responses(&limited, 1);
+    start_scripted_backend(&cluster, &server, &limited, 1);
     send_load(STABLE_S);
     received = send_load(SPAN_S);
     cluster_run_for(&cluster, 1.5);
@@ -112,7 +78,7 @@
     int received;
 
     (void)state;
-    start_with_responses(responses, 4);
+    start_scripted_backend(&cluster, &server, responses, 4);
     send_load(1.0);
     sent = cluster.sent;
     received = send_load(2.0);
