Attribute what a response tells to the incarnation that sent it

Change: a connection remembers the incarnation that its request was sent to; a limit or a leave counts only if that is the present one.

Test: test_leaving_response_of_an_earlier_incarnation, which fails without the comparison.

--- a/internal/backend_conn.h
+++ b/internal/backend_conn.h
@@ -53,10 +53,11 @@
     AprStream_t *stream;
     AprHttpParser_t *parser;
     AprBackendCall_t *call;
-    bool reused;                 /* completed an earlier call */
-    bool response_started;       /* the response head arrived */
-    bool discard_response;       /* 1xx, or for another request */
-    bool response_complete;      /* the whole response arrived */
+    AprBackendIncarnation_t incarnation; /* that the call was sent to */
+    bool reused;                         /* completed an earlier call */
+    bool response_started;               /* the response head arrived */
+    bool discard_response;               /* 1xx, or for another request */
+    bool response_complete;              /* the whole response arrived */
     bool response_has_length;    /* the response head tells its length */
     bool not_run;                /* the request was not executed */
     bool request_sent;           /* the whole request body was written */
@@ -76,7 +77,8 @@
                                       AprGateway_t *gateway);
 void AprBackendConn_Free(AprBackendConn_t *conn);
 void AprBackendConn_SendRequest(AprBackendConn_t *conn, AprBackendCall_t *call,
-                                const char *expected_id, int64_t now_ms);
+                                const AprBackendIncarnation_t *incarnation,
+                                int64_t now_ms);
 void AprBackendConn_WriteBody(AprBackendConn_t *conn, const char *data,
                               size_t size, bool end);
 void AprBackendConn_AcknowledgeResponse(AprBackendConn_t *conn, size_t size);
@@ -88,6 +90,7 @@
 void AprBackend_OnConnDone(AprBackendConn_t *conn, AprConnOutcome_t outcome);
 void AprBackend_SendOnConn(AprBackendCall_t *call);
 void AprBackend_RecordResponse(AprBackend_t *backend,
+                               const AprBackendIncarnation_t *sender,
                                const AprBackendNotice_t *notice);
 
 #endif
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -218,24 +218,35 @@
     }
 }
 
-/* Records a response head, which ends the unresponsive state, and what the
-   backend server tells about itself in it. */
-void
-AprBackend_RecordResponse(AprBackend_t *backend,
-                          const AprBackendNotice_t *notice)
+/* Acts on what the present incarnation tells about itself. */
+static void
+apply_notice(AprBackend_t *backend, const AprBackendNotice_t *notice)
 {
-    backend->last_response_ms = AprGateway_NowMs(backend->gateway);
     log_notice_changes(backend, notice);
     if (notice->request_limit != backend->notice.request_limit) {
         AprAdmission_SetRequestLimit(&backend->admission,
                                      notice->request_limit,
-                                     backend->last_response_ms);
+                                     AprGateway_NowMs(backend->gateway));
     }
     if (notice->leaving && !backend->notice.leaving) {
         AprOwnership_OnBackendLeaving(backend->gateway->ownership,
                                       backend->incarnation.id);
     }
     backend->notice = *notice;
+}
+
+/* Records a response head, which ends the unresponsive state, and what the
+   backend server tells about itself in it. A late response of an earlier
+   incarnation tells nothing about the present one. */
+void
+AprBackend_RecordResponse(AprBackend_t *backend,
+                          const AprBackendIncarnation_t *sender,
+                          const AprBackendNotice_t *notice)
+{
+    backend->last_response_ms = AprGateway_NowMs(backend->gateway);
+    if (AprBackendIncarnation_Equal(sender, &backend->incarnation)) {
+        apply_notice(backend, notice);
+    }
     if (backend->unresponsive) {
         backend->unresponsive = false;
         AprLog_Write(APR_LOG_INFO, "backend_answers", "id=%s",
@@ -390,7 +401,7 @@
     AprAdmission_CountSent(&backend->admission, now_ms);
     AprGateway_IncrementCounter(backend->gateway, "backend_requests_total",
                                 "");
-    AprBackendConn_SendRequest(conn, call, backend->incarnation.id, now_ms);
+    AprBackendConn_SendRequest(conn, call, &backend->incarnation, now_ms);
 }
 
 /* Fails queued calls that are no longer expected to be answered in time. */
--- a/src/gateway/backend_conn.c
+++ b/src/gateway/backend_conn.c
@@ -168,7 +168,7 @@
     conn->response_started = true;
     conn->response_has_length = head->has_content_length;
     notice = parse_notice(names, head);
-    AprBackend_RecordResponse(conn->backend, &notice);
+    AprBackend_RecordResponse(conn->backend, &conn->incarnation, &notice);
     conn->keep_alive = head->keep_alive && conn->request_sent;
     keep_ms = parse_keep_alive_ms(head);
     if (keep_ms >= 0) {
@@ -392,7 +392,8 @@
    The connection refers to the call until AprBackend_OnConnDone(). */
 void
 AprBackendConn_SendRequest(AprBackendConn_t *conn, AprBackendCall_t *call,
-                           const char *expected_id, int64_t now_ms)
+                           const AprBackendIncarnation_t *incarnation,
+                           int64_t now_ms)
 {
     const AprHeaderNames_t *names = conn->gateway->header_names;
     const AprCallHead_t *head = &call->head;
@@ -401,6 +402,7 @@
 
     conn->call = call;
     call->conn = conn;
+    conn->incarnation = *incarnation;
     conn->response_started = false;
     conn->discard_response = false;
     conn->response_complete = false;
@@ -419,7 +421,7 @@
                            (long long)(left_ms > 1 ? left_ms : 1),
                            names->caller_service, head->caller);
     AprBuffer_AppendFormat(&text, "%s: %s\r\n", names->expected_incarnation,
-                           expected_id);
+                           incarnation->id);
     if (conn->request_chunked) {
         AprBuffer_AppendFormat(&text, "Transfer-Encoding: chunked\r\n");
     }
--- a/tests/test_backend_leaving.c
+++ b/tests/test_backend_leaving.c
@@ -9,6 +9,7 @@
 
 #include <cmocka.h>
 
+#include "internal/backend_conn.h"
 #include "scripted_backend.h"
 
 /* Time after which no request may reach a backend server that leaves, as in
@@ -75,6 +76,31 @@
     assert_false(AprBackend_AcceptsCalls(cluster.hosts[0].gateway->backend));
 }
 
+/* Guards against a late response of an earlier incarnation, which would make
+   the present one drain. */
+static void
+test_leaving_response_of_an_earlier_incarnation(void **state)
+{
+    AprBackendNotice_t notice = {APR_NO_REQUEST_LIMIT, true};
+    AprBackendIncarnation_t earlier;
+    AprBackend_t *backend;
+
+    (void)state;
+    start_scripted_backend(&cluster, &server, &leaving, 1);
+    backend = cluster.hosts[0].gateway->backend;
+    earlier = *AprBackend_GetIncarnation(backend);
+    cluster.hosts[0].incarnation.started_ms += 100;
+    cluster.hosts[0].sequence = 0;
+    cluster_run_for(&cluster, 2 * CLUSTER_HEARTBEAT_S);
+    AprBackend_RecordResponse(backend, &earlier, &notice);
+    cluster_run_for(&cluster, DRAIN_S);
+    assert_true(AprBackend_AcceptsCalls(backend));
+    AprBackend_RecordResponse(backend, AprBackend_GetIncarnation(backend),
+                              &notice);
+    cluster_run_for(&cluster, DRAIN_S);
+    assert_false(AprBackend_AcceptsCalls(backend));
+}
+
 int
 main(void)
 {
@@ -83,6 +109,8 @@
                                   stop_all),
         cmocka_unit_test_teardown(
             test_restart_does_not_forget_a_leaving_response, stop_all),
+        cmocka_unit_test_teardown(
+            test_leaving_response_of_an_earlier_incarnation, stop_all),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
