--- a/src/state/admission.c
+++ b/src/state/admission.c
@@ -75,8 +75,9 @@
 }
 
 /* Sets the number of requests a second that the backend server takes;
-   APR_NO_REQUEST_LIMIT ends the limit. A backend server names a limit when it
-   is in need, so the first request under it waits for its turn as well. */
+   APR_NO_REQUEST_LIMIT ends the limit. The requests that run when a limit
+   becomes known count against it: after a restart of this process, they were
+   sent under a limit that the earlier process knew. */
 void
 AprAdmission_SetRequestLimit(AprAdmission_t *admission, double per_s,
                              int64_t now_ms)
@@ -88,7 +89,7 @@
         admission->allowance = current_allowance(admission, now_ms);
     }
     else {
-        admission->allowance = 0;
+        admission->allowance = -admission->running_count;
     }
     admission->allowance_ms = now_ms;
     admission->request_limit = per_s;
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -476,6 +476,40 @@
     assert_true(flood.started_by_rank[1] >= flood.started / 10);
 }
 
+/* Guards against a restarted process that fills all slots before the first
+   response tells it the limit, and then adds what the limit allows. */
+static void
+test_limit_counts_requests_that_run(void **state)
+{
+    const double limit = 2.0;
+    AprAdmission_t admission;
+    AprAdmissionRequest_t request;
+    int started = 0;
+
+    (void)state;
+    AprAdmission_Init(&admission, SLOTS);
+    for (int64_t now_ms = 0; now_ms < LIMIT_SPAN_MS; now_ms += 50) {
+        request = make_request((uint64_t)now_ms + 1, 0, now_ms, 4000, 8000);
+        AprAdmission_Offer(&admission, &request, now_ms);
+        request.id++;
+        AprAdmission_Offer(&admission, &request, now_ms);
+        while (AprAdmission_StartNext(&admission, now_ms, &request)) {
+            AprAdmission_CountSent(&admission, now_ms);
+            started++;
+        }
+        if (now_ms == 200) {
+            assert_int_equal(started, SLOTS);
+            AprAdmission_SetRequestLimit(&admission, limit, now_ms);
+        }
+        if (now_ms >= 300) {
+            AprAdmission_Finish(&admission, admission.running[0].id, now_ms,
+                                false);
+        }
+    }
+    assert_true(started <= limit * LIMIT_SPAN_MS / 1000 + 1);
+    assert_true(started > SLOTS);
+}
+
 /* Guards against a backend server that never gets the request whose response
    would tell that it takes more again. */
 static void
@@ -511,6 +545,7 @@
         cmocka_unit_test(test_limit_holds_in_every_span),
         cmocka_unit_test(test_limit_rejects_at_once),
         cmocka_unit_test(test_limit_serves_urgent_requests_first),
+        cmocka_unit_test(test_limit_counts_requests_that_run),
         cmocka_unit_test(test_limit_of_nothing_lets_a_request_through),
     };
 
