Let no restart begin the drain of a leaving backend server again

Cause (reading the rule against the change before): a process that is killed before it could store the notice leaves nothing behind, and its successor would have counted the drain time from the first response that it gets, with requests of hosts that had passed the notice on long before.

Change: if the first response of an incarnation to a process says that it leaves, the drain counts as over.

Test: test_restart_does_not_drain_again (store down while the notice comes): 14 requests after the restart, now 1; the bound is the slots that are filled before the first response.

--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -55,6 +55,7 @@
     bool unreachable;
     bool unresponsive;
     AprBackendNotice_t notice; /* of the last response */
+    bool notice_known;         /* this incarnation has responded */
     int64_t sent_requests;     /* to this incarnation, with resends */
     int64_t last_response_ms;  /* arrival of the last response head */
     int consecutive_refusals;  /* refused connections */
@@ -218,7 +219,9 @@
     }
 }
 
-/* Acts on what the present incarnation tells about itself. */
+/* Acts on what the present incarnation tells about itself. If its first
+   response to this process says that it leaves, an earlier process may have
+   been told so long ago, and the drain time counts as over. */
 static void
 apply_notice(AprBackend_t *backend, const AprBackendNotice_t *notice)
 {
@@ -231,8 +234,12 @@
     if (notice->leaving && !backend->notice.leaving) {
         AprOwnership_OnBackendLeaving(backend->gateway->ownership,
                                       backend->incarnation.id);
+        if (!backend->notice_known) {
+            AprBackend_EndDrain(backend);
+        }
     }
     backend->notice = *notice;
+    backend->notice_known = true;
 }
 
 /* Records a response head, which ends the unresponsive state, and what the
@@ -735,6 +742,7 @@
         backend->leaving = false;
         backend->unresponsive = false;
         backend->notice = (AprBackendNotice_t){APR_NO_REQUEST_LIMIT, false};
+        backend->notice_known = false;
         backend->sent_requests = 0;
         AprAdmission_SetRequestLimit(&backend->admission, APR_NO_REQUEST_LIMIT,
                                      AprGateway_NowMs(backend->gateway));
