--- a/internal/store_cache_state.h
+++ b/internal/store_cache_state.h
@@ -106,10 +106,9 @@
                           or ended to watch */
     bool discovery_pending;
     int64_t next_discovery_ms;
-    int64_t loaded_ms; /* when all items were first read */
-    int64_t
-        awaited_revision;    /* newest one of another host; 0: none is newer */
-    int64_t behind_since_ms; /* when `awaited_revision` was set */
+    int64_t loaded_ms;        /* when all items were first read */
+    int64_t awaited_revision; /* newest of the other hosts; 0: own one */
+    int64_t behind_since_ms;  /* when `awaited_revision` was set */
     bool stopping;
 };
 
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -212,10 +212,9 @@
     }
     if (notice->leaving && !backend->notice.leaving) {
         AprLog_Write(APR_LOG_INFO, "backend_answers_leaving",
-                     "id=%s known=%d age_ms=%lld", backend->incarnation.id,
-                     backend->leaving,
-                     (long long)(AprGateway_NowMs(backend->gateway) -
-                                 backend->leaving_since_ms));
+                     "id=%s known=%d first_response=%d",
+                     backend->incarnation.id, backend->leaving,
+                     !backend->notice_known);
     }
 }
 
--- a/src/gateway/item_source.c
+++ b/src/gateway/item_source.c
@@ -30,25 +30,6 @@
    has not registered. When all start at once, none has registered before. */
 #define DISCOVERY_START_MS 1000
 
-/* Least advance of the time up to which the items are complete that is passed
-   on without a change. Less than the interval of the watches, and more than
-   the time that frames usually take, so that two hosts which follow each other
-   do not answer each other's frames. */
-#define FORWARD_STEP_MS 100
-
-/* Interval at which a host that knows no source reads the entries of the
-   others. Such reads may be outdated and cost the store little, whereas a
-   watch is answered with each host that registers. */
-#define DISCOVERY_INTERVAL_MS 300
-
-/* Time after the first read from which hosts are looked for even if this host
-   has not registered. When all start at once, none has registered before. */
-#define DISCOVERY_START_MS 1000
-
-/* Time for which this host must lack items that another host has before it
-   fetches them from there. Longer than a watch usually takes. */
-#define CATCH_UP_DELAY_MS 400
-
 static AprFreshness_t
 get_freshness(const AprStoreCache_t *cache)
 {
