Use a host again whose load report is old, and the own one after a restart

Cause: a load report that a host accepts no calls excluded it until the next one, and there is none without calls or a quiet link.

Change: the own load is read afresh before it is judged; a report of another host that it accepts no calls is believed for a second. A call that comes too early is refused without having run, and tried elsewhere.

Test: test_restart_does_not_exclude_the_own_backend and test_old_load_report_does_not_exclude_a_host, the first red before.

--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -14,6 +14,11 @@
 /* Time for which a host that could not be reached is avoided. */
 #define FAILED_HOST_AVOID_MS 1000
 
+/* Time for which a report that a host accepts no calls is believed. Without
+   calls there may be no link on which it could report otherwise, and it
+   refuses what comes too early without running it. */
+#define REFUSAL_REPORT_VALID_MS 1000
+
 /* Time for which a host without an entry in the store is still used, counted
    from its last load report or from the loss of the entry, whichever is later.
    An entry may expire while its host works. */
@@ -360,10 +365,6 @@
 {
     AprGateway_t *gateway = members->gateway;
 
-    if (member->is_self) {
-        AprBackend_GetLoad(gateway->backend, &member->load_report);
-        member->load_report_ms = now_ms;
-    }
     candidate->wait_ms =
         member->load_report_ms == 0 ? 0 : member->load_report.wait_ms;
     candidate->age_ms =
@@ -381,6 +382,14 @@
         now_ms - member->unreachable_ms < FAILED_HOST_AVOID_MS;
 }
 
+/* Returns whether a host is known not to accept calls at present. */
+static bool
+reports_refusal(const AprHost_t *member, int64_t now_ms)
+{
+    return !member->load_report.accepts_calls && member->load_report_ms != 0 &&
+           now_ms - member->load_report_ms < REFUSAL_REPORT_VALID_MS;
+}
+
 /* Chooses the host for a request that any backend server of a service can
    handle. Hosts in `tried` are excluded. Returns NULL when no host is left.
    The pointer is valid until the next AprMembers_ApplyEntry(). */
@@ -397,8 +406,15 @@
         AprHost_t *member = &members->hosts[i];
         AprHostCandidate_t candidate;
 
-        if (member->service_id != service_id || !member->accepts_calls ||
-            !member->load_report.accepts_calls ||
+        if (member->service_id != service_id) {
+            continue;
+        }
+        if (member->is_self) {
+            AprBackend_GetLoad(members->gateway->backend,
+                               &member->load_report);
+            member->load_report_ms = now_ms;
+        }
+        if (!member->accepts_calls || reports_refusal(member, now_ms) ||
             member->incarnation.id[0] == '\0' ||
             was_tried(member->host, tried, tried_count) ||
             (!member->registered &&
--- a/tests/test_gateway_restart.c
+++ b/tests/test_gateway_restart.c
@@ -160,6 +160,70 @@
     cluster_stop(&cluster);
 }
 
+/* Returns whether a host may be chosen for requests without a key, if all
+   others were tried. */
+static bool
+is_candidate(ClusterHost_t *at, int wanted)
+{
+    char tried[CLUSTER_HOSTS][APR_NAME_SIZE];
+    int count = 0;
+
+    for (int i = 0; i < CLUSTER_HOSTS; i++) {
+        if (i != wanted) {
+            strcpy(tried[count++], cluster.hosts[i].settings.host);
+        }
+    }
+    return AprMembers_ChooseHost(at->gateway->members, CLUSTER_SERVICE, tried,
+                                 count) != NULL;
+}
+
+/* Guards against a restarted process that never uses its own backend server
+   again, because a request came before the first heartbeat. */
+static void
+test_restart_does_not_exclude_the_own_backend(void **state)
+{
+    ClusterHost_t *host = &cluster.hosts[1];
+
+    (void)state;
+    start_with_all_keys_held();
+    host_kill_gateway(host);
+    ev_timer_stop(cluster.loop, &host->heartbeat_timer);
+    host_start_gateway(host);
+    cluster_run_for(&cluster, 0.5);
+    assert_false(is_candidate(host, 1));
+    ev_timer_start(cluster.loop, &host->heartbeat_timer);
+    cluster_run_for(&cluster, 2 * CLUSTER_HEARTBEAT_S);
+    assert_true(is_candidate(host, 1));
+    cluster_stop(&cluster);
+}
+
+/* Guards against a host that is never used again, because its last load report
+   came from a process that had just started. */
+static void
+test_old_load_report_does_not_exclude_a_host(void **state)
+{
+    AprMembers_t *members;
+    AprHostLoad_t load = {0};
+
+    (void)state;
+    start_with_all_keys_held();
+    members = cluster.hosts[0].gateway->members;
+    assert_true(is_candidate(&cluster.hosts[0], 1));
+    AprMembers_UpdateLoad(members, cluster.hosts[1].settings.host, &load);
+    assert_false(is_candidate(&cluster.hosts[0], 1));
+    AprMembers_RecordUnreachable(members, cluster.hosts[1].settings.host);
+    assert_true(is_candidate(&cluster.hosts[0], 1));
+    AprMembers_UpdateLoad(members, cluster.hosts[1].settings.host, &load);
+    for (int i = 0; i < CLUSTER_HOSTS; i++) {
+        if (i != 0) {
+            host_kill_gateway(&cluster.hosts[i]);
+        }
+    }
+    cluster_run_for(&cluster, 1.5);
+    assert_true(is_candidate(&cluster.hosts[0], 1));
+    cluster_stop(&cluster);
+}
+
 /* Guards against keys that wait for grants which ended with their backend
    servers: after a loss of power everywhere, keys that were handed over once
    must be held again as soon as the others. */
@@ -300,6 +364,8 @@
         cmocka_unit_test(test_restart_does_not_bring_back_a_leaving_server),
         cmocka_unit_test(test_restart_does_not_bring_back_an_incarnation),
         cmocka_unit_test(test_restart_writes_nothing),
+        cmocka_unit_test(test_restart_does_not_exclude_the_own_backend),
+        cmocka_unit_test(test_old_load_report_does_not_exclude_a_host),
         cmocka_unit_test(test_power_loss_does_not_delay_moved_keys),
         cmocka_unit_test(test_stop_answers_what_was_just_accepted),
         cmocka_unit_test(test_goaway_returns_unread_calls),
