--- /dev/null
+++ b/review/5/case.py
@@ -0,0 +1,80 @@
+"""A gateway gives up a change of the key map whose answer was lost, because
+the store refuses the repetition; the store carries the change out later."""
+
+import os
+import sys
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
+                                '..', 'standins'))
+
+import asyncio
+import time
+
+import world as w
+
+
+async def scenario(world):
+    for i in range(4):
+        world.add_host('pack-desk', True, 0.1 + i * w.HEARTBEAT_S / 4)
+    await world.start()
+    await world.wait_until(world.all_keys_held, 20, 'all keys are held')
+    world.start_clients(15)
+    await asyncio.sleep(2)
+    first = world.hosts[0]
+    store = world.store
+    if w.TROUBLE:
+        await trouble(world, first, store)
+    else:
+        await asyncio.sleep(8)
+    await asyncio.sleep(3)
+
+
+async def trouble(world, first, store):
+    def is_move(host, body):
+        return host == first.name and any(
+            row['key'].startswith('apricot/keys/')
+            for row in body.get('writes', []))
+
+    def lose(host, body):
+        if not is_move(host, body):
+            return False
+        store.lose = refuse
+        world.record(f'store: the change {[r["key"] for r in body["writes"]]} '
+                     f'of {host} gets no answer')
+        return True
+
+    def refuse(host, body):
+        # From the repetition on, the store turns this machine away (503).
+        if is_move(host, body) and first.name not in store.refused:
+            world.record(f'store: refuses {host} from now on (503)')
+            store.refused[first.name] = 503
+        return False
+
+    # 1. The target beside the first gateway crashes. The gateway gives its
+    # keys to others; the store's answer is lost.
+    store.lose = lose
+    first.target.crash()
+    await world.wait_until(lambda: store.late, 6, 'a change is lost')
+    # 2. The store turns the first machine away when it repeats the change.
+    await world.wait_until(lambda: store.refused, 3, 'the store refuses')
+    refused_at = time.monotonic()
+    await asyncio.sleep(0.1)
+    await first.target.start()
+    await asyncio.sleep(1.2)   # until a heartbeat of the new life
+    store.lose = None
+    store.refused.clear()
+    world.record(f'store: serves all again, after '
+                 f'{time.monotonic() - refused_at:.2f} s')
+    await world.wait_until(
+        lambda: first.target.rows and
+        time.monotonic() < first.target.expiry, 4, 'the target holds keys')
+    # The store carries the change out, 1 to 6 s after it arrived.
+    await first.target.renewed.wait()
+    await asyncio.sleep(0.03)
+    age = time.monotonic() - store.late[0][2]
+    if not 1 <= age <= 6:
+        raise w.CannotRun(f'the late change is {age:.1f} s old')
+    store.apply_late()
+
+
+w.run_case(__file__, scenario)
