--- a/review/1/case.py
+++ b/review/1/case.py
@@ -41,6 +41,7 @@
 
     # 1. The target beside the first gateway crashes. The gateway gives its
     # keys to others; the store's answer is lost.
+    writes = store.writes
     store.lose = lose
     first.target.crash()
     await world.wait_until(lambda: store.late, 6, 'a change is lost')
@@ -60,6 +61,7 @@
     age = time.monotonic() - store.late[0][2]
     if not 1 <= age <= 6:
         raise w.CannotRun(f'the late change is {age:.1f} s old')
+    world.record(f'store: 1 of {store.writes - writes} writes was lost')
     store.apply_late()
 
 
