Make changes that give away own keys void after a restart

Cause: a change of the key map for the own backend server was conditional on the revisions of the map only. When its answer was lost and the gateway was restarted, the next process granted the keys again, which changes no part of the map, and the store could still carry the change out. The receivers of the keys then granted them at once.

Change: a process claims the generation record of its host, by writing it once, before it grants keys, also if the incarnation is the stored one. All changes that give away own keys (backend_gone, backend_silent, leaving, rebalance) carry the condition that the record still has the known revision, so a claim voids all changes of earlier processes. host_lost has the fence for this, and unowned takes nothing from anybody.

--- a/internal/generation_record.h
+++ b/internal/generation_record.h
@@ -8,18 +8,28 @@
    each of its incarnations and is part of every fencing token. Each host has a
    record of its own and is the only one to write it. Incarnations that start
    at the same time on many hosts therefore do not conflict, as changes of the
-   key map would. */
+   key map would.
+
+   A process writes the record once before it grants keys (it claims the
+   record), also if the incarnation stays the same. Changes of the key map that
+   an earlier process sent are conditional on the previous revision, so that
+   none of them can be carried out any more. */
 typedef struct AprGenerationRecord_t {
     AprBackendIncarnation_t incarnation; /* latest incarnation in the store */
     int64_t generation;                  /* in the store; 0: none */
     int64_t revision; /* store revision of the record; 0: not stored */
+    bool claimed;     /* this process wrote that revision */
     bool write_pending;
-    /* Incarnation to write; valid if `write_pending`. */
+    /* Incarnation and generation to write; valid if `write_pending`. */
     AprBackendIncarnation_t proposed;
+    int64_t proposed_generation;
 } AprGenerationRecord_t;
 
 int64_t AprGenerationRecord_Find(const AprGenerationRecord_t *record,
                                  const AprBackendIncarnation_t *incarnation);
+int64_t
+AprGenerationRecord_FindClaimed(const AprGenerationRecord_t *record,
+                                const AprBackendIncarnation_t *incarnation);
 int AprGenerationRecord_Update(AprGenerationRecord_t *record,
                                const AprKvItem_t *item);
 char *
--- a/src/gateway/key_moves.c
+++ b/src/gateway/key_moves.c
@@ -332,6 +332,20 @@
                                     AprOwnership_NowMs(ownership));
 }
 
+/* Fills in the condition of changes that give away this host's keys: a later
+   process of this host, or a later incarnation of its backend server, has
+   granted no keys. `key` has APR_STORE_KEY_SIZE and must outlive `condition`.
+   Without it, a change whose answer was lost could be carried out after that,
+   and its receivers would not wait for the new grants to end. */
+static void
+fill_claim_condition(const AprOwnership_t *ownership, char *key,
+                     AprKvCondition_t *condition)
+{
+    condition->key = AprStoreCache_FormatGenerationKey(
+        ownership->gateway->store_cache, key, APR_STORE_KEY_SIZE);
+    condition->revision = ownership->generation_record.revision;
+}
+
 /* Reassigns all keys of a host to the other hosts. `releasing` tells that its
    backend server may still hold grants of them. Returns whether a change was
    sent. */
@@ -362,6 +376,19 @@
                            condition_count);
 }
 
+/* Reassigns all keys of this host; otherwise like reassign_keys(). */
+static bool
+reassign_own_keys(AprOwnership_t *ownership, bool releasing,
+                  const char *reason)
+{
+    char key[APR_STORE_KEY_SIZE];
+    AprKvCondition_t claim;
+
+    fill_claim_condition(ownership, key, &claim);
+    return reassign_keys(ownership, AprOwnership_OwnHost(ownership), releasing,
+                         reason, &claim, 1);
+}
+
 /* Moves some of this host's keys to hosts with less load. Returns whether a
    change was sent. */
 static bool
@@ -374,6 +401,8 @@
     double after = before;
     AprHostLoad_t load = {0};
     AprKeyMap_t map;
+    char claim_key[APR_STORE_KEY_SIZE];
+    AprKvCondition_t claim;
     int count;
     int moves;
 
@@ -401,7 +430,8 @@
     AprLog_Write(APR_LOG_INFO, "rebalance",
                  "moves=%d load_before=%.2f load_after=%.2f", moves, before,
                  after);
-    if (!send_map_change(ownership, &map, "rebalance", NULL, 0)) {
+    fill_claim_condition(ownership, claim_key, &claim);
+    if (!send_map_change(ownership, &map, "rebalance", &claim, 1)) {
         ownership->remaining_demand_share = 0;
         return false;
     }
@@ -496,8 +526,7 @@
             AprOwnership_ReleaseAllKeys(ownership);
         }
         if (AprOwnership_CountOwnKeys(ownership) > 0) {
-            reassign_keys(ownership, AprOwnership_OwnHost(ownership), false,
-                          "backend_gone", NULL, 0);
+            reassign_own_keys(ownership, false, "backend_gone");
         }
         return;
     }
@@ -510,8 +539,7 @@
             AprOwnership_ReleaseAllKeys(ownership);
         }
         if (AprOwnership_CountOwnKeys(ownership) > 0) {
-            reassign_keys(ownership, AprOwnership_OwnHost(ownership), false,
-                          "backend_silent", NULL, 0);
+            reassign_own_keys(ownership, false, "backend_silent");
         }
     }
 }
@@ -618,8 +646,7 @@
     }
     if (ownership->backend_leaving) {
         return AprOwnership_CountOwnKeys(ownership) > 0 &&
-               reassign_keys(ownership, AprOwnership_OwnHost(ownership), true,
-                             "leaving", NULL, 0);
+               reassign_own_keys(ownership, true, "leaving");
     }
     return move_keys_for_balance(ownership);
 }
--- a/src/gateway/ownership.c
+++ b/src/gateway/ownership.c
@@ -368,16 +368,17 @@
     }
     count = AprGrantTable_RenewGrants(
         &ownership->grant_table, &grantable,
-        AprGenerationRecord_Find(&ownership->generation_record,
-                                 &ownership->incarnation),
+        AprGenerationRecord_FindClaimed(&ownership->generation_record,
+                                        &ownership->incarnation),
         now_ms, ownership->held_grants, APR_MAX_GRANTS);
     AprKeyMap_Free(&grantable);
     if (count < 0) {
         AprLog_Write(
             APR_LOG_WARN, "grants_withheld",
-            "id=%s recorded=%s authority_age_ms=%lld",
+            "id=%s recorded=%s claimed=%d authority_age_ms=%lld",
             ownership->incarnation.id,
             ownership->generation_record.incarnation.id,
+            ownership->generation_record.claimed,
             (long long)(now_ms - ownership->grant_table.authority_until_ms));
         reply(context, true, NULL, -1, 0);
         return;
@@ -592,10 +593,11 @@
     AprOwnership_OnGenerationStored(context, result);
 }
 
-/* Adds the write of a new generation to a change, if the incarnation of the
-   backend server has none. `key` and `*text`, which the caller frees, must
-   outlive the transaction. Returns whether a write was added; the caller then
-   passes the result to AprOwnership_OnGenerationStored(). */
+/* Adds a write of the generation record to a change, if this process has not
+   claimed it for the incarnation of the backend server. `key` and `*text`,
+   which the caller frees, must outlive the transaction. Returns whether a
+   write was added; the caller then passes the result to
+   AprOwnership_OnGenerationStored(). */
 bool
 AprOwnership_AddGenerationWrite(AprOwnership_t *ownership,
                                 AprKvTransaction_t *transaction, char *key,
@@ -607,7 +609,7 @@
     *text = NULL;
     if (!AprOwnership_IsKeyed(ownership) || record->write_pending ||
         ownership->incarnation.id[0] == '\0' ||
-        AprGenerationRecord_Find(record, &ownership->incarnation) > 0) {
+        AprGenerationRecord_FindClaimed(record, &ownership->incarnation) > 0) {
         return false;
     }
     *text = AprGenerationRecord_BeginWrite(record, &ownership->incarnation);
@@ -627,8 +629,9 @@
     return true;
 }
 
-/* Stores a new generation for a new incarnation of the backend server. Returns
-   whether the answer to the heartbeat must wait for the store's result. */
+/* Claims the generation record for the incarnation of the backend server,
+   which gives a new incarnation a new generation. Returns whether the answer
+   to the heartbeat must wait for the store's result. */
 static bool
 store_generation(AprOwnership_t *ownership)
 {
@@ -638,7 +641,7 @@
     char key[APR_STORE_KEY_SIZE];
     char *text;
 
-    if (AprGenerationRecord_Find(record, &ownership->incarnation) > 0 ||
+    if (AprGenerationRecord_FindClaimed(record, &ownership->incarnation) > 0 ||
         !AprStoreCache_IsLoaded(gateway->store_cache) ||
         !AprStoreCache_IsStoreReachable(gateway->store_cache)) {
         return false;
--- a/src/state/generation_record.c
+++ b/src/state/generation_record.c
@@ -17,9 +17,18 @@
                : 0;
 }
 
+/* Returns the generation of an incarnation, or 0 until this process has
+   claimed the record for it. */
+int64_t
+AprGenerationRecord_FindClaimed(const AprGenerationRecord_t *record,
+                                const AprBackendIncarnation_t *incarnation)
+{
+    return record->claimed ? AprGenerationRecord_Find(record, incarnation) : 0;
+}
+
 /* Updates the record from the stored item; a removed item, or one that is not
-   newer than the known revision, has no effect. Returns APR_E_PARSE when the
-   item is malformed. */
+   newer than the known revision, has no effect. A newer one ends the claim of
+   this process. Returns APR_E_PARSE when the item is malformed. */
 int
 AprGenerationRecord_Update(AprGenerationRecord_t *record,
                            const AprKvItem_t *item)
@@ -41,43 +50,51 @@
         record->incarnation.started_ms = started_ms;
         record->generation = generation;
         record->revision = item->revision;
+        record->claimed = false;
         result = APR_OK;
     }
     json_decref(root);
     return result;
 }
 
-/* Starts to store an incarnation under the next generation. Returns the value
-   to write, which the caller frees with free(), or NULL when memory runs out.
-   The caller reports the outcome with AprGenerationRecord_EndWrite. */
+/* Starts to store an incarnation, under the next generation unless it is the
+   stored one. Returns the value to write, which the caller frees with free(),
+   or NULL when memory runs out. The caller reports the outcome with
+   AprGenerationRecord_EndWrite. */
 char *
 AprGenerationRecord_BeginWrite(AprGenerationRecord_t *record,
                                const AprBackendIncarnation_t *incarnation)
 {
+    int64_t generation =
+        AprBackendIncarnation_Equal(&record->incarnation, incarnation)
+            ? record->generation
+            : record->generation + 1;
     json_t *root = json_pack("{s:s,s:I,s:I}", "id", incarnation->id, "born",
                              (json_int_t)incarnation->started_ms, "generation",
-                             (json_int_t)record->generation + 1);
+                             (json_int_t)generation);
     char *text = json_dumps(root, JSON_COMPACT);
 
     json_decref(root);
     if (text != NULL) {
         record->proposed = *incarnation;
+        record->proposed_generation = generation;
         record->write_pending = true;
     }
     return text;
 }
 
-/* Applies the outcome of a write. After an unknown outcome the caller proposes
-   the same incarnation again under the same condition, which either succeeds
-   or shows the stored item. */
+/* Applies the outcome of a write, whose item may have been delivered before.
+   After an unknown outcome the caller proposes the same incarnation again
+   under the same condition, which either succeeds or shows the stored item. */
 void
 AprGenerationRecord_EndWrite(AprGenerationRecord_t *record,
                              const AprKvResult_t *result)
 {
     record->write_pending = false;
-    if (result->code == APR_OK && result->revision > record->revision) {
+    if (result->code == APR_OK && result->revision >= record->revision) {
         record->incarnation = record->proposed;
-        record->generation++;
+        record->generation = record->proposed_generation;
         record->revision = result->revision;
+        record->claimed = true;
     }
 }
--- /dev/null
+++ b/tests/test_gateway_late_changes.c
@@ -0,0 +1,112 @@
+/* Changes of the key map that the store carries out after their sender has
+   given up waiting for the answer. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "gateway_cluster.h"
+
+#define START_TIMEOUT_S 6.0
+
+/* Longest time until a gateway without heartbeats gives its keys to other
+   hosts: the end of the last grant, and some ticks. */
+#define REASSIGN_TIMEOUT_S 5.0
+
+static Cluster_t cluster;
+
+static void
+start_with_all_keys_held(void)
+{
+    cluster_start(&cluster);
+    assert_true(cluster_wait_until_held(&cluster, START_TIMEOUT_S) <
+                START_TIMEOUT_S);
+}
+
+/* Silences the heartbeats of a host until its gateway gives the keys to other
+   hosts, and loses that change. */
+static void
+lose_change_of_silent_host(ClusterHost_t *host)
+{
+    ev_timer_stop(cluster.loop, &host->heartbeat_timer);
+    cluster.store.lost_prefix = "apricot/keys/";
+    for (double waited_s = 0;
+         waited_s < REASSIGN_TIMEOUT_S && !cluster.store.has_late_change;
+         waited_s += 0.1) {
+        cluster_run_for(&cluster, 0.1);
+    }
+    assert_true(cluster.store.has_late_change);
+}
+
+/* Carries out the lost change just after a heartbeat of its sender's host, so
+   that the other hosts see the change before the next one. Asserts that no key
+   gets a second holder. */
+static void
+assert_late_change_is_harmless(const ClusterHost_t *host)
+{
+    int64_t sequence = host->sequence;
+
+    while (host->sequence == sequence) {
+        cluster_run_for(&cluster, 0.02);
+    }
+    cluster_run_for(&cluster, 0.02);
+    store_apply_late_change(&cluster.store);
+    cluster_run_for(&cluster, 3 * CLUSTER_HEARTBEAT_S);
+    assert_int_equal(cluster.overlaps, 0);
+    assert_true(cluster_wait_until_held(&cluster, START_TIMEOUT_S) <
+                START_TIMEOUT_S);
+    assert_int_equal(cluster.overlaps, 0);
+}
+
+/* Loses a change, restarts its sender, and carries the change out when the
+   restarted process has granted the keys. */
+static void
+check_restart_voids_change(bool new_incarnation)
+{
+    ClusterHost_t *host = &cluster.hosts[1];
+
+    start_with_all_keys_held();
+    lose_change_of_silent_host(host);
+    cluster_run_for(&cluster, 0.2);
+    host_kill_gateway(host);
+    if (new_incarnation) {
+        host_kill_backend(host);
+        host_start_backend(host);
+    }
+    cluster_run_for(&cluster, 0.3);
+    host_start_gateway(host);
+    ev_timer_start(cluster.loop, &host->heartbeat_timer);
+    assert_true(cluster_wait_until_held(&cluster, 2.0) < 2.0);
+    assert_late_change_is_harmless(host);
+    cluster_stop(&cluster);
+}
+
+/* Guards against two holders of a key when a change of a killed process is
+   carried out after a new incarnation of its backend server got the keys. */
+static void
+test_restart_voids_change_before_new_incarnation(void **state)
+{
+    (void)state;
+    check_restart_voids_change(true);
+}
+
+/* Guards against the same when the backend server did not restart. */
+static void
+test_restart_voids_change_of_same_incarnation(void **state)
+{
+    (void)state;
+    check_restart_voids_change(false);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_restart_voids_change_before_new_incarnation),
+        cmocka_unit_test(test_restart_voids_change_of_same_incarnation),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_grants.c
+++ b/tests/test_grants.c
@@ -115,6 +115,17 @@
     item.value_size = strlen(text);
     assert_int_equal(AprGenerationRecord_Update(&restarted, &item), APR_OK);
     assert_int_equal(AprGenerationRecord_Find(&restarted, &first), 1);
+    /* A restarted process claims the record under the same generation. */
+    assert_int_equal(AprGenerationRecord_FindClaimed(&record, &first), 1);
+    assert_int_equal(AprGenerationRecord_FindClaimed(&restarted, &first), 0);
+    free(AprGenerationRecord_BeginWrite(&restarted, &first));
+    done.revision = 7;
+    AprGenerationRecord_EndWrite(&restarted, &done);
+    assert_int_equal(AprGenerationRecord_FindClaimed(&restarted, &first), 1);
+    item.revision = 7;
+    assert_int_equal(AprGenerationRecord_Update(&record, &item), APR_OK);
+    assert_int_equal(AprGenerationRecord_FindClaimed(&record, &first), 0);
+    assert_int_equal(AprGenerationRecord_Find(&record, &first), 1);
     free(AprGenerationRecord_BeginWrite(&restarted, &second));
     done.revision = 9;
     AprGenerationRecord_EndWrite(&restarted, &done);
