Keep a change of the key map open until the store has settled it

Cause: on_map_changed() dropped a change after each result but an unknown one. When the answer to the first attempt was lost and the store refused the repetition (503), the keys were granted again although the first attempt could still be carried out. A change was also dropped as soon as one of its parts had a newer revision, which may be the change's own.

Change: after an attempt without an answer, only an accepted repetition or a conflict that shows the stored parts settles the change. Until then the keys that it gives away stay withheld. A repetition carries the conditions of the first attempt, so at most one of them takes effect; after the first one they back off, as they now go on while the store refuses.

--- a/internal/ownership_state.h
+++ b/internal/ownership_state.h
@@ -50,10 +50,13 @@
     int held_grant_count;
     int64_t held_grants_until_ms; /* new requests use them until then */
 
-    /* Proposed change of the own service's key map. While its outcome is
-       unknown, keys that it gives away are not granted. */
+    /* Proposed change of the own service's key map. Until it is settled, keys
+       that it gives away are not granted. */
     bool change_in_flight; /* the change was sent and has no result yet */
     bool has_proposal;
+    bool outcome_unknown;       /* an earlier attempt may still take effect */
+    int change_failures;        /* attempts that did not settle the change */
+    int64_t next_repetition_ms; /* earliest time of the next attempt */
     AprKeyMap_t proposal;
     uint32_t proposal_parts; /* bit i: part i changes */
     /* Revisions of the stored parts that the proposal replaces. */
--- a/src/gateway/key_moves.c
+++ b/src/gateway/key_moves.c
@@ -9,6 +9,7 @@
 #include "apricot/log.h"
 #include "internal/lease_timing.h"
 #include "internal/ownership_state.h"
+#include "internal/store_cache_state.h"
 
 /* Number of heartbeat intervals without a heartbeat after which a backend
    server counts as lost, provided that its grants have ended. */
@@ -87,19 +88,42 @@
     AprKeyMap_Free(&proposal);
 }
 
-/* Returns whether the store has a newer revision of one of the proposal's
-   parts than the proposal is based on. */
+/* Returns whether a failed attempt shows that the proposal is not in force and
+   will not be. The items of a conflict show the stored parts, and each
+   condition that has failed once can never hold again: revisions only grow,
+   and the entry of a host comes back only together with the removal of its
+   fence. Any other failure tells about one attempt, and nothing about earlier
+   ones without an answer. */
 static bool
-is_superseded(const AprOwnership_t *ownership, const AprServiceKeyMap_t *entry)
+is_change_settled(const AprOwnership_t *ownership, const AprKvResult_t *result)
 {
-    for (int part = 0; part < APR_KEY_PARTS; part++) {
-        if ((ownership->proposal_parts & (1u << part)) != 0 &&
-            entry->revisions[part] >
-                ownership->proposal_base_revisions[part]) {
-            return true;
-        }
+    switch (result->code) {
+    case APR_E_CONFLICT:
+        return result->item_count > 0 || !ownership->outcome_unknown;
+    case APR_E_UNKNOWN_OUTCOME:
+    case APR_E_PARSE:
+        return false;
+    default:
+        return !ownership->outcome_unknown;
+    }
+}
+
+/* Drops the proposal after a failed attempt, or keeps it, and the keys that it
+   gives away withheld, until a later attempt has settled it. The first
+   repetition is sent at once. */
+static void
+handle_failed_change(AprOwnership_t *ownership, const AprKvResult_t *result)
+{
+    if (is_change_settled(ownership, result)) {
+        AprOwnership_DropProposal(ownership);
+        return;
+    }
+    ownership->outcome_unknown = true;
+    ownership->next_repetition_ms = AprOwnership_NowMs(ownership);
+    if (ownership->change_failures++ > 0) {
+        ownership->next_repetition_ms +=
+            AprStoreCache_RandomBackoffMs(ownership->change_failures);
     }
-    return false;
 }
 
 static void
@@ -121,10 +145,8 @@
                                    ownership->remaining_demand_share);
         }
     }
-    else if ((result->code != APR_E_UNKNOWN_OUTCOME &&
-              result->code != APR_E_PARSE) ||
-             is_superseded(ownership, entry)) {
-        AprOwnership_DropProposal(ownership);
+    else {
+        handle_failed_change(ownership, result);
     }
     ownership->remaining_demand_share = 0;
     AprStoreCache_ApplyConflictItems(ownership->gateway->store_cache, result);
@@ -191,10 +213,9 @@
         }
         AprStoreCache_FormatKeyMapKey(gateway->store_cache, entry->service,
                                       part, keys[at], APR_STORE_KEY_SIZE);
-        ownership->proposal_base_revisions[part] = entry->revisions[part];
         transaction->conditions[transaction->condition_count].key = keys[at];
         transaction->conditions[transaction->condition_count].revision =
-            entry->revisions[part];
+            ownership->proposal_base_revisions[part];
         transaction->condition_count++;
         transaction->writes[at].key = keys[at];
         transaction->writes[at].value = text;
@@ -204,13 +225,43 @@
     return true;
 }
 
+/* Sends the proposal with its conditions. A repetition is the same change
+   under the same conditions as the first attempt, so that only one of them can
+   take effect. Returns false when memory runs out. */
+static bool
+send_proposal(AprOwnership_t *ownership)
+{
+    AprGateway_t *gateway = ownership->gateway;
+    AprServiceKeyMap_t *entry = AprOwnership_FindOwnMap(ownership);
+    char keys[APR_KEY_PARTS][APR_STORE_KEY_SIZE];
+    AprKvTransaction_t transaction = {0};
+    bool filled = add_proposal_writes(ownership, entry, &transaction, keys);
+
+    for (int i = 0; i < ownership->change_condition_count; i++) {
+        transaction.conditions[transaction.condition_count++] =
+            ownership->change_conditions[i];
+    }
+    if (filled) {
+        ownership->change_in_flight = true;
+        AprLog_Write(APR_LOG_INFO, "keys_change",
+                     "reason=%s parts=%x repeated=%d",
+                     ownership->proposal_reason, ownership->proposal_parts,
+                     ownership->change_failures);
+        gateway->kv->commit(gateway->kv->self, &transaction, on_map_changed,
+                            ownership);
+    }
+    for (int i = 0; i < transaction.write_count; i++) {
+        free((char *)transaction.writes[i].value);
+    }
+    return filled;
+}
+
 static void
 save_conditions(AprOwnership_t *ownership, const AprKvCondition_t *conditions,
                 int count)
 {
     ownership->change_condition_count = count;
-    for (int i = 0; i < count && conditions != ownership->change_conditions;
-         i++) {
+    for (int i = 0; i < count; i++) {
         g_strlcpy(ownership->change_condition_keys[i], conditions[i].key,
                   APR_STORE_KEY_SIZE);
         ownership->change_conditions[i].key =
@@ -220,51 +271,36 @@
 }
 
 /* Writes the changed parts of `map` to the store on condition that the stored
-   parts still have the known revisions and that `conditions` hold. Takes
-   ownership of `map`; `reason` is not copied. Returns whether a change was
-   sent. */
+   parts still have the known revisions and that `conditions` hold. There must
+   be no open proposal. Takes ownership of `map`; `reason` is not copied.
+   Returns whether a change was sent. */
 static bool
 send_map_change(AprOwnership_t *ownership, AprKeyMap_t *map,
                 const char *reason, const AprKvCondition_t *conditions,
                 int condition_count)
 {
-    AprGateway_t *gateway = ownership->gateway;
     AprServiceKeyMap_t *entry = AprOwnership_FindOwnMap(ownership);
-    char keys[APR_KEY_PARTS][APR_STORE_KEY_SIZE];
-    AprKvTransaction_t transaction = {0};
     uint32_t parts = limit_changed_parts(entry, map, condition_count);
-    bool filled;
 
     if (parts == 0) {
         AprKeyMap_Free(map);
         return false;
     }
     AprKeyMap_MergeRanges(map);
-    AprOwnership_DropProposal(ownership);
     ownership->proposal = *map;
     ownership->proposal_parts = parts;
     ownership->has_proposal = true;
     ownership->proposal_reason = reason;
+    ownership->outcome_unknown = false;
+    ownership->change_failures = 0;
+    memcpy(ownership->proposal_base_revisions, entry->revisions,
+           sizeof(entry->revisions));
     save_conditions(ownership, conditions, condition_count);
-    filled = add_proposal_writes(ownership, entry, &transaction, keys);
-    for (int i = 0; i < condition_count; i++) {
-        transaction.conditions[transaction.condition_count++] =
-            ownership->change_conditions[i];
-    }
-    if (filled) {
-        ownership->change_in_flight = true;
-        AprLog_Write(APR_LOG_INFO, "keys_change", "reason=%s parts=%x", reason,
-                     parts);
-        gateway->kv->commit(gateway->kv->self, &transaction, on_map_changed,
-                            ownership);
-    }
-    else {
+    if (!send_proposal(ownership)) {
         AprOwnership_DropProposal(ownership);
+        return false;
     }
-    for (int i = 0; i < transaction.write_count; i++) {
-        free((char *)transaction.writes[i].value);
-    }
-    return filled;
+    return true;
 }
 
 /* Lists the hosts that may receive keys, except the host named `except` (NULL:
@@ -658,15 +694,11 @@
 AprKeyMoves_PlanOnTick(AprOwnership_t *ownership)
 {
     if (ownership->has_proposal && !ownership->change_in_flight &&
+        AprOwnership_NowMs(ownership) >= ownership->next_repetition_ms &&
         AprStoreCache_IsStoreReachable(ownership->gateway->store_cache)) {
-        AprKeyMap_t retry;
-
-        /* The outcome is unknown. The same change, sent again, either succeeds
-           or fails with a conflict that shows the stored parts. */
-        if (AprKeyMap_Copy(&retry, &ownership->proposal) == APR_OK) {
-            send_map_change(ownership, &retry, "repeated",
-                            ownership->change_conditions,
-                            ownership->change_condition_count);
+        if (!send_proposal(ownership)) {
+            AprLog_Write(APR_LOG_ERROR, "keys_no_memory", "reason=%s",
+                         ownership->proposal_reason);
         }
         return;
     }
--- a/src/gateway/ownership.c
+++ b/src/gateway/ownership.c
@@ -171,9 +171,10 @@
 }
 
 /* Handles the replacement of a part of a key map by the stored one of the
-   given revision. A proposal that changes the same part is discarded if it was
-   based on an earlier revision and its own call has ended. A proposal for
-   other parts takes over the new part. */
+   given revision. A proposal for other parts takes over the new part. One that
+   changes this part stays open until the store has answered an attempt: the
+   new revision may be its own, and the change of its other parts not known
+   yet. */
 void
 AprOwnership_OnPartChanged(AprOwnership_t *ownership,
                            AprServiceKeyMap_t *entry, int part,
@@ -189,18 +190,11 @@
     }
     AprGrantTable_ApplyKeyMap(&ownership->grant_table, &entry->map,
                               AprOwnership_NowMs(ownership));
-    if (!ownership->has_proposal) {
-        return;
-    }
-    if ((ownership->proposal_parts & (1u << part)) == 0) {
-        if (AprKeyMap_CopyPart(&ownership->proposal, &entry->map, part) !=
+    if (ownership->has_proposal &&
+        (ownership->proposal_parts & (1u << part)) == 0 &&
+        AprKeyMap_CopyPart(&ownership->proposal, &entry->map, part) !=
             APR_OK) {
-            AprLog_Write(APR_LOG_ERROR, "keys_no_memory", "part=%d", part);
-        }
-    }
-    else if (!ownership->change_in_flight &&
-             revision > ownership->proposal_base_revisions[part]) {
-        AprOwnership_DropProposal(ownership);
+        AprLog_Write(APR_LOG_ERROR, "keys_no_memory", "part=%d", part);
     }
 }
 
--- a/tests/test_gateway_late_changes.c
+++ b/tests/test_gateway_late_changes.c
@@ -100,12 +100,55 @@
     check_restart_voids_change(false);
 }
 
+/* Guards against two holders of a key when a change is carried out after its
+   sender has dropped it, because the store refused the repetition. */
+static void
+test_refused_repetition_keeps_change_open(void **state)
+{
+    ClusterHost_t *host = &cluster.hosts[1];
+
+    (void)state;
+    start_with_all_keys_held();
+    lose_change_of_silent_host(host);
+    host->store_refuses_changes = true;
+    cluster_run_for(&cluster, CLUSTER_STORE_TIMEOUT_S + 0.5);
+    ev_timer_start(cluster.loop, &host->heartbeat_timer);
+    cluster_run_for(&cluster, 3 * CLUSTER_HEARTBEAT_S);
+    assert_late_change_is_harmless(host);
+    host->store_refuses_changes = false;
+    cluster_run_for(&cluster, 1.0);
+    assert_int_equal(cluster_count_unheld_keys(&cluster), 0);
+    assert_int_equal(cluster.overlaps, 0);
+    cluster_stop(&cluster);
+}
+
+/* Guards against keys that stay withheld after a repetition has shown that the
+   lost change will not be carried out. */
+static void
+test_settled_change_frees_the_keys(void **state)
+{
+    ClusterHost_t *host = &cluster.hosts[1];
+
+    (void)state;
+    start_with_all_keys_held();
+    lose_change_of_silent_host(host);
+    host->store_refuses_changes = true;
+    cluster_run_for(&cluster, CLUSTER_STORE_TIMEOUT_S + 0.5);
+    ev_timer_start(cluster.loop, &host->heartbeat_timer);
+    host->store_refuses_changes = false;
+    assert_true(cluster_wait_until_held(&cluster, 2.0) < 2.0);
+    assert_late_change_is_harmless(host);
+    cluster_stop(&cluster);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_restart_voids_change_before_new_incarnation),
         cmocka_unit_test(test_restart_voids_change_of_same_incarnation),
+        cmocka_unit_test(test_refused_repetition_keeps_change_open),
+        cmocka_unit_test(test_settled_change_frees_the_keys),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
