Give test clusters of neighbouring processes separate ports

test_gateway_restart ended with "cannot listen" beside other test programs that had been started at the same moment: a cluster uses 12 ports, but those of neighbouring process ids were 8 apart. They are 16 apart now, in the same range. Seen once in a run of seven test programs at a time; alone, the program passes.

--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -895,7 +895,7 @@
     AprStreamSet_Init(&cluster->streams, cluster->loop);
     cluster->store.loop = cluster->loop;
     /* Lower than the ports that outgoing connections use. */
-    cluster->next_port = 20000 + (int)(getpid() % 1500) * 8;
+    cluster->next_port = 20000 + (int)(getpid() % 750) * 16;
     cluster->store.revision = 1;
     store_put_item(&cluster->store, "config", "1", 0);
     for (int i = 0; i < CLUSTER_HOSTS; i++) {
