Remember a deregistration before the first heartbeat

Cause: AprOwnership_OnBackendLeaving() ignored notices about any incarnation but the present one. A gateway that has just been restarted knows none before the first heartbeat, answers 200 all the same, and takes a late heartbeat for that of a ready server.

Change: such a notice goes into a table of departures, with the start time that an earlier process has stored for that id, or else the time of the notice. A heartbeat of a departed incarnation counts as one of a leaving server. Before the first heartbeat the entry of the host names the departure, so that the next process keeps to it. A later incarnation under the same id is used.

--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -264,6 +264,9 @@
 void AprOwnership_OnBackendLeaving(AprOwnership_t *ownership, const char *id);
 bool AprOwnership_IsKeyed(const AprOwnership_t *ownership);
 bool AprOwnership_IsBackendLeaving(const AprOwnership_t *ownership);
+const AprBackendIncarnation_t *
+AprOwnership_GetEntryIncarnation(const AprOwnership_t *ownership,
+                                 bool *leaving);
 void AprOwnership_RestoreLeaving(AprOwnership_t *ownership,
                                  const AprBackendIncarnation_t *incarnation);
 bool AprOwnership_AddGenerationWrite(AprOwnership_t *ownership,
--- a/internal/ownership_state.h
+++ b/internal/ownership_state.h
@@ -4,6 +4,7 @@
 /* Key ownership state of a gateway, shared by ownership.c (grants to the local
    backend server) and key_moves.c (changes of the key map). */
 
+#include "apricot/departures.h"
 #include "internal/gateway.h"
 #include "internal/generation_record.h"
 #include "internal/removal_queue.h"
@@ -37,9 +38,7 @@
     int64_t last_heartbeat_ms;        /* receipt; 0: none */
     bool earlier_incarnation_checked; /* since the start of this process */
     bool backend_leaving;
-    /* Incarnation that an earlier process knew to be leaving; empty id: none.
-     */
-    AprBackendIncarnation_t left_incarnation;
+    AprDepartures_t departures;
     /* Reply to a heartbeat that waits for a change; NULL if none waits. */
     AprHeartbeatReply_t pending_reply;
     void *pending_reply_context;
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -188,8 +188,9 @@
 AprMembers_FormatOwnEntry(const AprGateway_t *gateway)
 {
     const AprGatewaySettings_t *settings = &gateway->settings;
+    bool leaving;
     const AprBackendIncarnation_t *incarnation =
-        AprBackend_GetIncarnation(gateway->backend);
+        AprOwnership_GetEntryIncarnation(gateway->ownership, &leaving);
     const char *address = settings->listen_peers;
     AprHostLoad_t load = {0};
     json_t *root;
@@ -204,8 +205,7 @@
         settings->failure_domain, "service", settings->backend_service, "id",
         incarnation->id, "born", (json_int_t)incarnation->started_ms, "slots",
         load.slots, "capacity", relay_capacity(settings), "open",
-        load.accepts_calls && incarnation->id[0] != '\0', "leaving",
-        AprOwnership_IsBackendLeaving(gateway->ownership));
+        load.accepts_calls && incarnation->id[0] != '\0', "leaving", leaving);
     text = json_dumps(root, JSON_COMPACT);
     json_decref(root);
     return text;
--- a/src/gateway/ownership.c
+++ b/src/gateway/ownership.c
@@ -519,7 +519,8 @@
     AprGateway_t *gateway = ownership->gateway;
     bool new_incarnation = !AprBackendIncarnation_Equal(
         &ownership->incarnation, &heartbeat->incarnation);
-    bool left_before;
+    bool left_before =
+        AprDepartures_Contain(&ownership->departures, &heartbeat->incarnation);
 
     if (new_incarnation) {
         /* The previous incarnation at this address has ended, and its grants
@@ -536,8 +537,6 @@
     release_for_earlier_incarnation(ownership);
     ownership->last_heartbeat_sequence = heartbeat->sequence;
     ownership->last_heartbeat_ms = AprOwnership_NowMs(ownership);
-    left_before = AprBackendIncarnation_Equal(&ownership->left_incarnation,
-                                              &heartbeat->incarnation);
     ownership->backend_leaving |= heartbeat->leaving || left_before;
     AprGrantTable_RecordHeldKeys(
         &ownership->grant_table, heartbeat->held, heartbeat->held_count,
@@ -557,6 +556,25 @@
     return ownership->backend_leaving;
 }
 
+/* Returns the incarnation for the entry of this host: the present one, or
+   before the first heartbeat the last one that is known to shut down, so that
+   the next process knows it too. Its id is empty if there is neither. Sets
+   `*leaving` to whether it shuts down. */
+const AprBackendIncarnation_t *
+AprOwnership_GetEntryIncarnation(const AprOwnership_t *ownership,
+                                 bool *leaving)
+{
+    const AprBackendIncarnation_t *departed =
+        AprDepartures_Latest(&ownership->departures);
+
+    if (ownership->incarnation.id[0] == '\0' && departed != NULL) {
+        *leaving = true;
+        return departed;
+    }
+    *leaving = ownership->backend_leaving;
+    return &ownership->incarnation;
+}
+
 /* Records that an earlier process of this host knew an incarnation of the
    backend server to be shutting down. A late heartbeat of it may tell
    otherwise. */
@@ -564,7 +582,8 @@
 AprOwnership_RestoreLeaving(AprOwnership_t *ownership,
                             const AprBackendIncarnation_t *incarnation)
 {
-    ownership->left_incarnation = *incarnation;
+    AprDepartures_Add(&ownership->departures, incarnation->id,
+                      incarnation->started_ms);
 }
 
 /* Handles the result of a change that stored a generation. */
@@ -699,16 +718,45 @@
     answer_heartbeat(ownership, reply, context);
 }
 
+/* Returns the latest start time of the incarnation that a notice with this id
+   is about: that of the incarnation with the id that an earlier process has
+   stored, or else the present time, as a later one can't have sent it. */
+static int64_t
+departure_started_ms(const AprOwnership_t *ownership, const char *id)
+{
+    const AprGateway_t *gateway = ownership->gateway;
+    const AprBackendIncarnation_t *recorded =
+        &ownership->generation_record.incarnation;
+    const AprHost_t *self =
+        AprMembers_Find(gateway->members, gateway->settings.host);
+
+    if (strcmp(recorded->id, id) == 0) {
+        return recorded->started_ms;
+    }
+    if (self != NULL && strcmp(self->incarnation.id, id) == 0) {
+        return self->incarnation.started_ms;
+    }
+    return AprClock_WallMs(&gateway->clock);
+}
+
 /* Handles the notice of an incarnation that it shuts down without another
-   heartbeat. Ignored for any incarnation but the present one. */
+   heartbeat. It binds also if the incarnation is not the present one, as its
+   last heartbeat may arrive after the notice. */
 void
 AprOwnership_OnBackendLeaving(AprOwnership_t *ownership, const char *id)
 {
-    if (strcmp(id, ownership->incarnation.id) != 0) {
-        return;
+    bool present = strcmp(id, ownership->incarnation.id) == 0;
+
+    AprLog_Write(APR_LOG_INFO, "backend_leaves", "id=%s present=%d", id,
+                 present);
+    if (present) {
+        ownership->backend_leaving = true;
+        AprBackend_StartDrain(ownership->gateway->backend);
+    }
+    else {
+        AprDepartures_Add(&ownership->departures, id,
+                          departure_started_ms(ownership, id));
     }
-    ownership->backend_leaving = true;
-    AprBackend_StartDrain(ownership->gateway->backend);
     AprStoreCache_PublishOwnEntry(ownership->gateway->store_cache);
 }
 
--- a/tests/test_gateway_restart.c
+++ b/tests/test_gateway_restart.c
@@ -114,6 +114,104 @@
     cluster_stop(&cluster);
 }
 
+/* Returns whether a host may be chosen for requests without a key, if all
+   others were tried. */
+static bool
+is_candidate(ClusterHost_t *at, int wanted)
+{
+    char tried[CLUSTER_HOSTS][APR_NAME_SIZE];
+    int count = 0;
+
+    for (int i = 0; i < CLUSTER_HOSTS; i++) {
+        if (i != wanted) {
+            strcpy(tried[count++], cluster.hosts[i].settings.host);
+        }
+    }
+    return AprMembers_ChooseHost(at->gateway->members, CLUSTER_SERVICE, tried,
+                                 count) != NULL;
+}
+
+/* Restarts a gateway whose backend server then deregisters before its first
+   heartbeat. `has_entry` tells whether the entry of the earlier process still
+   exists. */
+static void
+deregister_after_restart(ClusterHost_t *host, bool has_entry)
+{
+    start_with_all_keys_held();
+    ev_timer_stop(cluster.loop, &host->heartbeat_timer);
+    host_kill_gateway(host);
+    if (!has_entry) {
+        cluster.store.revision++;
+        store_put_item(&cluster.store, "apricot/hosts/h2", NULL, 0);
+        store_put_item(&cluster.store, "apricot/lives/h2", NULL, 0);
+    }
+    host_start_gateway(host);
+    cluster_run_for(&cluster, 0.5);
+    AprOwnership_OnBackendLeaving(host->gateway->ownership,
+                                  host->incarnation.id);
+    cluster_run_for(&cluster, 0.3);
+}
+
+/* Sends a late heartbeat and asserts that the backend server is not used. */
+static void
+assert_late_heartbeat_is_of_leaving_server(ClusterHost_t *host)
+{
+    send_heartbeat(host, host->incarnation.started_ms, 99, false);
+    assert_true(AprOwnership_IsBackendLeaving(host->gateway->ownership));
+    assert_false(AprBackend_AcceptsCalls(host->gateway->backend));
+    cluster_run_for(&cluster, 0.3);
+    assert_false(is_candidate(&cluster.hosts[0], host->index));
+}
+
+/* Guards against a backend server that is used again because the restarted
+   process forgot a deregistration before the first heartbeat. */
+static void
+test_deregistration_before_first_heartbeat_binds(void **state)
+{
+    ClusterHost_t *host = &cluster.hosts[2];
+
+    (void)state;
+    deregister_after_restart(host, true);
+    assert_late_heartbeat_is_of_leaving_server(host);
+    /* The next incarnation may have the same id. */
+    send_heartbeat(host, host->incarnation.started_ms + 1, 1, false);
+    assert_false(AprOwnership_IsBackendLeaving(host->gateway->ownership));
+    assert_true(AprBackend_AcceptsCalls(host->gateway->backend));
+    cluster_stop(&cluster);
+}
+
+/* Guards against the same when nothing of the earlier process is stored. */
+static void
+test_deregistration_of_unknown_server_binds(void **state)
+{
+    ClusterHost_t *host = &cluster.hosts[2];
+    AprClock_t clock = AprClock_System();
+
+    (void)state;
+    deregister_after_restart(host, false);
+    assert_late_heartbeat_is_of_leaving_server(host);
+    send_heartbeat(host, AprClock_WallMs(&clock) + 1, 1, false);
+    assert_false(AprOwnership_IsBackendLeaving(host->gateway->ownership));
+    cluster_stop(&cluster);
+}
+
+/* Guards against the same when the process restarts again before the late
+   heartbeat. */
+static void
+test_deregistration_binds_the_next_process(void **state)
+{
+    ClusterHost_t *host = &cluster.hosts[2];
+
+    (void)state;
+    deregister_after_restart(host, true);
+    cluster_run_for(&cluster, 0.5);
+    host_kill_gateway(host);
+    host_start_gateway(host);
+    cluster_run_for(&cluster, 0.5);
+    assert_late_heartbeat_is_of_leaving_server(host);
+    cluster_stop(&cluster);
+}
+
 /* Guards against an earlier incarnation whose late heartbeat is the first one
    that a restarted process gets. */
 static void
@@ -172,23 +270,6 @@
     cluster_stop(&cluster);
 }
 
-/* Returns whether a host may be chosen for requests without a key, if all
-   others were tried. */
-static bool
-is_candidate(ClusterHost_t *at, int wanted)
-{
-    char tried[CLUSTER_HOSTS][APR_NAME_SIZE];
-    int count = 0;
-
-    for (int i = 0; i < CLUSTER_HOSTS; i++) {
-        if (i != wanted) {
-            strcpy(tried[count++], cluster.hosts[i].settings.host);
-        }
-    }
-    return AprMembers_ChooseHost(at->gateway->members, CLUSTER_SERVICE, tried,
-                                 count) != NULL;
-}
-
 /* Guards against a restarted process that never uses its own backend server
    again, because a request came before the first heartbeat. */
 static void
@@ -374,6 +455,9 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_restart_does_not_bring_back_a_lost_host),
         cmocka_unit_test(test_restart_does_not_bring_back_a_leaving_server),
+        cmocka_unit_test(test_deregistration_before_first_heartbeat_binds),
+        cmocka_unit_test(test_deregistration_of_unknown_server_binds),
+        cmocka_unit_test(test_deregistration_binds_the_next_process),
         cmocka_unit_test(test_restart_does_not_bring_back_an_incarnation),
         cmocka_unit_test(test_restart_writes_only_its_claim),
         cmocka_unit_test(test_restart_does_not_exclude_the_own_backend),
