Accept no request that may outlast a planned stop

What callers saw: connections that ended without an answer at the end of a planned stop, though the request had been read, and partly passed on and run. Reported by the users from their own machines.

Reproduced with real processes: 8 hosts, grace 6 s, routes of 3 s, 24 callers at each host on kept connections, six gateways stopped in turn: 15 requests lost on, sent 3.5 to 4.3 s after the signal and cut at 5.65 s; one of them had begun to run.

Cause: a stopping gateway accepted requests until it closed its connections, whatever their time limits, and said nothing to those that still waited when it exited.

Late in the stop only requests are accepted whose deadline lies before the exit; the others get 503 at once. Deadlines of accepted and of queued requests are brought forward to that time, and callers that still wait just before the exit get 504.

--- a/internal/exchange.h
+++ b/internal/exchange.h
@@ -35,7 +35,8 @@
     bool keyed;               /* the service assigns keys to owners */
     int reject_status; /* sent after the body was read; 0: not rejected */
     const char *reject_reason;
-    int64_t received_ms; /* arrival of this attempt */
+    int64_t reject_retry_after_ms; /* 0: no Retry-After */
+    int64_t received_ms;           /* arrival of this attempt */
     bool http_1_0;
     bool omit_response_body; /* set for HEAD requests */
     bool keep_alive;
@@ -69,6 +70,7 @@
 void AprExchange_AddBody(AprExchange_t *exchange, const char *data,
                          size_t size);
 void AprExchange_EndBody(AprExchange_t *exchange);
+void AprExchange_TimeOut(AprExchange_t *exchange);
 void AprExchange_Reject(AprExchange_t *exchange, int status,
                         const char *reason);
 void AprExchange_FlushBuffered(AprExchange_t *exchange);
--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -14,6 +14,7 @@
 #include "apricot/metrics.h"
 #include "apricot/retry_budget.h"
 #include "apricot/route_table.h"
+#include "apricot/stop_plan.h"
 #include "apricot/time_limits.h"
 #include "internal/call.h"
 #include "internal/link_frame.h"
@@ -95,7 +96,7 @@
     AprRetryBudget_t retry_budget;
     GHashTable *time_limits; /* route name -> AprTimeLimits_t, owned */
     AprStopStep_t stop_step;
-    int64_t stopping_since_ms;
+    AprStopPlan_t stop_plan; /* valid while stopping */
     int64_t last_tick_ms;
     int64_t last_late_tick_ms; /* 0: none */
     ev_timer tick_timer;
@@ -113,6 +114,10 @@
 void AprGateway_Stop(AprGateway_t *gateway);
 bool AprGateway_IsReady(const AprGateway_t *gateway);
 AprRetryBudget_t *AprGateway_GetRetryBudget(AprGateway_t *gateway);
+/* Returns the deadline of a request that this process may handle until then: a
+   planned stop may bring it forward. */
+int64_t AprGateway_LimitDeadline(const AprGateway_t *gateway,
+                                 int64_t deadline_ms);
 /* Returns the estimated time since the caller's first attempt of a request
    that arrives with this time limit. */
 int64_t AprGateway_EstimateWaitedMs(AprGateway_t *gateway, const char *route,
@@ -133,6 +138,7 @@
                        AprCallRef_t *ref, AprCallFailure_t *failure);
 void AprBackend_OnHeartbeat(AprBackend_t *backend,
                             const AprHeartbeat_t *heartbeat);
+void AprBackend_LimitDeadlines(AprBackend_t *backend);
 void AprBackend_StartDrain(AprBackend_t *backend);
 void AprBackend_EndDrain(AprBackend_t *backend);
 void AprBackend_Tick(AprBackend_t *backend);
@@ -330,6 +336,7 @@
 int AprIngress_Listen(AprIngress_t *ingress, const char *address);
 void AprIngress_StopListening(AprIngress_t *ingress);
 void AprIngress_CloseIdleConnections(AprIngress_t *ingress);
+void AprIngress_EndRequests(AprIngress_t *ingress);
 void AprIngress_Tick(AprIngress_t *ingress);
 bool AprIngress_HasConnections(const AprIngress_t *ingress);
 int AprIngress_CountRequests(const AprIngress_t *ingress);
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -659,6 +659,8 @@
         free(call);
         return NULL;
     }
+    call->head.deadline_ms =
+        AprGateway_LimitDeadline(backend->gateway, head->deadline_ms);
     call->backend = backend;
     call->id = (gint64)++backend->next_id;
     call->submitted_ms = AprGateway_NowMs(backend->gateway);
@@ -691,8 +693,9 @@
     request.rank = head->rank;
     request.nested = head->nested;
     request.arrived_ms = head->arrived_ms;
-    request.objective_ms = head->objective_ms;
-    request.deadline_ms = head->deadline_ms;
+    request.deadline_ms =
+        AprGateway_LimitDeadline(backend->gateway, head->deadline_ms);
+    request.objective_ms = MIN(head->objective_ms, request.deadline_ms);
     decision = AprAdmission_Offer(&backend->admission, &request, now_ms);
     add_demand(backend, request.expected_service_ms, now_ms);
     if (head->key != APR_NO_KEY) {
@@ -756,6 +759,27 @@
     }
 }
 
+/* Applies the limit that a planned stop sets on deadlines to the queued calls.
+   Those that can't be answered by then are refused as not run. */
+void
+AprBackend_LimitDeadlines(AprBackend_t *backend)
+{
+    AprAdmission_t *admission = &backend->admission;
+
+    for (int i = 0; i < admission->queue_count; i++) {
+        AprAdmissionRequest_t *request = &admission->queue[i];
+        AprBackendCall_t *call = find_call(backend, request->id);
+
+        request->deadline_ms =
+            AprGateway_LimitDeadline(backend->gateway, request->deadline_ms);
+        request->objective_ms =
+            MIN(request->objective_ms, request->deadline_ms);
+        if (call != NULL) {
+            call->head.deadline_ms = request->deadline_ms;
+        }
+    }
+}
+
 /* Starts the drain time of the backend server, unless it has started. */
 void
 AprBackend_StartDrain(AprBackend_t *backend)
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -27,6 +27,9 @@
 /* Retry-After of failures whose end is not known. */
 #define RETRY_AFTER_DEFAULT_MS 200
 
+/* Retry-After of requests that the next process of this host is to answer. */
+#define RESTART_RETRY_AFTER_MS 1500
+
 /* Least part of a request's time limit that must be left for a retry. */
 #define MIN_RETRY_TIME_FRACTION 0.3
 
@@ -413,14 +416,13 @@
     start_attempt(watcher->data);
 }
 
-static void
-on_deadline_timer(struct ev_loop *loop, ev_timer *watcher, int events)
+/* Answers a request whose time is over and cancels its call. Does nothing when
+   a response has started. May free the exchange. */
+void
+AprExchange_TimeOut(AprExchange_t *exchange)
 {
-    AprExchange_t *exchange = watcher->data;
     AprCallFailure_t failure = {APR_CALL_TIMEOUT, false, 0};
 
-    (void)loop;
-    (void)events;
     if (exchange->response_started) {
         return;
     }
@@ -437,6 +439,14 @@
     respond_with_failure(exchange, &failure);
 }
 
+static void
+on_deadline_timer(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    AprExchange_TimeOut(watcher->data);
+}
+
 static void
 start_first_attempt(AprExchange_t *exchange)
 {
@@ -480,10 +490,9 @@
         return;
     }
     if (exchange->reject_status != 0) {
-        send_gateway_response(
-            exchange, exchange->reject_status,
-            exchange->reject_status == 503 ? RETRY_AFTER_DEFAULT_MS : 0,
-            exchange->reject_reason);
+        send_gateway_response(exchange, exchange->reject_status,
+                              exchange->reject_retry_after_ms,
+                              exchange->reject_reason);
         return;
     }
     if (exchange->submitted) {
@@ -537,6 +546,18 @@
     return lines.data;
 }
 
+/* Starts the timer for the deadline, or starts it again. */
+static void
+start_deadline_timer(AprExchange_t *exchange)
+{
+    int64_t left_ms = exchange->head.deadline_ms - exchange_now_ms(exchange);
+
+    ev_timer_stop(exchange->gateway->loop, &exchange->deadline_timer);
+    ev_timer_set(&exchange->deadline_timer,
+                 (double)(MAX(left_ms, 0) + RESPONSE_GRACE_MS) / 1000.0, 0.0);
+    ev_timer_start(exchange->gateway->loop, &exchange->deadline_timer);
+}
+
 /* Sets the objective and the deadline from the route and the caller's time
    limit, and starts the deadline timer. */
 static void
@@ -572,9 +593,7 @@
     if (head->objective_ms > head->deadline_ms) {
         head->objective_ms = head->deadline_ms;
     }
-    ev_timer_set(&exchange->deadline_timer,
-                 (double)(limit_ms + RESPONSE_GRACE_MS) / 1000.0, 0.0);
-    ev_timer_start(exchange->gateway->loop, &exchange->deadline_timer);
+    start_deadline_timer(exchange);
 }
 
 /* Reads the key of a keyed service. Returns APR_OK, APR_E_NOT_FOUND or
@@ -605,6 +624,8 @@
 {
     exchange->reject_status = status;
     exchange->reject_reason = reason;
+    exchange->reject_retry_after_ms =
+        status == 503 ? RETRY_AFTER_DEFAULT_MS : 0;
 }
 
 /* Sets the route and service of a request, or its rejection. */
@@ -679,6 +700,30 @@
     }
 }
 
+/* Rejects a request that may outlast a planned stop, or else limits its
+   deadline. A nested call is limited only, as the request that makes it runs
+   already. */
+static void
+apply_stop_plan(AprExchange_t *exchange)
+{
+    AprGateway_t *gateway = exchange->gateway;
+    AprCallHead_t *head = &exchange->head;
+
+    if (gateway->stop_step == APR_STOP_NONE || exchange->reject_status != 0) {
+        return;
+    }
+    if (!head->nested &&
+        !AprStopPlan_Accepts(&gateway->stop_plan, exchange->received_ms,
+                             head->deadline_ms)) {
+        reject_after_body(exchange, 503, "stopping");
+        exchange->reject_retry_after_ms = RESTART_RETRY_AFTER_MS;
+        return;
+    }
+    head->deadline_ms = AprGateway_LimitDeadline(gateway, head->deadline_ms);
+    head->objective_ms = MIN(head->objective_ms, head->deadline_ms);
+    start_deadline_timer(exchange);
+}
+
 /* Creates the exchange of a request whose head was read. The connection owns
    it. Returns NULL when out of memory. */
 AprExchange_t *
@@ -719,6 +764,7 @@
     exchange->omit_response_body = strcmp(http->method, "HEAD") == 0;
     find_route(exchange, http);
     detect_nested_call(exchange);
+    apply_stop_plan(exchange);
     if (AprHttpHead_CopyValue(http, "Expect", expect, sizeof(expect)) ==
             APR_OK &&
         strcasecmp(expect, "100-continue") == 0) {
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -17,13 +17,6 @@
 /* Time after a late tick during which the process counts as lagging. */
 #define LAG_HOLD_MS 1000
 
-/* Least time from the stop signal to the exit. Callers poll the readiness once
-   a second and move to other hosts within this time. */
-#define STOP_MIN_MS 2600
-
-/* The process exits this long before it would be killed. */
-#define STOP_MARGIN_MS 400
-
 /* Part of the stop time after which calls of other hosts are refused even if
    callers' requests are in flight. */
 #define STOP_CALLERS_FRACTION 0.6
@@ -125,6 +118,14 @@
     load->known_revision = AprStoreCache_Revision(gateway->store_cache);
 }
 
+int64_t
+AprGateway_LimitDeadline(const AprGateway_t *gateway, int64_t deadline_ms)
+{
+    return gateway->stop_step == APR_STOP_NONE
+               ? deadline_ms
+               : AprStopPlan_LimitDeadline(&gateway->stop_plan, deadline_ms);
+}
+
 /* Returns whether the process is ready for callers. */
 bool
 AprGateway_IsReady(const AprGateway_t *gateway)
@@ -179,11 +180,12 @@
 enter_stop_step(AprGateway_t *gateway, AprStopStep_t step)
 {
     gateway->stop_step = step;
-    AprLog_Write(
-        APR_LOG_INFO, "stop_step", "step=%d callers=%d peers=%d age_ms=%lld",
-        (int)step, AprIngress_CountRequests(gateway->ingress),
-        AprLinks_CountInboundCalls(gateway->links),
-        (long long)(AprGateway_NowMs(gateway) - gateway->stopping_since_ms));
+    AprLog_Write(APR_LOG_INFO, "stop_step",
+                 "step=%d callers=%d peers=%d age_ms=%lld", (int)step,
+                 AprIngress_CountRequests(gateway->ingress),
+                 AprLinks_CountInboundCalls(gateway->links),
+                 (long long)(AprGateway_NowMs(gateway) -
+                             gateway->stop_plan.started_ms));
     if (step == APR_STOP_CLOSE_LISTENER) {
         AprIngress_StopListening(gateway->ingress);
     }
@@ -197,16 +199,22 @@
 on_stop_timer(struct ev_loop *loop, ev_timer *watcher, int events)
 {
     AprGateway_t *gateway = watcher->data;
-    int64_t age_ms = AprGateway_NowMs(gateway) - gateway->stopping_since_ms;
-    int64_t limit_ms =
-        (int64_t)(gateway->settings.stop_grace_s * 1000) - STOP_MARGIN_MS;
-    int caller_requests = AprIngress_CountRequests(gateway->ingress);
-    int peer_calls = AprLinks_CountInboundCalls(gateway->links);
+    const AprStopPlan_t *plan = &gateway->stop_plan;
+    int64_t now_ms = AprGateway_NowMs(gateway);
+    int64_t age_ms = now_ms - plan->started_ms;
+    int64_t limit_ms = plan->exit_ms - plan->started_ms;
+    int caller_requests;
+    int peer_calls;
 
     (void)events;
-    if (age_ms < STOP_MIN_MS) {
+    if (now_ms < plan->leave_ms) {
         return;
     }
+    if (now_ms >= plan->answer_by_ms) {
+        AprIngress_EndRequests(gateway->ingress);
+    }
+    caller_requests = AprIngress_CountRequests(gateway->ingress);
+    peer_calls = AprLinks_CountInboundCalls(gateway->links);
     AprIngress_CloseIdleConnections(gateway->ingress);
     switch (gateway->stop_step) {
     case APR_STOP_REFUSE_CALLERS:
@@ -336,8 +344,10 @@
     if (gateway->stop_step != APR_STOP_NONE) {
         return;
     }
-    gateway->stopping_since_ms = AprGateway_NowMs(gateway);
+    AprStopPlan_Init(&gateway->stop_plan, AprGateway_NowMs(gateway),
+                     (int64_t)(gateway->settings.stop_grace_s * 1000));
     gateway->stop_step = APR_STOP_REFUSE_CALLERS;
+    AprBackend_LimitDeadlines(gateway->backend);
     AprLog_Write(APR_LOG_INFO, "stopping", "in_flight=%d",
                  AprIngress_CountRequests(gateway->ingress));
     ev_timer_start(gateway->loop, &gateway->stop_timer);
--- a/src/gateway/ingress.c
+++ b/src/gateway/ingress.c
@@ -425,6 +425,35 @@
     }
 }
 
+/* Returns a request without a response that has started, or NULL. */
+static AprExchange_t *
+find_unanswered(const AprIngress_t *ingress)
+{
+    for (const AprCallerConn_t *caller = ingress->callers; caller != NULL;
+         caller = caller->next) {
+        for (AprExchange_t *exchange = caller->first_exchange;
+             exchange != NULL; exchange = exchange->next) {
+            if (!exchange->response_started) {
+                return exchange;
+            }
+        }
+    }
+    return NULL;
+}
+
+/* Answers all requests that still wait for a response, as their time is over.
+   The process is about to exit. */
+void
+AprIngress_EndRequests(AprIngress_t *ingress)
+{
+    AprExchange_t *exchange;
+
+    /* Each answer may free the exchange and its connection. */
+    while ((exchange = find_unanswered(ingress)) != NULL) {
+        AprExchange_TimeOut(exchange);
+    }
+}
+
 /* Closes connections that have been idle for too long or that have sent
    nothing for too long while a request head is incomplete. */
 void
--- a/tests/test_gateway_restart.c
+++ b/tests/test_gateway_restart.c
@@ -377,15 +377,23 @@
     assert_int_equal(send(fd, text, (size_t)size, MSG_NOSIGNAL), size);
 }
 
-/* Returns whether a connection got a response. */
-static bool
-has_response(int fd)
+/* Closes a connection and returns the status of the response on it, or 0 when
+   there is none. */
+static int
+read_status(int fd)
 {
     char text[64] = "";
     ssize_t size = recv(fd, text, sizeof(text) - 1, 0);
 
     close(fd);
-    return size > 0 && strncmp(text, "HTTP/1.1 ", 9) == 0;
+    return size > 0 && strncmp(text, "HTTP/1.1 ", 9) == 0 ? atoi(text + 9) : 0;
+}
+
+/* Returns whether a connection got a response. */
+static bool
+has_response(int fd)
+{
+    return read_status(fd) != 0;
 }
 
 /* Guards against requests that a planned stop cuts off although they were just
@@ -426,6 +434,57 @@
     cluster_stop(&cluster);
 }
 
+/* Guards against a request that arrives late in a planned stop and is cut off
+   at its end: one whose time limit is longer than the stop is refused at once
+   and never run. */
+static void
+test_stop_refuses_what_may_outlast_it(void **state)
+{
+    ClusterHost_t *host = &cluster.hosts[1];
+    int runs;
+    int fd;
+
+    (void)state;
+    start_with_all_keys_held();
+    host->settings.stop_grace_s = 4;
+    AprGateway_ApplySettings(host->gateway, &host->settings);
+    cluster.hosts[0].unresponsive = true;
+    AprGateway_Stop(host->gateway);
+    cluster_run_for(&cluster, 1.6);
+    fd = connect_caller(host);
+    cluster_run_for(&cluster, 0.8);
+    runs = cluster.hosts[0].run_count;
+    send_request_on(fd, cluster.hosts[0].held[0].first);
+    cluster_run_for(&cluster, 0.1);
+    assert_int_equal(read_status(fd), 503);
+    assert_int_equal(cluster.hosts[0].run_count, runs);
+    cluster_stop(&cluster);
+}
+
+/* Guards against requests that wait for a backend server when a planned stop
+   ends, and whose connections end without a response. */
+static void
+test_stop_answers_what_still_waits(void **state)
+{
+    ClusterHost_t *host = &cluster.hosts[1];
+    int fd;
+
+    (void)state;
+    start_with_all_keys_held();
+    host->settings.stop_grace_s = 1.2;
+    AprGateway_ApplySettings(host->gateway, &host->settings);
+    cluster.hosts[0].unresponsive = true;
+    fd = connect_caller(host);
+    send_request_on(fd, cluster.hosts[0].held[0].first);
+    cluster_run_for(&cluster, 0.1);
+    AprGateway_Stop(host->gateway);
+    /* The latest time at which the process exits by itself. */
+    cluster_run_for(&cluster, 0.8);
+    host_kill_gateway(host);
+    assert_int_equal(read_status(fd), 504);
+    cluster_stop(&cluster);
+}
+
 /* Guards against a call that a stopping gateway has not read but that its
    sender takes for one that may have run. */
 static void
@@ -464,6 +523,8 @@
         cmocka_unit_test(test_old_load_report_does_not_exclude_a_host),
         cmocka_unit_test(test_power_loss_does_not_delay_moved_keys),
         cmocka_unit_test(test_stop_answers_what_was_just_accepted),
+        cmocka_unit_test(test_stop_refuses_what_may_outlast_it),
+        cmocka_unit_test(test_stop_answers_what_still_waits),
         cmocka_unit_test(test_goaway_returns_unread_calls),
     };
 
