Exit only when the kernel has taken all responses

What callers would see: a connection that ends without a response, or within one, at the exit of a stopping gateway that had received the whole response.

Cause: streams send what was written to them just before the event loop polls again. A response that came in the same iteration as the stop timer closed the last connection, the process exited, and the bytes were never sent; those that the kernel had not taken from a slow caller's response were dropped as well.

Change: the set of streams counts the bytes that the kernel has not taken. The stop flushes the streams and waits until there are none, up to the latest exit.

Tests: test_stop_waits_for_unsent_responses failed before (the process was done with a response unsent). test_planned_stop_cuts_no_request now asserts the last step, which is new, instead of the one before it.

--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -72,7 +72,8 @@
     APR_STOP_REFUSE_CALLERS, /* callers are told to use another host */
     APR_STOP_REFUSE_PEERS,   /* calls from other hosts are refused as well */
     APR_STOP_CLOSE_LISTENER, /* no new connections are accepted */
-    APR_STOP_EXIT            /* the other hosts were told so */
+    APR_STOP_EXIT,           /* the other hosts were told so */
+    APR_STOP_DONE            /* the process leaves the event loop */
 } AprStopStep_t;
 
 struct AprGateway_t {
--- a/internal/stream.h
+++ b/internal/stream.h
@@ -41,10 +41,14 @@
     ev_prepare flush_watcher;
     AprStream_t *to_flush;
     AprStream_t *closed_streams;
+    /* Bytes that were written to established connections and not passed to the
+       kernel yet. */
+    size_t unsent_bytes;
     bool lagging; /* the process lags: received bytes may be outdated */
 } AprStreamSet_t;
 
 void AprStreamSet_Init(AprStreamSet_t *set, struct ev_loop *loop);
+void AprStreamSet_Flush(AprStreamSet_t *set);
 
 int AprStream_Listen(const char *address);
 AprStream_t *AprStream_Open(AprStreamSet_t *set, int fd,
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -236,10 +236,16 @@
         }
         break;
     default:
-        if (!AprIngress_HasConnections(gateway->ingress) ||
+        /* Streams send what was written to them before the loop polls again,
+           which it does not do after the exit. */
+        AprStreamSet_Flush(gateway->streams);
+        if ((!AprIngress_HasConnections(gateway->ingress) &&
+             gateway->streams->unsent_bytes == 0) ||
             age_ms >= limit_ms) {
             AprLog_Write(APR_LOG_INFO, "stop", "in_flight=%d took_ms=%lld",
                          caller_requests + peer_calls, (long long)age_ms);
+            gateway->stop_step = APR_STOP_DONE;
+            ev_timer_stop(loop, watcher);
             ev_break(loop, EVBREAK_ALL);
         }
         break;
--- a/src/transport/stream.c
+++ b/src/transport/stream.c
@@ -184,6 +184,9 @@
         return;
     }
     stream->is_closed = true;
+    if (!stream->connecting) {
+        stream->set->unsent_bytes -= AprBuffer_Size(&stream->unsent);
+    }
     ev_io_stop(stream->set->loop, &stream->reader);
     ev_io_stop(stream->set->loop, &stream->writer);
     ev_timer_stop(stream->set->loop, &stream->linger_timer);
@@ -240,6 +243,7 @@
             return;
         }
         AprBuffer_Consume(&stream->unsent, (size_t)sent);
+        stream->set->unsent_bytes -= (size_t)sent;
         size = AprBuffer_Size(&stream->unsent);
     }
     ev_io_stop(stream->set->loop, &stream->writer);
@@ -252,13 +256,10 @@
     }
 }
 
-static void
-flush_and_free_streams(struct ev_loop *loop, ev_prepare *watcher, int events)
+/* Sends what was written to the streams, as far as the kernel takes it. */
+void
+AprStreamSet_Flush(AprStreamSet_t *set)
 {
-    AprStreamSet_t *set = watcher->data;
-
-    (void)loop;
-    (void)events;
     while (set->to_flush != NULL) {
         AprStream_t *stream = set->to_flush;
 
@@ -266,6 +267,16 @@
         stream->flush_queued = false;
         flush_stream(stream);
     }
+}
+
+static void
+flush_and_free_streams(struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+    AprStreamSet_t *set = watcher->data;
+
+    (void)loop;
+    (void)events;
+    AprStreamSet_Flush(set);
     while (set->closed_streams != NULL) {
         AprStream_t *stream = set->closed_streams;
 
@@ -326,6 +337,7 @@
             return;
         }
         stream->connecting = false;
+        stream->set->unsent_bytes += AprBuffer_Size(&stream->unsent);
         ev_io_stop(loop, &stream->writer);
         if (!stream->read_paused) {
             ev_io_start(loop, &stream->reader);
@@ -453,6 +465,9 @@
         close_and_notify(stream, ENOMEM);
         return;
     }
+    if (!stream->connecting) {
+        stream->set->unsent_bytes += size;
+    }
     if (!stream->flush_queued) {
         stream->flush_queued = true;
         stream->next_to_flush = stream->set->to_flush;
--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -72,6 +72,7 @@
     int64_t sequence;
     bool leaving;
     bool unresponsive; /* the backend server answers no request */
+    int response_size; /* bytes of each response body; 0: a short text */
     /* The store answers no request of this host, not even those that are in
        flight; they time out. */
     bool store_silent;
@@ -686,6 +687,7 @@
 typedef struct BackendRun_t {
     ev_timer timer;
     AprHttpCall_t *call;
+    int response_size;
 } BackendRun_t;
 
 static void
@@ -695,7 +697,17 @@
 
     (void)loop;
     (void)events;
-    AprHttpCall_Reply(run->call, 200, "text/plain", "done", 4);
+    if (run->response_size > 0) {
+        char *body = malloc((size_t)run->response_size);
+
+        memset(body, 'x', (size_t)run->response_size);
+        AprHttpCall_Reply(run->call, 200, "text/plain", body,
+                          (size_t)run->response_size);
+        free(body);
+    }
+    else {
+        AprHttpCall_Reply(run->call, 200, "text/plain", "done", 4);
+    }
     free(run);
 }
 
@@ -719,6 +731,7 @@
     host->cluster->unowned_runs += host_holds_key(host, key) ? 0 : 1;
     run = calloc(1, sizeof(*run));
     run->call = call;
+    run->response_size = host->response_size;
     ev_timer_init(&run->timer, host_on_run_end, CLUSTER_SERVICE_TIME_S, 0.0);
     run->timer.data = run;
     ev_timer_start(host->cluster->loop, &run->timer);
--- a/tests/test_gateway_cluster.c
+++ b/tests/test_gateway_cluster.c
@@ -279,7 +279,7 @@
     assert_int_equal(cluster.cut, 0);
     assert_int_equal(cluster.failed, 0);
     assert_int_equal(cluster.answered + cluster.refused, cluster.sent);
-    assert_int_equal(cluster.hosts[1].gateway->stop_step, APR_STOP_EXIT);
+    assert_int_equal(cluster.hosts[1].gateway->stop_step, APR_STOP_DONE);
     assert_single_owner();
     cluster_stop(&cluster);
 }
--- a/tests/test_gateway_restart.c
+++ b/tests/test_gateway_restart.c
@@ -349,13 +349,18 @@
     cluster_stop(&cluster);
 }
 
-/* Opens a blocking connection to the callers' address of a host. */
+/* Opens a connection to the callers' address of a host, with a receive buffer
+   of `buffer_size` bytes (0: of the usual size). */
 static int
-connect_caller(const ClusterHost_t *host)
+connect_with_buffer(const ClusterHost_t *host, int buffer_size)
 {
     struct sockaddr_in address = {.sin_family = AF_INET};
     int fd = socket(AF_INET, SOCK_STREAM, 0);
 
+    if (buffer_size > 0) {
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer_size,
+                   sizeof(buffer_size));
+    }
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     address.sin_port =
         htons((uint16_t)atoi(strrchr(host->settings.listen_callers, ':') + 1));
@@ -365,6 +370,35 @@
     return fd;
 }
 
+/* Sets the size of the send buffers of connections that a gateway accepts from
+   callers. */
+static void
+limit_send_buffers(const ClusterHost_t *host, int buffer_size)
+{
+    int port = atoi(strrchr(host->settings.listen_callers, ':') + 1);
+
+    for (int fd = 3; fd < 1024; fd++) {
+        struct sockaddr_in address = {0};
+        socklen_t address_size = sizeof(address);
+        int listens = 0;
+        socklen_t size = sizeof(listens);
+
+        if (getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) == 0 &&
+            listens != 0 &&
+            getsockname(fd, (struct sockaddr *)&address, &address_size) == 0 &&
+            ntohs(address.sin_port) == port) {
+            setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &buffer_size,
+                       sizeof(buffer_size));
+        }
+    }
+}
+
+static int
+connect_caller(const ClusterHost_t *host)
+{
+    return connect_with_buffer(host, 0);
+}
+
 static void
 send_request_on(int fd, int key)
 {
@@ -485,6 +519,40 @@
     cluster_stop(&cluster);
 }
 
+/* Guards against a response that a stopping gateway has received from a
+   backend server and not yet passed to the kernel when it exits. The caller
+   reads nothing until the gateway would exit. */
+static void
+test_stop_waits_for_unsent_responses(void **state)
+{
+    static char text[1 << 20];
+    ClusterHost_t *host = &cluster.hosts[1];
+    ssize_t received = 0;
+    ssize_t size = 1;
+    int fd;
+
+    (void)state;
+    start_with_all_keys_held();
+    cluster.hosts[0].response_size = 250000;
+    limit_send_buffers(host, 4096);
+    fd = connect_with_buffer(host, 4096);
+    AprGateway_Stop(host->gateway);
+    send_request_on(fd, cluster.hosts[0].held[0].first);
+    cluster_run_for(&cluster, 3.2);
+    assert_int_not_equal(host->gateway->stop_step, APR_STOP_DONE);
+    for (int i = 0; i < 200 && size != 0; i++) {
+        cluster_run_for(&cluster, 0.01);
+        while ((size = recv(fd, text, sizeof(text), 0)) > 0) {
+            received += size;
+        }
+    }
+    assert_true(received > 250000);
+    cluster_run_for(&cluster, 0.3);
+    assert_int_equal(host->gateway->stop_step, APR_STOP_DONE);
+    close(fd);
+    cluster_stop(&cluster);
+}
+
 /* Guards against a call that a stopping gateway has not read but that its
    sender takes for one that may have run. */
 static void
@@ -525,6 +593,7 @@
         cmocka_unit_test(test_stop_answers_what_was_just_accepted),
         cmocka_unit_test(test_stop_refuses_what_may_outlast_it),
         cmocka_unit_test(test_stop_answers_what_still_waits),
+        cmocka_unit_test(test_stop_waits_for_unsent_responses),
         cmocka_unit_test(test_goaway_returns_unread_calls),
     };
 
