Claim a new incarnation before an open change is repeated

Cause: after the store served the host again, the open change was repeated before the heartbeat of the new incarnation. It took effect, and the keys moved away from a server that was back, and returned by rebalancing.

Change: nothing is repeated while an incarnation that sends heartbeats waits for its claim. The claim voids the change, and the next repetition gets the conflict that settles it with the keys in place.

--- a/src/gateway/key_moves.c
+++ b/src/gateway/key_moves.c
@@ -687,6 +687,23 @@
     return move_keys_for_balance(ownership);
 }
 
+/* Returns whether an incarnation of the backend server sends heartbeats for
+   which the generation record has not been claimed yet. The claim voids an
+   open change that gives its keys away, so that a repetition after it settles
+   the change without moving the keys. */
+static bool
+awaits_claim(const AprOwnership_t *ownership)
+{
+    double missing_ms =
+        ownership->gateway->settings.heartbeat_s * 1000 * MISSED_HEARTBEATS;
+
+    return ownership->incarnation.id[0] != '\0' &&
+           (double)(AprOwnership_NowMs(ownership) -
+                    ownership->last_heartbeat_ms) < missing_ms &&
+           AprGenerationRecord_FindClaimed(&ownership->generation_record,
+                                           &ownership->incarnation) == 0;
+}
+
 /* Plans changes of the key map that no heartbeat triggers: retries of a change
    with an unknown outcome, loss of the own backend server, unowned keys and
    lost hosts. Called several times a second. */
@@ -695,6 +712,7 @@
 {
     if (ownership->has_proposal && !ownership->change_in_flight &&
         AprOwnership_NowMs(ownership) >= ownership->next_repetition_ms &&
+        !awaits_claim(ownership) &&
         AprStoreCache_IsStoreReachable(ownership->gateway->store_cache)) {
         if (!send_proposal(ownership)) {
             AprLog_Write(APR_LOG_ERROR, "keys_no_memory", "reason=%s",
--- a/tests/test_gateway_late_changes.c
+++ b/tests/test_gateway_late_changes.c
@@ -122,6 +122,30 @@
     cluster_stop(&cluster);
 }
 
+/* Guards against keys that move although their backend server has restarted,
+   because the open change is repeated before the new incarnation has claimed
+   them. */
+static void
+test_restarted_server_keeps_keys_of_open_change(void **state)
+{
+    ClusterHost_t *host = &cluster.hosts[1];
+
+    (void)state;
+    start_with_all_keys_held();
+    lose_change_of_silent_host(host);
+    host->store_refuses_changes = true;
+    cluster_run_for(&cluster, CLUSTER_STORE_TIMEOUT_S + 0.5);
+    host_kill_backend(host);
+    host_start_backend(host);
+    ev_timer_start(cluster.loop, &host->heartbeat_timer);
+    cluster_run_for(&cluster, 2 * CLUSTER_HEARTBEAT_S);
+    host->store_refuses_changes = false;
+    assert_true(cluster_wait_until_held(&cluster, 2.0) < 2.0);
+    assert_true(host->held_count > 0);
+    assert_late_change_is_harmless(host);
+    cluster_stop(&cluster);
+}
+
 /* Guards against keys that stay withheld after a repetition has shown that the
    lost change will not be carried out. */
 static void
@@ -148,6 +172,7 @@
         cmocka_unit_test(test_restart_voids_change_before_new_incarnation),
         cmocka_unit_test(test_restart_voids_change_of_same_incarnation),
         cmocka_unit_test(test_refused_repetition_keeps_change_open),
+        cmocka_unit_test(test_restarted_server_keeps_keys_of_open_change),
         cmocka_unit_test(test_settled_change_frees_the_keys),
     };
 
