Read a connection to the backend server again after a long response

Cause: reading stops while more than a window is undelivered. If that happened with the last bytes of a response, the connection became idle with reading stopped, and acknowledgements no longer found it. A call that was detached from its caller meanwhile stayed unread as well.

Change: update_reading() alone decides, whenever bytes come or are acknowledged, the response ends, or the caller leaves.

--- a/internal/backend_conn.h
+++ b/internal/backend_conn.h
@@ -81,6 +81,7 @@
                                 int64_t now_ms);
 void AprBackendConn_WriteBody(AprBackendConn_t *conn, const char *data,
                               size_t size, bool end);
+void AprBackendConn_OnDetached(AprBackendConn_t *conn);
 void AprBackendConn_AcknowledgeResponse(AprBackendConn_t *conn, size_t size);
 int64_t AprBackendConn_ResponseLimitMs(const AprBackendConn_t *conn);
 bool AprBackendConn_IsIdle(const AprBackendConn_t *conn, int64_t now_ms);
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -568,6 +568,9 @@
         /* The request may change state. Closing the connection would leave
            its outcome unknown, so it runs to its end. */
         call->detached = true;
+        if (call->conn != NULL) {
+            AprBackendConn_OnDetached(call->conn);
+        }
         return;
     }
     if (call->conn != NULL) {
--- a/src/gateway/backend_conn.c
+++ b/src/gateway/backend_conn.c
@@ -182,6 +182,25 @@
     return forward_response_head(conn, head);
 }
 
+/* Stops or resumes reading by the response bytes that the caller has not
+   taken. Reading goes on when half of the window is free. Nothing is
+   undelivered on a connection without a call, or when the caller has left. */
+static void
+update_reading(AprBackendConn_t *conn)
+{
+    bool waits = conn->call != NULL && !conn->call->detached;
+
+    if (conn->stream == NULL) {
+        return;
+    }
+    if (!waits || conn->undelivered_bytes <= APR_CALL_WINDOW_BYTES / 2) {
+        AprStream_SetReadPaused(conn->stream, false);
+    }
+    else if (conn->undelivered_bytes > APR_CALL_WINDOW_BYTES) {
+        AprStream_SetReadPaused(conn->stream, true);
+    }
+}
+
 static int
 on_body(void *context, const char *data, size_t size)
 {
@@ -195,9 +214,7 @@
         return discard_bytes(conn, size);
     }
     conn->undelivered_bytes += size;
-    if (conn->undelivered_bytes > APR_CALL_WINDOW_BYTES) {
-        AprStream_SetReadPaused(conn->stream, true);
-    }
+    update_reading(conn);
     call->handlers.on_data(call->context, data, size);
     return conn->free_after_parse ? 1 : 0;
 }
@@ -234,6 +251,9 @@
         conn->reused = true;
         AprHttpParser_SetPaused(conn->parser, false);
         AprHttpParser_Reset(conn->parser);
+        /* The link or the caller's connection holds what is undelivered. */
+        conn->undelivered_bytes = 0;
+        update_reading(conn);
     }
     AprBackend_OnConnDone(conn, outcome);
 }
@@ -450,17 +470,21 @@
     write_body(conn, data, size, end);
 }
 
-/* Records that response bytes were consumed, and resumes reading when half of
-   the window is free. */
+/* Records that response bytes were consumed. */
 void
 AprBackendConn_AcknowledgeResponse(AprBackendConn_t *conn, size_t size)
 {
     conn->undelivered_bytes -=
         size < conn->undelivered_bytes ? size : conn->undelivered_bytes;
-    if (conn->undelivered_bytes <= APR_CALL_WINDOW_BYTES / 2 &&
-        conn->stream != NULL) {
-        AprStream_SetReadPaused(conn->stream, false);
-    }
+    update_reading(conn);
+}
+
+/* Reads the rest of the response of a call that was detached from its caller.
+ */
+void
+AprBackendConn_OnDetached(AprBackendConn_t *conn)
+{
+    update_reading(conn);
 }
 
 /* Returns the time by which the response to the current call must be complete.
--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -5,11 +5,15 @@
    event loop, for tests that inject failures. Links and requests use loopback
    connections. */
 
+#include <arpa/inet.h>
 #include <ev.h>
+#include <fcntl.h>
 #include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "apricot/error.h"
 #include "apricot/gateway_settings.h"
@@ -790,7 +794,7 @@
                                                   caller_on_close, NULL};
 
 /* Sends a request for a key to the gateway of a host. */
-static void
+static inline void
 cluster_send_request(Cluster_t *cluster, int host, int key, const char *method)
 {
     CallerRequest_t *request = calloc(1, sizeof(*request));
@@ -807,6 +811,52 @@
     AprStream_Write(request->stream, text, strlen(text));
 }
 
+/* Opens a connection to the callers' address of a host, with a receive buffer
+   of `buffer_size` bytes (0: of the usual size). */
+static inline int
+cluster_connect_caller(const ClusterHost_t *host, int buffer_size)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    if (buffer_size > 0) {
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer_size,
+                   sizeof(buffer_size));
+    }
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port =
+        htons((uint16_t)atoi(strrchr(host->settings.listen_callers, ':') + 1));
+    if (connect(fd, (struct sockaddr *)&address, sizeof(address)) != 0) {
+        perror("connect");
+        abort();
+    }
+    fcntl(fd, F_SETFL, O_NONBLOCK);
+    return fd;
+}
+
+/* Sets the size of the send buffers of connections that a gateway accepts from
+   callers. */
+static inline void
+cluster_limit_send_buffers(const ClusterHost_t *host, int buffer_size)
+{
+    int port = atoi(strrchr(host->settings.listen_callers, ':') + 1);
+
+    for (int fd = 3; fd < 1024; fd++) {
+        struct sockaddr_in address = {0};
+        socklen_t address_size = sizeof(address);
+        int listens = 0;
+        socklen_t size = sizeof(listens);
+
+        if (getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) == 0 &&
+            listens != 0 &&
+            getsockname(fd, (struct sockaddr *)&address, &address_size) == 0 &&
+            ntohs(address.sin_port) == port) {
+            setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &buffer_size,
+                       sizeof(buffer_size));
+        }
+    }
+}
+
 static const AprHeaderNames_t cluster_header_names = {
     "Attempt", "Time-Left", "Expected", "Not-Run", "Caller",
     "Key",     "Limit",     "Leaving",  '.',       false};
--- a/tests/test_gateway_restart.c
+++ b/tests/test_gateway_restart.c
@@ -1,7 +1,5 @@
 /* What a restarted or stopping gateway may still believe, and what it must not
    cut off. */
-#include <arpa/inet.h>
-#include <fcntl.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -349,56 +347,6 @@
     cluster_stop(&cluster);
 }
 
-/* Opens a connection to the callers' address of a host, with a receive buffer
-   of `buffer_size` bytes (0: of the usual size). */
-static int
-connect_with_buffer(const ClusterHost_t *host, int buffer_size)
-{
-    struct sockaddr_in address = {.sin_family = AF_INET};
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-    if (buffer_size > 0) {
-        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer_size,
-                   sizeof(buffer_size));
-    }
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    address.sin_port =
-        htons((uint16_t)atoi(strrchr(host->settings.listen_callers, ':') + 1));
-    assert_int_equal(connect(fd, (struct sockaddr *)&address, sizeof(address)),
-                     0);
-    fcntl(fd, F_SETFL, O_NONBLOCK);
-    return fd;
-}
-
-/* Sets the size of the send buffers of connections that a gateway accepts from
-   callers. */
-static void
-limit_send_buffers(const ClusterHost_t *host, int buffer_size)
-{
-    int port = atoi(strrchr(host->settings.listen_callers, ':') + 1);
-
-    for (int fd = 3; fd < 1024; fd++) {
-        struct sockaddr_in address = {0};
-        socklen_t address_size = sizeof(address);
-        int listens = 0;
-        socklen_t size = sizeof(listens);
-
-        if (getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) == 0 &&
-            listens != 0 &&
-            getsockname(fd, (struct sockaddr *)&address, &address_size) == 0 &&
-            ntohs(address.sin_port) == port) {
-            setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &buffer_size,
-                       sizeof(buffer_size));
-        }
-    }
-}
-
-static int
-connect_caller(const ClusterHost_t *host)
-{
-    return connect_with_buffer(host, 0);
-}
-
 static void
 send_request_on(int fd, int key)
 {
@@ -446,17 +394,17 @@
     (void)state;
     start_with_all_keys_held();
     key = cluster.hosts[0].held[0].first;
-    kept = connect_caller(host);
+    kept = cluster_connect_caller(host, 0);
     send_request_on(kept, key);
     cluster_run_for(&cluster, 0.2);
     assert_true(recv(kept, (char[512]){0}, 512, 0) > 0);
     AprGateway_Stop(host->gateway);
     cluster_run_for(&cluster, 2.3);
-    fresh = connect_caller(host);
+    fresh = cluster_connect_caller(host, 0);
     cluster_run_for(&cluster, 0.1);
     send_request_on(kept, key);
     AprIngress_CloseIdleConnections(host->gateway->ingress);
-    backlog = connect_caller(host);
+    backlog = cluster_connect_caller(host, 0);
     send_request_on(backlog, key);
     AprIngress_StopListening(host->gateway->ingress);
     cluster_run_for(&cluster, 0.2);
@@ -485,7 +433,7 @@
     cluster.hosts[0].unresponsive = true;
     AprGateway_Stop(host->gateway);
     cluster_run_for(&cluster, 1.6);
-    fd = connect_caller(host);
+    fd = cluster_connect_caller(host, 0);
     cluster_run_for(&cluster, 0.8);
     runs = cluster.hosts[0].run_count;
     send_request_on(fd, cluster.hosts[0].held[0].first);
@@ -508,7 +456,7 @@
     host->settings.stop_grace_s = 1.2;
     AprGateway_ApplySettings(host->gateway, &host->settings);
     cluster.hosts[0].unresponsive = true;
-    fd = connect_caller(host);
+    fd = cluster_connect_caller(host, 0);
     send_request_on(fd, cluster.hosts[0].held[0].first);
     cluster_run_for(&cluster, 0.1);
     AprGateway_Stop(host->gateway);
@@ -534,8 +482,8 @@
     (void)state;
     start_with_all_keys_held();
     cluster.hosts[0].response_size = 250000;
-    limit_send_buffers(host, 4096);
-    fd = connect_with_buffer(host, 4096);
+    cluster_limit_send_buffers(host, 4096);
+    fd = cluster_connect_caller(host, 4096);
     AprGateway_Stop(host->gateway);
     send_request_on(fd, cluster.hosts[0].held[0].first);
     cluster_run_for(&cluster, 3.2);
