Read a caller's connection again after an upload

Cause: reading was resumed only while the body was still being read, so that bytes taken after its end did not resume it.

Change: should_pause_reading() alone decides, from the number of requests that wait and the body that is being read, after each change of either.

Test: test_upload_leaves_caller_connection_readable failed before (no answer instead of 200).

--- a/internal/exchange.h
+++ b/internal/exchange.h
@@ -78,6 +78,7 @@
 void AprExchange_WriteError(AprStream_t *stream, int status);
 
 /* Implemented in ingress.c. Both may free the connection. */
+void AprEntry_UpdateReading(AprCallerConn_t *caller);
 void AprEntry_OnExchangeDone(AprCallerConn_t *caller);
 void AprEntry_AbortConn(AprCallerConn_t *caller);
 
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -335,11 +335,7 @@
     exchange->unconsumed_body_bytes -= size < exchange->unconsumed_body_bytes
                                            ? size
                                            : exchange->unconsumed_body_bytes;
-    if (exchange->unconsumed_body_bytes <= APR_CALL_WINDOW_BYTES / 2 &&
-        exchange->caller->reading_exchange == exchange &&
-        exchange->caller->stream != NULL) {
-        AprStream_SetReadPaused(exchange->caller->stream, false);
-    }
+    AprEntry_UpdateReading(exchange->caller);
 }
 
 static const AprCallHandlers_t call_handlers = {
@@ -464,9 +460,6 @@
     }
     if (exchange->call_ref.call != NULL) {
         exchange->unconsumed_body_bytes += size;
-        if (exchange->unconsumed_body_bytes > APR_CALL_WINDOW_BYTES) {
-            AprStream_SetReadPaused(exchange->caller->stream, true);
-        }
         exchange->call_ref.ops->write_body(exchange->call_ref.call, data, size,
                                            false);
         return;
--- a/src/gateway/ingress.c
+++ b/src/gateway/ingress.c
@@ -146,6 +146,35 @@
     return true;
 }
 
+/* Returns whether reading from a caller has to stop: too many of its requests
+   wait, or too much of the body that it sends was not taken yet. A body that
+   is complete no longer counts. */
+static bool
+should_pause_reading(const AprCallerConn_t *caller)
+{
+    const AprExchange_t *exchange = caller->reading_exchange;
+    size_t limit = caller->read_paused ? APR_CALL_WINDOW_BYTES / 2
+                                       : APR_CALL_WINDOW_BYTES;
+
+    if (caller->exchange_count >= MAX_PIPELINED_REQUESTS) {
+        return true;
+    }
+    return exchange != NULL && exchange->call_ref.call != NULL &&
+           exchange->unconsumed_body_bytes > limit;
+}
+
+/* Stops or resumes reading from a caller. To be called after each change of
+   what should_pause_reading() depends on. */
+void
+AprEntry_UpdateReading(AprCallerConn_t *caller)
+{
+    if (caller->closed || caller->stream == NULL) {
+        return;
+    }
+    caller->read_paused = should_pause_reading(caller);
+    AprStream_SetReadPaused(caller->stream, caller->read_paused);
+}
+
 /* Handles an exchange whose response is complete. May free the caller, so it
    does nothing within a parser callback; on_data() calls it again after the
    parse. */
@@ -164,10 +193,8 @@
         first->close_after = true;
         caller->reading_exchange = NULL;
     }
-    if (free_finished_exchanges(caller) && caller->read_paused &&
-        caller->exchange_count < MAX_PIPELINED_REQUESTS) {
-        caller->read_paused = false;
-        AprStream_SetReadPaused(caller->stream, false);
+    if (free_finished_exchanges(caller)) {
+        AprEntry_UpdateReading(caller);
     }
 }
 
@@ -286,11 +313,6 @@
     if (result != APR_OK && !reject_malformed(caller, result)) {
         return;
     }
-    if (caller->exchange_count >= MAX_PIPELINED_REQUESTS &&
-        !caller->read_paused) {
-        caller->read_paused = true;
-        AprStream_SetReadPaused(caller->stream, true);
-    }
     AprEntry_OnExchangeDone(caller);
 }
 
--- a/tests/test_gateway_flow.c
+++ b/tests/test_gateway_flow.c
@@ -105,12 +105,38 @@
     cluster_stop(&cluster);
 }
 
+/* Guards against a caller's connection that is not read again after an upload
+   that waited for a slot of the backend server. */
+static void
+test_upload_leaves_caller_connection_readable(void **state)
+{
+    int key;
+    int fd;
+
+    (void)state;
+    start_with_all_keys_held();
+    key = cluster.hosts[0].held[0].first;
+    for (int i = 0; i < 8; i++) {
+        fd = cluster_connect_caller(&cluster.hosts[1], 0);
+        for (int other = 0; other < 8; other++) {
+            cluster_send_request(&cluster, 0, key, "GET");
+        }
+        send_request(fd, "POST", key, LONG_BODY_BYTES);
+        assert_int_equal(read_response(fd, 4), 200);
+        send_request(fd, "POST", key, 0);
+        assert_int_equal(read_response(fd, 4), 200);
+        close(fd);
+    }
+    cluster_stop(&cluster);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(
             test_long_response_leaves_backend_connection_readable),
+        cmocka_unit_test(test_upload_leaves_caller_connection_readable),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
