--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -66,6 +66,9 @@
 /* Number of buckets in the histogram of response times. */
 #define APR_DURATION_BUCKETS 10
 
+/* Retry-After of a stopping process, which usually has restarted by then. */
+#define APR_RESTART_RETRY_AFTER_MS 1500
+
 /* Steps of a graceful shutdown. */
 typedef enum AprStopStep_t {
     APR_STOP_NONE,
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -27,9 +27,6 @@
 /* Retry-After of failures whose end is not known. */
 #define RETRY_AFTER_DEFAULT_MS 200
 
-/* Retry-After of requests that the next process of this host is to answer. */
-#define RESTART_RETRY_AFTER_MS 1500
-
 /* Least part of a request's time limit that must be left for a retry. */
 #define MIN_RETRY_TIME_FRACTION 0.3
 
@@ -709,7 +706,7 @@
         !AprStopPlan_Accepts(&gateway->stop_plan, exchange->received_ms,
                              head->deadline_ms)) {
         reject_after_body(exchange, 503, "stopping");
-        exchange->reject_retry_after_ms = RESTART_RETRY_AFTER_MS;
+        exchange->reject_retry_after_ms = APR_RESTART_RETRY_AFTER_MS;
         return;
     }
     head->deadline_ms = AprGateway_LimitDeadline(gateway, head->deadline_ms);
--- a/src/gateway/link_calls.c
+++ b/src/gateway/link_calls.c
@@ -5,10 +5,6 @@
 
 #include "internal/gateway_link.h"
 
-/* Retry delay sent by a stopping process, which usually has restarted by
-   then. */
-#define RESTART_RETRY_AFTER_MS 1500
-
 /* A call that this host sent to another one. */
 typedef struct OutboundCall_t {
     AprGatewayLink_t *link;
@@ -179,7 +175,7 @@
     subtract_queueing_delay(link, frame);
     if (link->gateway->stop_step >= APR_STOP_REFUSE_PEERS) {
         failure.error = APR_CALL_LEAVING;
-        failure.retry_after_ms = RESTART_RETRY_AFTER_MS;
+        failure.retry_after_ms = APR_RESTART_RETRY_AFTER_MS;
         send_failure(link, frame->stream, &failure);
         return;
     }
@@ -405,7 +401,7 @@
 AprLinkCalls_OnGoaway(AprGatewayLink_t *link, int64_t last_stream)
 {
     AprCallFailure_t failure = {APR_CALL_UNREACHABLE, true,
-                                RESTART_RETRY_AFTER_MS};
+                                APR_RESTART_RETRY_AFTER_MS};
     GHashTableIter calls;
     gpointer value;
 
