Keep the entry of a host open while its backend server is unresponsive

Cause: AprMembers_FormatOwnEntry() wrote open=0 while the backend server was unresponsive. That state ends with the response to a request, and an entry with open=0 keeps all requests away; nothing writes the entry again.

Change: the entry says what heartbeats decide: registered, no drain, reachable. Load reports tell of an unresponsive server, and expire after a second.

--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -816,6 +816,15 @@
                                          DRAIN_REFUSAL_MARGIN_MS);
 }
 
+/* Returns whether other hosts may send requests, as far as heartbeats decide
+   it: the next one ends each state in which this is false, except a drain. */
+bool
+AprBackend_IsOpen(const AprBackend_t *backend)
+{
+    return AprBackend_AcceptsCalls(backend) && !backend->leaving &&
+           !backend->unreachable;
+}
+
 /* Returns whether the backend server has refused several connections in a row
    since its last heartbeat, so that it no longer holds any keys. */
 bool
@@ -867,9 +876,7 @@
     load->wait_ms = AprAdmission_ExpectedWaitMs(
         &backend->admission, 0, AprGateway_NowMs(backend->gateway));
     load->load_permille = (int)(AprBackend_RelativeDemand(backend) * 1000);
-    load->accepts_calls = AprBackend_AcceptsCalls(backend) &&
-                          !backend->leaving && !backend->unreachable &&
-                          !backend->unresponsive;
+    load->accepts_calls = AprBackend_IsOpen(backend) && !backend->unresponsive;
 }
 
 /* Returns whether the response to a sent call is not complete in time. */
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -183,7 +183,9 @@
 }
 
 /* Returns the entry of this host for the store as JSON text, which the caller
-   frees with free(), or NULL when memory runs out. */
+   frees with free(), or NULL when memory runs out. The entry says nothing of
+   an unresponsive backend server: it would keep away the requests whose
+   responses end that state. Load reports, which expire, tell of it. */
 char *
 AprMembers_FormatOwnEntry(const AprGateway_t *gateway)
 {
@@ -205,7 +207,8 @@
         settings->failure_domain, "service", settings->backend_service, "id",
         incarnation->id, "born", (json_int_t)incarnation->started_ms, "slots",
         load.slots, "capacity", relay_capacity(settings), "open",
-        load.accepts_calls && incarnation->id[0] != '\0', "leaving", leaving);
+        AprBackend_IsOpen(gateway->backend) && incarnation->id[0] != '\0',
+        "leaving", leaving);
     text = json_dumps(root, JSON_COMPACT);
     json_decref(root);
     return text;
--- a/tests/test_gateway_cluster.c
+++ b/tests/test_gateway_cluster.c
@@ -316,6 +316,52 @@
     cluster_stop(&cluster);
 }
 
+/* Makes the service one without keys: any host may serve any request. */
+static void
+stop_owning_keys(void)
+{
+    for (int i = 0; i < CLUSTER_HOSTS; i++) {
+        cluster.hosts[i].gateway->routes->services[0].owns_keys = false;
+    }
+}
+
+/* Sends 200 requests, one every 20 ms, and returns how many of them get a
+   response with status 200. `host` gets them all, or each host in turn if it
+   is negative. */
+static int
+count_served_requests(int host)
+{
+    int answered = cluster.answered;
+
+    for (int i = 0; i < 200; i++) {
+        cluster_send_request(&cluster, host < 0 ? i % CLUSTER_HOSTS : host, 1,
+                             "GET");
+        cluster_run_for(&cluster, 0.02);
+    }
+    cluster_run_for(&cluster, 0.5);
+    return cluster.answered - answered;
+}
+
+/* Guards against a service without keys that stays unavailable after all its
+   backend servers were unresponsive during a heartbeat (soak seed 603912). */
+static void
+test_unresponsive_backends_are_used_again(void **state)
+{
+    (void)state;
+    start_with_all_keys_held();
+    stop_owning_keys();
+    for (int i = 0; i < CLUSTER_HOSTS; i++) {
+        cluster.hosts[i].unresponsive = true;
+    }
+    count_served_requests(-1);
+    for (int i = 0; i < CLUSTER_HOSTS; i++) {
+        cluster.hosts[i].unresponsive = false;
+    }
+    cluster_run_for(&cluster, 1.0);
+    assert_int_equal(count_served_requests(-1), 200);
+    cluster_stop(&cluster);
+}
+
 /* Accepts the pending connections of a listening socket and returns the number
    of requests in the data received on them. */
 static int
@@ -508,6 +554,7 @@
         cmocka_unit_test(test_items_are_sent_once),
         cmocka_unit_test(test_planned_stop_cuts_no_request),
         cmocka_unit_test(test_unresponsive_backend_is_avoided),
+        cmocka_unit_test(test_unresponsive_backends_are_used_again),
         cmocka_unit_test(test_sent_request_is_not_answered_as_not_run),
         cmocka_unit_test(test_http_1_0_caller_gets_unchunked_body),
         cmocka_unit_test(test_abandoned_request_is_dropped),
