Test an unresponsive own backend server when no other host is left

Cause: a host reads the load of its own backend server afresh for each request, so the limit of a second on reports of refusal never applies to it.

Change: when no host is left, the request goes to the own unresponsive backend server if no other request is there.

--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -825,6 +825,15 @@
            !backend->unreachable;
 }
 
+/* Returns whether the next request may test an unresponsive backend server:
+   only the response to a request ends that state. */
+bool
+AprBackend_IsProbeDue(const AprBackend_t *backend)
+{
+    return backend->unresponsive && AprBackend_IsOpen(backend) &&
+           AprBackend_CountCalls(backend) == 0;
+}
+
 /* Returns whether the backend server has refused several connections in a row
    since its last heartbeat, so that it no longer holds any keys. */
 bool
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -393,6 +393,18 @@
            now_ms - member->load_report_ms < REFUSAL_REPORT_VALID_MS;
 }
 
+/* Returns whether the unresponsive backend server of this host may be tested
+   with a request of a service. Other hosts send requests again when its load
+   report has expired; requests that come only here need this rule. */
+static bool
+may_probe_own_backend(const AprMembers_t *members, const AprHost_t *member,
+                      GQuark service_id)
+{
+    return member->is_self && member->service_id == service_id &&
+           member->accepts_calls && member->incarnation.id[0] != '\0' &&
+           AprBackend_IsProbeDue(members->gateway->backend);
+}
+
 /* Chooses the host for a request that any backend server of a service can
    handle. Hosts in `tried` are excluded. Returns NULL when no host is left.
    The pointer is valid until the next AprMembers_ApplyEntry(). */
@@ -435,5 +447,13 @@
             best_candidate = candidate;
         }
     }
+    for (int i = 0; i < members->host_count && best == NULL; i++) {
+        AprHost_t *member = &members->hosts[i];
+
+        if (may_probe_own_backend(members, member, service_id) &&
+            !was_tried(member->host, tried, tried_count)) {
+            best = member;
+        }
+    }
     return best;
 }
--- a/tests/test_gateway_cluster.c
+++ b/tests/test_gateway_cluster.c
@@ -362,6 +362,27 @@
     cluster_stop(&cluster);
 }
 
+/* Guards against a host that never uses its own backend server again, because
+   no other host sends the request whose response would show that it responds
+   again. */
+static void
+test_only_backend_is_used_again(void **state)
+{
+    (void)state;
+    start_with_all_keys_held();
+    stop_owning_keys();
+    for (int i = 1; i < CLUSTER_HOSTS; i++) {
+        cluster.hosts[i].leaving = true;
+    }
+    cluster_run_for(&cluster, 2.0);
+    cluster.hosts[0].unresponsive = true;
+    count_served_requests(0);
+    cluster.hosts[0].unresponsive = false;
+    cluster_run_for(&cluster, 1.0);
+    assert_int_equal(count_served_requests(0), 200);
+    cluster_stop(&cluster);
+}
+
 /* Accepts the pending connections of a listening socket and returns the number
    of requests in the data received on them. */
 static int
@@ -555,6 +576,7 @@
         cmocka_unit_test(test_planned_stop_cuts_no_request),
         cmocka_unit_test(test_unresponsive_backend_is_avoided),
         cmocka_unit_test(test_unresponsive_backends_are_used_again),
+        cmocka_unit_test(test_only_backend_is_used_again),
         cmocka_unit_test(test_sent_request_is_not_answered_as_not_run),
         cmocka_unit_test(test_http_1_0_caller_gets_unchunked_body),
         cmocka_unit_test(test_abandoned_request_is_dropped),
