--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -72,6 +72,7 @@
     AprKvStore_t kv;
     AprGateway_t *gateway;    /* NULL: not running */
     AprHttpServer_t *backend; /* NULL: not running */
+    bool external_backend;    /* the test serves the address of `backend` */
     AprBackendIncarnation_t incarnation;
     int64_t sequence;
     bool leaving;
@@ -669,7 +670,8 @@
 
     (void)loop;
     (void)events;
-    if (host->backend == NULL || host->gateway == NULL) {
+    if ((host->backend == NULL && !host->external_backend) ||
+        host->gateway == NULL) {
         return;
     }
     heartbeat.incarnation = host->incarnation;
