--- a/tests/test_gateway_bodies.c
+++ b/tests/test_gateway_bodies.c
@@ -199,7 +199,8 @@
 /* A caller with one connection at a time and one request at a time. */
 typedef struct Caller_t {
     int host;
-    int fd;
+    bool active; /* has a request */
+    int fd;      /* negative: not connected */
     AprHttpParser_t *parser;
     AprBuffer_t request;     /* bytes to send */
     size_t bytes_until_exit; /* sent and received; then the caller leaves */
@@ -416,6 +417,7 @@
     for (int i = 0; i < CALLERS; i++) {
         callers[i].host = i % 3;
         callers[i].fd = -1;
+        callers[i].active = true;
         begin_request(&callers[i]);
     }
     for (int active = CALLERS; active > 0;) {
@@ -424,7 +426,7 @@
         for (int i = 0; i < CALLERS; i++) {
             Caller_t *caller = &callers[i];
 
-            if (caller->sent_at == 0) {
+            if (!caller->active) {
                 continue;
             }
             active++;
@@ -432,8 +434,8 @@
                 continue;
             }
             finish_request(caller, &served);
-            caller->sent_at = 0;
-            if (begun < requests) {
+            caller->active = begun < requests;
+            if (caller->active) {
                 begun++;
                 begin_request(caller);
             }
