--- a/include/apricot/gateway_settings.h
+++ b/include/apricot/gateway_settings.h
@@ -6,6 +6,13 @@
 #include "apricot/record.h"
 #include "apricot/route_table.h"
 
+/* When requests and keys are placed by learned costs and reported load. */
+typedef enum AprBalancingMode_t {
+    APR_BALANCING_AUTO, /* if the configuration declares uneven work */
+    APR_BALANCING_OFF,
+    APR_BALANCING_ON
+} AprBalancingMode_t;
+
 /* Settings of one apricot-gateway process. */
 typedef struct AprGatewaySettings_t {
     char host[APR_NAME_SIZE];
@@ -32,6 +39,18 @@
     double stop_grace_s;
     double retry_ratio; /* retries per request, over all hosts */
     double retry_extra; /* additional retries per window, over all hosts */
+    /* A cold backend server gets at most its configured requests a second,
+       times cold_over, plus cold_slack, in any second. */
+    double cold_over;
+    double cold_slack;
+    double cold_probe_ms; /* interval of health probes; 0: none */
+    /* Time until an evacuated failure domain gets no more requests; 0:
+       evacuation is not used. */
+    double evacuation_deadline_s;
+    double memory_mb;   /* that this process may use */
+    double descriptors; /* that this process may open */
+    char balancing[16]; /* name of the mode */
+    AprBalancingMode_t balancing_mode;
     AprLogLevel_t log_level;
 } AprGatewaySettings_t;
 
--- a/include/apricot/route_table.h
+++ b/include/apricot/route_table.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #define APR_ROUTE_NAME_SIZE 64
+#define APR_HEALTH_PATH_SIZE 128
 #define APR_MAX_ROUTE_SERVICES 8
 
 /* A service that receives a weighted share of a route's requests. */
@@ -36,6 +37,9 @@
     char name[APR_ROUTE_NAME_SIZE];
     int max_connections; /* that one backend server accepts in total */
     bool owns_keys; /* each key is owned by one backend server exclusively */
+    /* Requests a second that a cold backend server tolerates; 0: no limit. */
+    double cold_requests_per_s;
+    char health_path[APR_HEALTH_PATH_SIZE]; /* "": none */
 } AprServiceSpec_t;
 
 /* Limits for requests and connections of callers. */
@@ -54,6 +58,9 @@
     AprServiceSpec_t *services;
     int service_count;
     AprCallerLimits_t limits;
+    /* The costs of requests vary widely: there are routes for large bodies, or
+       services with a limit for cold backend servers. */
+    bool uneven_work;
     void *index; /* GHashTable from host name and prefix to AprRoute_t */
 } AprRouteTable_t;
 
--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -126,6 +126,13 @@
    that arrives with this time limit. */
 int64_t AprGateway_EstimateWaitedMs(AprGateway_t *gateway, const char *route,
                                     int64_t limit_ms);
+/* Returns whether learned costs and reported load decide on the placement of
+   requests and keys. */
+bool AprGateway_IsBalancingAdaptive(const AprGateway_t *gateway);
+/* Returns the configuration of the local backend server's service, or NULL
+   while it is not known. */
+const AprServiceSpec_t *
+AprGateway_GetBackendService(const AprGateway_t *gateway);
 void AprGateway_GetLoad(AprGateway_t *gateway, AprHostLoad_t *load);
 char *AprGateway_FormatState(AprGateway_t *gateway);
 /* Adds a request to the histogram of response times. */
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -107,6 +107,32 @@
     }
 }
 
+bool
+AprGateway_IsBalancingAdaptive(const AprGateway_t *gateway)
+{
+    switch (gateway->settings.balancing_mode) {
+    case APR_BALANCING_ON:
+        return true;
+    case APR_BALANCING_OFF:
+        return false;
+    default:
+        return gateway->routes != NULL && gateway->routes->uneven_work;
+    }
+}
+
+const AprServiceSpec_t *
+AprGateway_GetBackendService(const AprGateway_t *gateway)
+{
+    int service;
+
+    if (gateway->routes == NULL) {
+        return NULL;
+    }
+    service = AprRouteTable_FindService(gateway->routes,
+                                        gateway->settings.backend_service);
+    return service < 0 ? NULL : &gateway->routes->services[service];
+}
+
 /* Fills in the load that this host reports to others. */
 void
 AprGateway_GetLoad(AprGateway_t *gateway, AprHostLoad_t *load)
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -1,5 +1,6 @@
 #include "apricot/gateway_settings.h"
 
+#include <glib.h>
 #include <string.h>
 
 #include "internal/settings_file.h"
@@ -59,12 +60,50 @@
      "retries per request, over all hosts", 0, 0},
     {"retry", "extra", APR_FIELD_DOUBLE, NUMBER(retry_extra), 0, 1e6,
      "requests", "60", "additional retries per window, over all hosts", 0, 0},
+    {"cold", "over", APR_FIELD_DOUBLE, NUMBER(cold_over), 1, 100, "", "1.5",
+     "factor on the requests a second that a cold backend server tolerates", 0,
+     0},
+    {"cold", "slack", APR_FIELD_DOUBLE, NUMBER(cold_slack), 0, 1e6, "requests",
+     "8", "additional requests in a second to a cold backend server", 0, 0},
+    {"cold", "probe_ms", APR_FIELD_DOUBLE, NUMBER(cold_probe_ms), 0, 60000,
+     "ms", "250",
+     "interval of health probes that tell whether a backend server is cold; "
+     "0: none",
+     0, 0},
+    {"evacuation", "deadline_s", APR_FIELD_DOUBLE,
+     NUMBER(evacuation_deadline_s), 0, 600, "s", "0",
+     "time until an evacuated failure domain gets no more requests; 0: "
+     "evacuation is not used",
+     0, 0},
+    {"limits", "memory_mb", APR_FIELD_DOUBLE, NUMBER(memory_mb), 16, 1e6, "MB",
+     "256", "memory that this process may use", 0, 0},
+    {"limits", "descriptors", APR_FIELD_DOUBLE, NUMBER(descriptors), 64, 1e6,
+     "descriptors", "4096", "descriptors that this process may open", 0, 0},
+    {"balancing", "mode", APR_FIELD_NAME, TEXT(balancing), 2, 4, CHARACTERS,
+     "auto", "on, off or auto: whether learned costs decide on placement", 0,
+     0},
     {"log", "level", APR_FIELD_LEVEL, TEXT(log_level), 1, 8, CHARACTERS,
      "info", "error, warn, info or debug", 0, 0},
 };
 
 #define FIELD_COUNT ((int)(sizeof(fields) / sizeof(fields[0])))
 
+static const char *const balancing_names[] = {"auto", "off", "on"};
+
+/* Sets the mode that settings->balancing names. Returns APR_OK or
+   APR_E_INVALID. */
+static int
+parse_balancing_mode(AprGatewaySettings_t *settings)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(balancing_names); i++) {
+        if (strcmp(settings->balancing, balancing_names[i]) == 0) {
+            settings->balancing_mode = (AprBalancingMode_t)i;
+            return APR_OK;
+        }
+    }
+    return APR_E_INVALID;
+}
+
 /* Reads and validates a settings file. Returns APR_OK, or APR_E_INVALID with
    the file, line, field and correction in one line of error->detail. */
 int
@@ -73,9 +112,17 @@
 {
     AprSettingsFile_t load = {path, error, false};
     AprFieldLines_t lines;
+    int result;
 
     memset(settings, 0, sizeof(*settings));
-    return AprSettingsFile_Read(&load, fields, FIELD_COUNT, settings, &lines);
+    result =
+        AprSettingsFile_Read(&load, fields, FIELD_COUNT, settings, &lines);
+    if (result == APR_OK && parse_balancing_mode(settings) != APR_OK) {
+        return AprError_Set(error, APR_E_INVALID, APR_STEP_SETTINGS, path,
+                            "%s: balancing.mode: choose on, off or auto",
+                            path);
+    }
+    return result;
 }
 
 /* Returns the unit, range and default of each field, one per line. The caller
