Retry shed requests of keyed services

A backend server that sheds part of its requests answers 503 although it has free slots. For a keyed service the failure went to the caller at once, with a Retry-After of 200 ms. With adaptive balancing such a request is sent again, within attempts and retry budget, and the Retry-After is 50 ms.

--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -27,6 +27,10 @@
 /* Retry-After of failures whose end is not known. */
 #define RETRY_AFTER_DEFAULT_MS 200
 
+/* Retry-After of a request that a backend server shed although it had a free
+   slot. A short one still leaves time to meet the objective. */
+#define SHED_RETRY_AFTER_MS 50
+
 /* Least part of a request's time limit that must be left for a retry. */
 #define MIN_RETRY_TIME_FRACTION 0.3
 
@@ -160,9 +164,14 @@
 static void
 respond_with_failure(AprExchange_t *exchange, const AprCallFailure_t *failure)
 {
-    int64_t after_ms = failure->retry_after_ms > 0 ? failure->retry_after_ms
-                                                   : RETRY_AFTER_DEFAULT_MS;
+    int64_t after_ms = failure->retry_after_ms;
 
+    if (after_ms <= 0) {
+        after_ms = failure->error == APR_CALL_SHED &&
+                           AprGateway_IsBalancingAdaptive(exchange->gateway)
+                       ? SHED_RETRY_AFTER_MS
+                       : RETRY_AFTER_DEFAULT_MS;
+    }
     if (!exchange->may_have_run || exchange->head.idempotent) {
         if (failure->not_run) {
             send_gateway_response(exchange, 503, after_ms,
@@ -212,15 +221,27 @@
                AprGateway_GetRetryBudget(exchange->gateway));
 }
 
+/* Returns whether the owner of a key has refused the request, so that another
+   attempt would be refused as well. With adaptive balancing, a shed request is
+   tried again: the owner had a free slot, and only its backend server did not
+   take this request. */
+static bool
+is_owner_refusal(const AprExchange_t *exchange,
+                 const AprCallFailure_t *failure)
+{
+    return exchange->keyed && failure->not_run &&
+           failure->error != APR_CALL_NOT_OWNER &&
+           failure->error != APR_CALL_UNREACHABLE &&
+           (failure->error != APR_CALL_SHED ||
+            !AprGateway_IsBalancingAdaptive(exchange->gateway));
+}
+
 /* Handles a failed attempt: retries it, on another host if the service is not
    keyed, or responds with the failure. */
 static void
 on_call_failed(void *context, const AprCallFailure_t *failure)
 {
     AprExchange_t *exchange = context;
-    bool keyed_refusal = exchange->keyed && failure->not_run &&
-                         failure->error != APR_CALL_NOT_OWNER &&
-                         failure->error != APR_CALL_UNREACHABLE;
 
     exchange->call_ref.call = NULL;
     exchange->last_failure = *failure;
@@ -232,7 +253,7 @@
         AprEntry_AbortConn(exchange->caller);
         return;
     }
-    if (keyed_refusal || !may_retry(exchange, failure)) {
+    if (is_owner_refusal(exchange, failure) || !may_retry(exchange, failure)) {
         respond_with_failure(exchange, failure);
         return;
     }
