Go on with the removal of a lost host after a restart

A restarted process does not know the lease of a lost host, since the entry that named it is gone. It started the removal over and waited 10 s for a lease that might still be renewed. A fence now says whether the lease had ended before it was written, and the next process goes on from there.

--- a/src/gateway/removal_queue.c
+++ b/src/gateway/removal_queue.c
@@ -7,6 +7,7 @@
 #include "apricot/error.h"
 #include "apricot/log.h"
 #include "internal/gateway.h"
+#include "internal/store_cache_state.h"
 
 /* A host must be missing for this long before its removal starts, so that a
    restart of its process moves no keys. */
@@ -21,6 +22,11 @@
 
 #define STORE_KEY_SIZE 200
 
+/* Ends the value of a fence that was written after the end of the host's known
+   lease, so that another process can go on with the removal: it does not know
+   the lease, because the entry that named it is gone. */
+#define LEASE_ENDED_MARK " lease_ended"
+
 static AprHostRemoval_t *
 find_removal(AprRemovalQueue_t *queue, const char *host)
 {
@@ -141,9 +147,9 @@
 write_fence(AprHostRemoval_t *removal)
 {
     const AprKvStore_t *kv = removal->gateway->kv;
-    const char *host = removal->gateway->settings.host;
     char member[STORE_KEY_SIZE];
     char fence[STORE_KEY_SIZE];
+    char value[STORE_KEY_SIZE];
     AprKvTransaction_t transaction = {0};
 
     format_store_key(removal, "hosts", member);
@@ -151,13 +157,39 @@
     transaction.conditions[0].key = member;
     transaction.condition_count = 1;
     transaction.writes[0].key = fence;
-    transaction.writes[0].value = host;
-    transaction.writes[0].value_size = strlen(host);
+    snprintf(value, sizeof(value), "%s%s", removal->gateway->settings.host,
+             removal->lease_id != 0 ? LEASE_ENDED_MARK : "");
+    transaction.writes[0].value = value;
+    transaction.writes[0].value_size = strlen(value);
     transaction.write_count = 1;
     removal->call_pending = true;
     kv->commit(kv->self, &transaction, on_fence_written, removal);
 }
 
+/* Goes on from the fence that an earlier process wrote, if the lease had ended
+   before. The host has not registered since, or the fence would be gone, so
+   its last grant ends within the longest grant from now. Returns false when
+   there is no such fence. */
+static bool
+resume_from_fence(AprHostRemoval_t *removal)
+{
+    char key[STORE_KEY_SIZE];
+    const AprItem_t *fence;
+
+    format_store_key(removal, "fences", key);
+    fence = AprStoreCache_FindItem(removal->gateway->store_cache, key);
+    if (fence == NULL || fence->removed ||
+        !g_str_has_suffix(fence->value, LEASE_ENDED_MARK)) {
+        return false;
+    }
+    removal->fence_revision = fence->revision;
+    removal->lease_ended_ms = AprGateway_NowMs(removal->gateway);
+    enter_step(removal, APR_REMOVAL_FENCED);
+    AprLog_Write(APR_LOG_INFO, "host_removal_resumed", "peer=%s revision=%lld",
+                 removal->host, (long long)fence->revision);
+    return true;
+}
+
 static bool
 reassign_keys(AprHostRemoval_t *removal, AprRemovalReassign_t reassign,
               void *context)
@@ -188,6 +220,9 @@
         if (now_ms - removal->step_since_ms < MIN_MISSING_MS) {
             return;
         }
+        if (removal->lease_id == 0 && resume_from_fence(removal)) {
+            return;
+        }
         AprLog_Write(APR_LOG_WARN, "host_missing", "peer=%s lease=%lld",
                      removal->host, (long long)removal->lease_id);
         removal->step = APR_REMOVAL_CALL_PENDING;
--- a/tests/test_gateway_restart.c
+++ b/tests/test_gateway_restart.c
@@ -73,6 +73,52 @@
     cluster_stop(&cluster);
 }
 
+static bool
+is_in_store(const char *key)
+{
+    for (int i = 0; i < cluster.store.item_count; i++) {
+        const StoreItem_t *item = &cluster.store.items[i];
+
+        if (strcmp(item->key, key) == 0) {
+            return !item->removed;
+        }
+    }
+    return false;
+}
+
+/* Guards against a removal that starts over when the process that performs it
+   restarts after it has written the fence. The new process does not know the
+   lease of the lost host, and used to wait until any lease would have ended:
+   ten seconds more, as it happened with thirteen hosts in one deployment. */
+static void
+test_restart_goes_on_with_a_removal(void **state)
+{
+    ClusterHost_t *planner = &cluster.hosts[0];
+    ClusterHost_t *lost = &cluster.hosts[3];
+    char fence[128];
+    double waited_s = 0;
+
+    (void)state;
+    start_with_all_keys_held();
+    snprintf(fence, sizeof(fence), "apricot/fences/%s", lost->settings.host);
+    host_kill_gateway(lost);
+    host_kill_backend(lost);
+    while (!is_in_store(fence) && waited_s < 10) {
+        cluster_run_for(&cluster, 0.05);
+        waited_s += 0.05;
+    }
+    assert_true(is_in_store(fence));
+    host_kill_gateway(planner);
+    cluster_run_for(&cluster, 0.3);
+    host_start_gateway(planner);
+    waited_s = cluster_wait_until_held(&cluster, 20);
+    print_message("held again after %.1f s\n", waited_s);
+    /* Missing for 2 s, the last grant within 5 s, and a heartbeat. */
+    assert_true(waited_s < 10);
+    assert_int_equal(cluster.overlaps, 0);
+    cluster_stop(&cluster);
+}
+
 static void
 send_heartbeat(ClusterHost_t *host, int64_t born, int64_t sequence,
                bool leaving)
@@ -529,6 +575,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_restart_does_not_bring_back_a_lost_host),
+        cmocka_unit_test(test_restart_goes_on_with_a_removal),
         cmocka_unit_test(test_restart_does_not_bring_back_a_leaving_server),
         cmocka_unit_test(test_deregistration_before_first_heartbeat_binds),
         cmocka_unit_test(test_deregistration_of_unknown_server_binds),
