Limit the requests a second to a cold backend server

A backend server works slowly for some time after its start and crashes when it gets many more requests than coldPerS; until now its gateway sent it as many as its slots and its speed allowed. The new decision module keeps at most coldPerS x over + slack requests in any 1.1 s, sends at coldPerS x over with a burst of a quarter of a second, and counts resends. Send times are kept while warm as well, so that a backend server that becomes cold is not sent more until the window has passed. A new process starts with an empty allowance that grows by coldPerS for 1.1 s. Expected waits follow, so that the excess is refused at once as not run. While cold the host reports the slots that the rate can use; its entry in the store keeps the full number. Requests that reach the gateway before the configuration are refused while the backend server is cold.

--- a/include/apricot/admission.h
+++ b/include/apricot/admission.h
@@ -81,6 +81,8 @@
 void AprAdmission_Init(AprAdmission_t *admission, int slots);
 void AprAdmission_SetRequestLimit(AprAdmission_t *admission, double per_s,
                                   int64_t now_ms);
+void AprAdmission_DelayStarts(AprAdmission_t *admission, int64_t wait_ms,
+                              int64_t now_ms);
 void AprAdmission_CountSent(AprAdmission_t *admission, int64_t now_ms);
 int64_t AprAdmission_AllowanceWaitMs(const AprAdmission_t *admission,
                                      int64_t now_ms);
--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -162,6 +162,8 @@
 bool AprBackend_IsOpen(const AprBackend_t *backend);
 bool AprBackend_IsProbeDue(const AprBackend_t *backend);
 bool AprBackend_IsUnreachable(const AprBackend_t *backend);
+bool AprBackend_IsCold(const AprBackend_t *backend);
+int AprBackend_CountSlots(const AprBackend_t *backend);
 int AprBackend_CountCalls(const AprBackend_t *backend);
 /* Returns the request with the given id if the backend server runs it now,
    else NULL. */
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -9,6 +9,7 @@
 #include "apricot/admission.h"
 #include "apricot/error.h"
 #include "apricot/log.h"
+#include "internal/backend_cold.h"
 #include "internal/backend_conn.h"
 #include "internal/gateway.h"
 
@@ -49,6 +50,7 @@
 struct AprBackend_t {
     AprGateway_t *gateway;
     AprAdmission_t admission;
+    AprBackendCold_t cold;
     AprBackendIncarnation_t incarnation; /* empty id: no heartbeat yet */
     bool leaving;
     int64_t leaving_since_ms;
@@ -102,6 +104,7 @@
     if (backend != NULL) {
         backend->gateway = gateway;
         AprAdmission_Init(&backend->admission, DEFAULT_SLOTS);
+        AprBackendCold_Init(&backend->cold, gateway, &backend->admission);
         backend->notice.request_limit = APR_NO_REQUEST_LIMIT;
         ev_timer_init(&backend->allowance_timer, on_allowance_timer, 0.0, 0.0);
         backend->allowance_timer.data = backend;
@@ -128,6 +131,9 @@
 
     AprAdmission_Finish(&backend->admission, (uint64_t)call->id,
                         AprGateway_NowMs(backend->gateway), measured);
+    if (measured) {
+        AprBackendCold_AddServiceTime(&backend->cold, call->started_ms);
+    }
     free_call(call);
     start_queued_calls(backend);
 }
@@ -226,9 +232,7 @@
 {
     log_notice_changes(backend, notice);
     if (notice->request_limit != backend->notice.request_limit) {
-        AprAdmission_SetRequestLimit(&backend->admission,
-                                     notice->request_limit,
-                                     AprGateway_NowMs(backend->gateway));
+        AprBackendCold_SetNoticeLimit(&backend->cold, notice->request_limit);
     }
     if (notice->leaving && !backend->notice.leaving) {
         AprOwnership_OnBackendLeaving(backend->gateway->ownership,
@@ -371,7 +375,7 @@
        is resent once. */
     if (outcome == APR_CONN_BROKEN && !answered && !first_use &&
         call->head.idempotent && !call->resent && !call->detached &&
-        call->body_buffered) {
+        call->body_buffered && AprBackendCold_MayStart(&backend->cold)) {
         call->resent = true;
         AprBackend_SendOnConn(call);
         return;
@@ -404,7 +408,7 @@
                                     "backend_connections_total", "");
     }
     backend->sent_requests++;
-    AprAdmission_CountSent(&backend->admission, now_ms);
+    AprBackendCold_CountSent(&backend->cold);
     AprGateway_IncrementCounter(backend->gateway, "backend_requests_total",
                                 "");
     AprBackendConn_SendRequest(conn, call, &backend->incarnation, now_ms);
@@ -423,6 +427,7 @@
         AprCallFailure_t failure = {APR_CALL_FULL, true,
                                     decision.retry_after_ms};
 
+        AprBackendCold_CountRefused(&backend->cold);
         if (call != NULL) {
             fail_call(call, &failure);
         }
@@ -506,7 +511,8 @@
         return;
     }
     backend->starting_calls = true;
-    while (AprAdmission_StartNext(&backend->admission, now_ms, &request)) {
+    while (AprBackendCold_MayStart(&backend->cold) &&
+           AprAdmission_StartNext(&backend->admission, now_ms, &request)) {
         AprBackendCall_t *call = find_call(backend, request.id);
         AprCallFailure_t failure = {APR_CALL_FULL, true, 0};
 
@@ -609,7 +615,7 @@
 AprBackend_RelativeDemand(const AprBackend_t *backend)
 {
     return decayed_demand(backend, AprGateway_NowMs(backend->gateway)) /
-           (DEMAND_WINDOW_MS * backend->admission.slots);
+           (DEMAND_WINDOW_MS * AprBackendCold_UsableSlots(&backend->cold));
 }
 
 /* Multiplies the demand by a factor, to remove the part of keys that move to
@@ -629,6 +635,7 @@
     failure->retry_after_ms =
         (int64_t)(backend->gateway->settings.heartbeat_s * 500);
     if (backend->incarnation.id[0] == '\0' || backend->unreachable ||
+        AprBackendCold_IsLimitUnknown(&backend->cold) ||
         (backend->unresponsive && AprBackend_CountCalls(backend) > 0)) {
         failure->error = APR_CALL_NO_BACKEND;
         return false;
@@ -706,6 +713,7 @@
                                request.expected_service_ms);
     }
     if (!decision.admitted) {
+        AprBackendCold_CountRefused(&backend->cold);
         failure->error = APR_CALL_FULL;
         failure->not_run = true;
         failure->retry_after_ms = decision.retry_after_ms;
@@ -749,14 +757,14 @@
         backend->notice = (AprBackendNotice_t){APR_NO_REQUEST_LIMIT, false};
         backend->notice_known = false;
         backend->sent_requests = 0;
-        AprAdmission_SetRequestLimit(&backend->admission, APR_NO_REQUEST_LIMIT,
-                                     AprGateway_NowMs(backend->gateway));
+        AprBackendCold_SetNoticeLimit(&backend->cold, APR_NO_REQUEST_LIMIT);
     }
     backend->unreachable = false;
     backend->consecutive_refusals = 0;
     backend->admission.slots = heartbeat->slots > APR_ADMISSION_MAX_SLOTS
                                    ? APR_ADMISSION_MAX_SLOTS
                                    : heartbeat->slots;
+    AprBackendCold_Report(&backend->cold, heartbeat->warm_up_ms);
     if (heartbeat->leaving) {
         AprBackend_StartDrain(backend);
     }
@@ -842,6 +850,21 @@
     return backend->unreachable;
 }
 
+/* Returns whether the backend server is cold: it takes fewer requests a second
+   than its slots could run. */
+bool
+AprBackend_IsCold(const AprBackend_t *backend)
+{
+    return backend->cold.cold;
+}
+
+/* Returns the number of slots of the backend server, cold or not. */
+int
+AprBackend_CountSlots(const AprBackend_t *backend)
+{
+    return backend->admission.slots;
+}
+
 /* Returns the current incarnation of the backend server; its id is empty
    before the first heartbeat. Owned by the backend. */
 const AprBackendIncarnation_t *
@@ -881,7 +904,7 @@
 {
     load->running = backend->admission.running_count;
     load->queued = backend->admission.queue_count;
-    load->slots = backend->admission.slots;
+    load->slots = AprBackendCold_UsableSlots(&backend->cold);
     load->wait_ms = AprAdmission_ExpectedWaitMs(
         &backend->admission, 0, AprGateway_NowMs(backend->gateway));
     load->load_permille = (int)(AprBackend_RelativeDemand(backend) * 1000);
@@ -927,6 +950,7 @@
         }
         conn = next;
     }
+    AprBackendCold_Refresh(&backend->cold);
     detect_unresponsive_server(backend, now_ms);
     start_queued_calls(backend);
 }
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -194,19 +194,18 @@
     const AprBackendIncarnation_t *incarnation =
         AprOwnership_GetEntryIncarnation(gateway->ownership, &leaving);
     const char *address = settings->listen_peers;
-    AprHostLoad_t load = {0};
     json_t *root;
     char *text;
 
     if (settings->advertise_peers[0] != '\0') {
         address = settings->advertise_peers;
     }
-    AprBackend_GetLoad(gateway->backend, &load);
     root = json_pack(
         "{s:s,s:s,s:s,s:s,s:I,s:i,s:i,s:b,s:b}", "address", address, "domain",
         settings->failure_domain, "service", settings->backend_service, "id",
         incarnation->id, "born", (json_int_t)incarnation->started_ms, "slots",
-        load.slots, "capacity", relay_capacity(settings), "open",
+        AprBackend_CountSlots(gateway->backend), "capacity",
+        relay_capacity(settings), "open",
         AprBackend_IsOpen(gateway->backend) && incarnation->id[0] != '\0',
         "leaving", leaving);
     text = json_dumps(root, JSON_COMPACT);
--- a/src/state/admission.c
+++ b/src/state/admission.c
@@ -95,6 +95,21 @@
     admission->request_limit = per_s;
 }
 
+/* Lets no request start within `wait_ms`, if there is a limit. The expected
+   waits follow. */
+void
+AprAdmission_DelayStarts(AprAdmission_t *admission, int64_t wait_ms,
+                         int64_t now_ms)
+{
+    double most = 1 - (double)wait_ms * admission->request_limit / 1000.0;
+
+    if (is_limited(admission) && wait_ms > 0 &&
+        current_allowance(admission, now_ms) > most) {
+        admission->allowance = most;
+        admission->allowance_ms = now_ms;
+    }
+}
+
 /* Counts a request that is sent to the backend server, for the first time or
    again, against its limit. */
 void
--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -28,6 +28,10 @@
 #define CLUSTER_MAX_ITEMS 64
 #define CLUSTER_MAX_GRANTS 64
 
+/* Limit of cold backend servers and health path in the configuration. */
+static double cluster_cold_per_s;
+static const char *cluster_health_path = "";
+
 typedef struct StoreItem_t {
     char key[128];
     char *value;
@@ -83,6 +87,7 @@
     bool store_silent;
     bool store_refuses_changes; /* as a response with status 503 does */
     int slots;
+    double cold_until_s; /* loop time */
     AprGrant_t held[CLUSTER_MAX_GRANTS];
     int held_count;
     double held_until_s; /* loop time */
@@ -90,6 +95,8 @@
     int released_count;
     ev_timer heartbeat_timer;
     int run_count;
+    /* Called for each request that the backend server gets; may be NULL. */
+    void (*on_request)(ClusterHost_t *host, const char *path);
     int gateway_generation; /* incremented when the gateway is killed */
 };
 
@@ -678,6 +685,10 @@
     heartbeat.sequence = ++host->sequence;
     heartbeat.slots = host->slots;
     heartbeat.leaving = host->leaving;
+    if (host->cold_until_s > ev_now(loop)) {
+        heartbeat.warm_up_ms =
+            (int64_t)((host->cold_until_s - ev_now(loop)) * 1000) + 1;
+    }
     strcpy(heartbeat.service, CLUSTER_SERVICE);
     strcpy(heartbeat.address, host->settings.backend_address);
     heartbeat.held = host->held;
@@ -730,6 +741,9 @@
     (void)method;
     (void)body;
     (void)size;
+    if (host->on_request != NULL) {
+        host->on_request(host, path);
+    }
     host->run_count++;
     if (host->unresponsive) {
         return;
@@ -876,6 +890,8 @@
     (void)size;
     strcpy(routes->services[0].name, CLUSTER_SERVICE);
     routes->services[0].owns_keys = true;
+    routes->services[0].cold_requests_per_s = cluster_cold_per_s;
+    strcpy(routes->services[0].health_path, cluster_health_path);
     routes->routes[0].host = strdup("desk.example");
     routes->routes[0].prefix = strdup("/");
     strcpy(routes->routes[0].name, "all");
@@ -988,6 +1004,8 @@
         host->settings.hold_max_s = 10;
         host->settings.drain_s = 2;
         host->settings.stop_grace_s = 6;
+        host->settings.cold_over = 1.5;
+        host->settings.cold_slack = 8;
         host_start_backend(host);
         host_start_gateway(host);
         ev_timer_init(&host->heartbeat_timer, host_on_heartbeat_timer,
--- /dev/null
+++ b/tests/test_cold_backend.c
@@ -0,0 +1,215 @@
+/* A cold backend server behind its gateway: how many requests it gets in a
+   second, and what callers are told. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "gateway_cluster.h"
+
+#define START_TIMEOUT_S 6.0
+#define MAX_ARRIVALS 4096
+
+/* The configured limit, and the most requests in a second that follow from it
+   with the cluster's settings: 7.1 x 1.5 + 8 = 18.65. */
+#define PER_S 7.1
+#define MOST 18
+
+static Cluster_t cluster;
+static double arrivals_s[MAX_ARRIVALS]; /* while the backend server is cold */
+static int arrival_count;
+
+/* Records the requests that arrive while the backend server is cold. */
+static void
+record_request(ClusterHost_t *host, const char *path)
+{
+    (void)path;
+    if (ev_time() < host->cold_until_s && arrival_count < MAX_ARRIVALS) {
+        arrivals_s[arrival_count++] = ev_time();
+    }
+}
+
+static int
+most_in_a_second(void)
+{
+    int most = 0;
+    int first = 0;
+
+    for (int i = 0; i < arrival_count; i++) {
+        while (arrivals_s[first] <= arrivals_s[i] - 1.0) {
+            first++;
+        }
+        if (i - first + 1 > most) {
+            most = i - first + 1;
+        }
+    }
+    return most;
+}
+
+static void
+start(double per_s)
+{
+    cluster_cold_per_s = per_s;
+    arrival_count = 0;
+    cluster_start(&cluster);
+    cluster.hosts[0].on_request = record_request;
+    assert_true(cluster_wait_until_held(&cluster, START_TIMEOUT_S) <
+                START_TIMEOUT_S);
+}
+
+static int
+stop(void **state)
+{
+    (void)state;
+    cluster_stop(&cluster);
+    return 0;
+}
+
+/* Sends `per_s` requests a second for a key of host 0 to all hosts in turn. */
+static void
+send_load(double seconds, double per_s)
+{
+    static int key = -1;
+    int count = (int)(seconds * per_s);
+
+    if (cluster.hosts[0].held_count > 0) {
+        key = cluster.hosts[0].held[0].first;
+    }
+    for (int i = 0; i < count; i++) {
+        if (cluster.hosts[i % CLUSTER_HOSTS].gateway != NULL) {
+            cluster_send_request(&cluster, i % CLUSTER_HOSTS, key, "GET");
+        }
+        cluster_run_for(&cluster, 1 / per_s);
+    }
+}
+
+static void
+become_cold(double seconds)
+{
+    ev_now_update(cluster.loop);
+    cluster.hosts[0].cold_until_s = ev_now(cluster.loop) + seconds;
+}
+
+static void
+print_result(const char *test)
+{
+    print_message("%s: %d requests while cold, at most %d in a second; "
+                  "answered %d, refused %d, failed %d, cut %d of %d\n",
+                  test, arrival_count, most_in_a_second(), cluster.answered,
+                  cluster.refused, cluster.failed, cluster.cut, cluster.sent);
+}
+
+/* Guards against a flood that crashes a cold backend server, and against
+   callers who wait for what it will not get. */
+static void
+test_flood(void **state)
+{
+    (void)state;
+    start(PER_S);
+    become_cold(6.0);
+    cluster_run_for(&cluster, 2 * CLUSTER_HEARTBEAT_S);
+    send_load(4.0, 50);
+    cluster_run_for(&cluster, 1.5);
+    print_result("flood");
+    assert_true(most_in_a_second() <= MOST);
+    assert_true(arrival_count >= 4 * PER_S);
+    assert_int_equal(cluster.failed + cluster.cut, 0);
+    assert_int_equal(cluster.answered + cluster.refused, cluster.sent);
+    assert_true(AprMetric_Value(AprMetrics_RegisterCounter(
+                    cluster.hosts[0].gateway->metrics,
+                    "backend_cold_refused_total", "", "")) > 0);
+}
+
+/* Guards against the second in which a backend server becomes cold in the
+   middle of work, and against a limit that outlasts the cold time. */
+static void
+test_becomes_cold_in_the_middle_of_work(void **state)
+{
+    int run_count;
+    int sent;
+
+    (void)state;
+    start(PER_S);
+    send_load(2.0, 30);
+    assert_int_equal(cluster.refused, 0);
+    become_cold(3.0);
+    send_load(3.0, 30);
+    print_result("middle of work");
+    assert_true(most_in_a_second() <= MOST);
+    assert_true(arrival_count >= 2 * PER_S);
+    send_load(1.0, 30);
+    run_count = cluster.hosts[0].run_count;
+    sent = cluster.sent;
+    send_load(1.0, 30);
+    cluster_run_for(&cluster, 0.2);
+    assert_true(cluster.hosts[0].run_count - run_count >=
+                cluster.sent - sent - 2);
+}
+
+/* Guards against a gateway that restarts and does not know what the earlier
+   process sent in the same second. */
+static void
+test_restart_of_the_gateway(void **state)
+{
+    ClusterHost_t *host = &cluster.hosts[0];
+
+    (void)state;
+    start(PER_S);
+    become_cold(9.0);
+    cluster_run_for(&cluster, 2 * CLUSTER_HEARTBEAT_S);
+    for (int i = 0; i < 3; i++) {
+        send_load(1.5, 50);
+        host_kill_gateway(host);
+        host_start_gateway(host);
+    }
+    send_load(1.5, 50);
+    print_result("restart");
+    assert_true(most_in_a_second() <= MOST);
+    assert_true(arrival_count >= 3 * PER_S);
+}
+
+/* Guards against bursts of a backend server that changes between cold and
+   warm: it gets its bound at each change at most once. */
+static void
+test_flapping(void **state)
+{
+    (void)state;
+    start(PER_S);
+    for (int i = 0; i < 6; i++) {
+        become_cold(0.7);
+        send_load(1.1, 25);
+    }
+    print_result("flapping");
+    assert_true(most_in_a_second() <= MOST);
+}
+
+/* Guards against a limit where none is configured. */
+static void
+test_no_limit_without_configuration(void **state)
+{
+    (void)state;
+    start(0);
+    become_cold(3.0);
+    send_load(2.0, 50);
+    cluster_run_for(&cluster, 0.2);
+    assert_int_equal(cluster.answered, cluster.sent);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_teardown(test_flood, stop),
+        cmocka_unit_test_teardown(test_becomes_cold_in_the_middle_of_work,
+                                  stop),
+        cmocka_unit_test_teardown(test_restart_of_the_gateway, stop),
+        cmocka_unit_test_teardown(test_flapping, stop),
+        cmocka_unit_test_teardown(test_no_limit_without_configuration, stop),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
