Poll the health path for the end and the start of the cold time

Heartbeats are 0.87 s apart, so that a backend server that became cold under load got more than its limit before this was known. A probe on a connection of its own reads X-Cold-Ms every cold.probe_ms, for services with coldPerS only; earlier when half of the limit was sent since the last probe, and not at all while more than two intervals of the cold time remain. Probes count against the limit and may precede requests that wait for the rate, so that a flood does not keep the gateway from seeing the end. A response without a valid header tells nothing, nor does one to a probe that was sent before the last heartbeat. The header names of the tests use designated initializers now.

--- a/internal/backend_cold.h
+++ b/internal/backend_cold.h
@@ -14,6 +14,7 @@
     int64_t cold_since_ms;
     int64_t sent;        /* requests since it became cold */
     int64_t refused;     /* requests since it became cold */
+    int64_t reported_ms; /* last heartbeat or response to a probe */
     double notice_limit; /* that the backend server names in its responses */
 } AprBackendCold_t;
 
@@ -23,6 +24,7 @@
 void AprBackendCold_Refresh(AprBackendCold_t *cold);
 void AprBackendCold_SetNoticeLimit(AprBackendCold_t *cold, double per_s);
 void AprBackendCold_CountSent(AprBackendCold_t *cold);
+void AprBackendCold_CountProbe(AprBackendCold_t *cold);
 void AprBackendCold_CountRefused(AprBackendCold_t *cold);
 void AprBackendCold_AddServiceTime(AprBackendCold_t *cold, int64_t started_ms);
 bool AprBackendCold_IsLimitUnknown(const AprBackendCold_t *cold);
--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -40,6 +40,8 @@
     char nested_separator;
     /* Each response repeats attempt_id; one without it is not accepted. */
     bool attempt_id_echoed;
+    /* In a response to a health probe: remaining cold time in milliseconds. */
+    const char *cold_left;
 } AprHeaderNames_t;
 
 typedef struct AprGateway_t AprGateway_t;
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -12,6 +12,7 @@
 #include "internal/backend_cold.h"
 #include "internal/backend_conn.h"
 #include "internal/gateway.h"
+#include "internal/health_probe.h"
 
 /* A backend server may respond at the deadline itself. The response may take
    this much longer to arrive. */
@@ -51,6 +52,7 @@
     AprGateway_t *gateway;
     AprAdmission_t admission;
     AprBackendCold_t cold;
+    AprHealthProbe_t *health_probe;
     AprBackendIncarnation_t incarnation; /* empty id: no heartbeat yet */
     bool leaving;
     int64_t leaving_since_ms;
@@ -110,6 +112,11 @@
         backend->allowance_timer.data = backend;
         backend->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal,
                                                NULL, destroy_call);
+        backend->health_probe = AprHealthProbe_New(gateway, &backend->cold);
+        if (backend->health_probe == NULL) {
+            AprBackend_Free(backend);
+            return NULL;
+        }
     }
     return backend;
 }
@@ -951,6 +958,7 @@
         conn = next;
     }
     AprBackendCold_Refresh(&backend->cold);
+    AprHealthProbe_Tick(backend->health_probe);
     detect_unresponsive_server(backend, now_ms);
     start_queued_calls(backend);
 }
@@ -969,6 +977,7 @@
         backend->conns = conn->next;
         AprBackendConn_Free(conn);
     }
+    AprHealthProbe_Free(backend->health_probe);
     g_hash_table_destroy(backend->calls);
     free(backend);
 }
--- a/src/gateway/backend_cold.c
+++ b/src/gateway/backend_cold.c
@@ -90,9 +90,9 @@
 void
 AprBackendCold_Report(AprBackendCold_t *cold, int64_t cold_left_ms)
 {
+    cold->reported_ms = AprGateway_NowMs(cold->gateway);
     AprBackendCold_Refresh(cold);
-    AprColdLimit_Report(&cold->limit, cold_left_ms,
-                        AprGateway_NowMs(cold->gateway));
+    AprColdLimit_Report(&cold->limit, cold_left_ms, cold->reported_ms);
     AprBackendCold_Refresh(cold);
 }
 
@@ -105,13 +105,21 @@
 }
 
 /* Counts a request that is sent to the backend server, for the first time or
-   again, or a health probe. */
+   again. */
 void
 AprBackendCold_CountSent(AprBackendCold_t *cold)
+{
+    AprAdmission_CountSent(cold->admission, AprGateway_NowMs(cold->gateway));
+    AprBackendCold_CountProbe(cold);
+}
+
+/* Counts a health probe. The limit that the backend server names in its
+   responses is not meant for these. */
+void
+AprBackendCold_CountProbe(AprBackendCold_t *cold)
 {
     int64_t now_ms = AprGateway_NowMs(cold->gateway);
 
-    AprAdmission_CountSent(cold->admission, now_ms);
     AprColdLimit_CountSent(&cold->limit, now_ms);
     if (cold->cold) {
         cold->sent++;
--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -88,6 +88,9 @@
     bool store_refuses_changes; /* as a response with status 503 does */
     int slots;
     double cold_until_s; /* loop time */
+    int health_count;    /* requests for the health path */
+    /* Header line of responses to probes; NULL: the remaining cold time. */
+    const char *health_header;
     AprGrant_t held[CLUSTER_MAX_GRANTS];
     int held_count;
     double held_until_s; /* loop time */
@@ -728,6 +731,23 @@
     free(run);
 }
 
+/* Replies to a request for the health path. The reply names the remaining cold
+   time in a line after the content type. */
+static void
+host_reply_to_probe(ClusterHost_t *host, AprHttpCall_t *call)
+{
+    double left_s = host->cold_until_s - ev_now(host->cluster->loop);
+    char type[64];
+
+    host->health_count++;
+    snprintf(type, sizeof(type), "text/plain\r\nCold-Ms: %d",
+             left_s > 0 ? (int)(left_s * 1000) + 1 : 0);
+    if (host->health_header != NULL) {
+        snprintf(type, sizeof(type), "text/plain\r\n%s", host->health_header);
+    }
+    AprHttpCall_Reply(call, 200, type, "ok", 2);
+}
+
 /* Runs a request at a backend server, and counts it as unowned if no grant
    covers its key. */
 static void
@@ -744,6 +764,11 @@
     if (host->on_request != NULL) {
         host->on_request(host, path);
     }
+    if (cluster_health_path[0] != '\0' &&
+        strcmp(path, cluster_health_path) == 0) {
+        host_reply_to_probe(host, call);
+        return;
+    }
     host->run_count++;
     if (host->unresponsive) {
         return;
@@ -874,8 +899,18 @@
 }
 
 static const AprHeaderNames_t cluster_header_names = {
-    "Attempt", "Time-Left", "Expected", "Not-Run", "Caller",
-    "Key",     "Limit",     "Leaving",  '.',       false};
+    .attempt_id = "Attempt",
+    .timeout = "Time-Left",
+    .expected_incarnation = "Expected",
+    .not_executed = "Not-Run",
+    .caller_service = "Caller",
+    .key = "Key",
+    .request_limit = "Limit",
+    .leaving = "Leaving",
+    .nested_separator = '.',
+    .attempt_id_echoed = false,
+    .cold_left = "Cold-Ms",
+};
 
 /* Creates a configuration with one route to one keyed service; `text` is its
    version. */
--- a/tests/test_cold_backend.c
+++ b/tests/test_cold_backend.c
@@ -28,6 +28,7 @@
 record_request(ClusterHost_t *host, const char *path)
 {
     (void)path;
+    /* Probes count as well. */
     if (ev_time() < host->cold_until_s && arrival_count < MAX_ARRIVALS) {
         arrivals_s[arrival_count++] = ev_time();
     }
@@ -66,6 +67,7 @@
 {
     (void)state;
     cluster_stop(&cluster);
+    cluster_health_path = "";
     return 0;
 }
 
@@ -187,16 +189,97 @@
     assert_true(most_in_a_second() <= MOST);
 }
 
+/* Starts a cluster whose gateways probe the backend servers every 100 ms, and
+   stops the heartbeats of host 0. */
+static void
+start_with_probes(void)
+{
+    cluster_health_path = "/health";
+    start(PER_S);
+    cluster.hosts[0].gateway->settings.cold_probe_ms = 100;
+    cluster_run_for(&cluster, 0.3);
+    assert_true(cluster.hosts[0].health_count >= 2);
+    ev_timer_stop(cluster.loop, &cluster.hosts[0].heartbeat_timer);
+}
+
+/* Guards against a cold state that is known only with the next heartbeat, so
+   that a backend server under load gets more than its bound before. */
+static void
+test_probe_tells_that_it_is_cold(void **state)
+{
+    (void)state;
+    start_with_probes();
+    send_load(1.0, 60);
+    assert_int_equal(cluster.refused, 0);
+    become_cold(1.5);
+    send_load(1.4, 60);
+    print_result("probe");
+    assert_true(arrival_count >= PER_S);
+    assert_true(most_in_a_second() <= MOST);
+}
+
+/* Guards against probes that use up the limit of a cold backend server, and
+   against a limit that outlasts the cold time until the next heartbeat. */
+static void
+test_probe_looks_for_the_end_only(void **state)
+{
+    ClusterHost_t *host = &cluster.hosts[0];
+    int probes;
+
+    (void)state;
+    start_with_probes();
+    become_cold(1.5);
+    cluster_run_for(&cluster, 0.4);
+    assert_true(AprBackend_IsCold(host->gateway->backend));
+    probes = host->health_count;
+    cluster_run_for(&cluster, 0.7);
+    assert_int_equal(host->health_count, probes);
+    cluster_run_for(&cluster, 0.7);
+    assert_false(AprBackend_IsCold(host->gateway->backend));
+    assert_true(host->health_count > probes);
+}
+
+/* Guards against a response without a valid cold time that ends the limit, or
+   sets one. */
+static void
+test_probe_without_information(void **state)
+{
+    static const char *const headers[] = {"Other: 5", "Cold-Ms: -5",
+                                          "Cold-Ms: soon", "Cold-Ms: 9 s",
+                                          "Cold-Ms: 99999999999999999999"};
+    ClusterHost_t *host = &cluster.hosts[0];
+
+    (void)state;
+    start_with_probes();
+    for (size_t i = 0; i < sizeof(headers) / sizeof(*headers); i++) {
+        int probes = host->health_count;
+
+        host->health_header = headers[i];
+        cluster_run_for(&cluster, 0.3);
+        assert_true(host->health_count > probes);
+        assert_false(AprBackend_IsCold(host->gateway->backend));
+    }
+    host->health_header = NULL;
+    become_cold(0.1);
+    cluster_run_for(&cluster, 0.09);
+    host->health_header = "Other: 5";
+    cluster_run_for(&cluster, 0.5);
+    assert_true(AprBackend_IsCold(host->gateway->backend));
+}
+
 /* Guards against a limit where none is configured. */
 static void
 test_no_limit_without_configuration(void **state)
 {
     (void)state;
+    cluster_health_path = "/health";
     start(0);
+    cluster.hosts[0].gateway->settings.cold_probe_ms = 100;
     become_cold(3.0);
     send_load(2.0, 50);
     cluster_run_for(&cluster, 0.2);
     assert_int_equal(cluster.answered, cluster.sent);
+    assert_int_equal(cluster.hosts[0].health_count, 0);
 }
 
 int
@@ -208,6 +291,9 @@
                                   stop),
         cmocka_unit_test_teardown(test_restart_of_the_gateway, stop),
         cmocka_unit_test_teardown(test_flapping, stop),
+        cmocka_unit_test_teardown(test_probe_tells_that_it_is_cold, stop),
+        cmocka_unit_test_teardown(test_probe_looks_for_the_end_only, stop),
+        cmocka_unit_test_teardown(test_probe_without_information, stop),
         cmocka_unit_test_teardown(test_no_limit_without_configuration, stop),
     };
 
--- a/tests/test_hostile_backend.c
+++ b/tests/test_hostile_backend.c
@@ -37,8 +37,18 @@
 static Cluster_t cluster;
 static HostileServer_t server;
 static const AprHeaderNames_t echoing_header_names = {
-    "Attempt", "Time-Left", "Expected", "Not-Run", "Caller",
-    "Key",     "Limit",     "Leaving",  '.',       true};
+    .attempt_id = "Attempt",
+    .timeout = "Time-Left",
+    .expected_incarnation = "Expected",
+    .not_executed = "Not-Run",
+    .caller_service = "Caller",
+    .key = "Key",
+    .request_limit = "Limit",
+    .leaving = "Leaving",
+    .nested_separator = '.',
+    .attempt_id_echoed = true,
+    .cold_left = "Cold-Ms",
+};
 
 static void
 observe_data(void *context, const char *data, size_t size)
