--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -40,6 +40,8 @@
     char nested_separator;
     /* Each response repeats attempt_id; one without it is not accepted. */
     bool attempt_id_echoed;
+    /* In a response to a health probe: remaining cold time in milliseconds. */
+    const char *cold_left;
 } AprHeaderNames_t;
 
 typedef struct AprGateway_t AprGateway_t;
@@ -162,6 +164,8 @@
 bool AprBackend_IsOpen(const AprBackend_t *backend);
 bool AprBackend_IsProbeDue(const AprBackend_t *backend);
 bool AprBackend_IsUnreachable(const AprBackend_t *backend);
+bool AprBackend_IsCold(const AprBackend_t *backend);
+int AprBackend_CountSlots(const AprBackend_t *backend);
 int AprBackend_CountCalls(const AprBackend_t *backend);
 /* Returns the request with the given id if the backend server runs it now,
    else NULL. */
