Evacuate failure domains that the operators name

Operators had no means to keep requests away from the backend servers of a failure domain while its gateways keep running.

With evacuation.deadline_s set, the configuration watch covers all operator items. An item for a failure domain stops unkeyed requests to it at once and keyed ones when their keys have moved, at the latest after 0.6 of the deadline. Queued requests are refused as not run, and the owners hand their keys over to hosts outside at a heartbeat.

The keyed limit also counts from the last time at which the items were known to be complete, so that a process that starts late or was cut off gives no further time. The watch therefore records its answer after its items.

--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "apricot/clock.h"
+#include "apricot/evacuation.h"
 #include "apricot/gateway_settings.h"
 #include "apricot/grant_table.h"
 #include "apricot/key_plan.h"
@@ -61,6 +62,12 @@
     const AprKvStore_t *kv;
     const char *config_key;
     AprParseRoutes_t parse_routes;
+    /* Keys that the operators write, including config_key; watched instead of
+       config_key if evacuation is used. */
+    const char *operator_prefix;
+    /* The item with this prefix and the name of a failure domain exists while
+       that is evacuated. Starts with operator_prefix. */
+    const char *evacuation_prefix;
 } AprGatewayOptions_t;
 
 /* Number of buckets in the histogram of response times. */
@@ -88,6 +95,9 @@
     const AprKvStore_t *kv;
     const char *config_key;
     AprParseRoutes_t parse_routes;
+    const char *operator_prefix;
+    const char *evacuation_prefix;
+    AprEvacuation_t evacuation;
     AprRouteTable_t *routes; /* NULL until the first configuration */
     AprBackend_t *backend;
     AprLinks_t *links;
@@ -133,6 +143,13 @@
    while it is not known. */
 const AprServiceSpec_t *
 AprGateway_GetBackendService(const AprGateway_t *gateway);
+/* Evacuated failure domains (evacuations.c). */
+void AprGateway_ApplyEvacuation(AprGateway_t *gateway, const char *domain,
+                                const AprKvItem_t *item, int64_t complete_ms);
+bool AprGateway_IsEvacuated(const AprGateway_t *gateway, const char *domain);
+bool AprGateway_MayStartIn(const AprGateway_t *gateway, const char *domain,
+                           const char *service, bool keyed);
+bool AprGateway_IsHandoverDue(const AprGateway_t *gateway);
 void AprGateway_GetLoad(AprGateway_t *gateway, AprHostLoad_t *load);
 char *AprGateway_FormatState(AprGateway_t *gateway);
 /* Adds a request to the histogram of response times. */
@@ -246,6 +263,7 @@
                                    int64_t age_ms);
 void AprMembers_RecordUnreachable(AprMembers_t *members, const char *host);
 char *AprMembers_FormatOwnEntry(const AprGateway_t *gateway);
+bool AprMembers_HasUsableHost(AprMembers_t *members, const char *service);
 AprHost_t *AprMembers_ChooseHost(AprMembers_t *members, const char *service,
                                  char tried[][APR_NAME_SIZE], int tried_count);
 
--- a/internal/store_cache_state.h
+++ b/internal/store_cache_state.h
@@ -85,7 +85,8 @@
     int64_t forwarded_sequence; /* last change passed on to other hosts */
     /* `source_confirmed_ms` when it was last passed on */
     int64_t forwarded_confirmed_ms;
-    AprWatch_t config_watch; /* the operators' configuration */
+    /* The operators' configuration; with evacuation, all items of theirs. */
+    AprWatch_t config_watch;
     AprWatch_t prefix_watch; /* all keys with the prefix of the settings */
     AprRegistration_t registration;
     int64_t store_answered_ms;
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -308,6 +308,17 @@
     }
 }
 
+/* Returns whether the failure domain of this host lets requests with a key, or
+   without one (APR_NO_KEY), be sent to the backend server. */
+static bool
+may_start_here(const AprBackend_t *backend, int key)
+{
+    const AprGatewaySettings_t *settings = &backend->gateway->settings;
+
+    return AprGateway_MayStartIn(backend->gateway, settings->failure_domain,
+                                 settings->backend_service, key != APR_NO_KEY);
+}
+
 /* Handles the end of a connection's current call or of the connection itself.
    Frees the connection unless the outcome is APR_CONN_REUSABLE. */
 void
@@ -368,10 +379,10 @@
     }
     /* The backend server may close a kept connection while a request is sent
        on it, most likely without having read the request. An idempotent one
-       is resent once. */
+       is resent once, but not in an evacuated failure domain. */
     if (outcome == APR_CONN_BROKEN && !answered && !first_use &&
         call->head.idempotent && !call->resent && !call->detached &&
-        call->body_buffered) {
+        call->body_buffered && may_start_here(backend, call->head.key)) {
         call->resent = true;
         AprBackend_SendOnConn(call);
         return;
@@ -453,6 +464,49 @@
     }
 }
 
+/* Returns whether a call may be sent to the backend server as far as its key
+   and an evacuation of the failure domain decide it. Fills in the failure
+   otherwise, except not_run. A key that has moved away is reported as such, so
+   that the request is sent to its new owner. */
+static bool
+check_key_startable(AprBackend_t *backend, int key, AprCallFailure_t *failure)
+{
+    if (!check_key_held(backend, key, failure)) {
+        return false;
+    }
+    if (!may_start_here(backend, key)) {
+        failure->error = APR_CALL_LEAVING;
+        return false;
+    }
+    return true;
+}
+
+/* Refuses the queued calls that may not start because the failure domain is
+   evacuated. */
+static void
+refuse_evacuated_calls(AprBackend_t *backend)
+{
+    int i = 0;
+
+    while (i < backend->admission.queue_count) {
+        uint64_t id = backend->admission.queue[i].id;
+        AprBackendCall_t *call = find_call(backend, id);
+        AprCallFailure_t failure = {
+            APR_CALL_LEAVING, true,
+            (int64_t)(backend->gateway->settings.heartbeat_s * 500)};
+
+        if (call == NULL || may_start_here(backend, call->head.key)) {
+            i++;
+            continue;
+        }
+        check_key_held(backend, call->head.key, &failure);
+        AprAdmission_RemoveQueued(&backend->admission, id);
+        fail_call(call, &failure);
+        /* Other calls may have been started or refused meanwhile. */
+        i = 0;
+    }
+}
+
 /* Returns whether a queued call may still be sent to the backend server: its
    key may have been assigned to another host while it was queued. */
 static bool
@@ -467,7 +521,7 @@
         failure->error = APR_CALL_NO_BACKEND;
         return false;
     }
-    return check_key_held(backend, call->head.key, failure);
+    return check_key_startable(backend, call->head.key, failure);
 }
 
 static void
@@ -642,7 +696,7 @@
         failure->error = APR_CALL_NOT_OWNER;
         return false;
     }
-    return check_key_held(backend, head->key, failure);
+    return check_key_startable(backend, head->key, failure);
 }
 
 /* Creates a queued call with copies of `head` and `data`. Returns NULL when
@@ -831,7 +885,8 @@
 AprBackend_IsProbeDue(const AprBackend_t *backend)
 {
     return backend->unresponsive && AprBackend_IsOpen(backend) &&
-           AprBackend_CountCalls(backend) == 0;
+           AprBackend_CountCalls(backend) == 0 &&
+           may_start_here(backend, APR_NO_KEY);
 }
 
 /* Returns whether the backend server has refused several connections in a row
@@ -885,7 +940,9 @@
     load->wait_ms = AprAdmission_ExpectedWaitMs(
         &backend->admission, 0, AprGateway_NowMs(backend->gateway));
     load->load_permille = (int)(AprBackend_RelativeDemand(backend) * 1000);
-    load->accepts_calls = AprBackend_IsOpen(backend) && !backend->unresponsive;
+    load->accepts_calls = AprBackend_IsOpen(backend) &&
+                          !backend->unresponsive &&
+                          may_start_here(backend, APR_NO_KEY);
 }
 
 /* Returns whether the response to a sent call is not complete in time. */
@@ -928,6 +985,7 @@
         conn = next;
     }
     detect_unresponsive_server(backend, now_ms);
+    refuse_evacuated_calls(backend);
     start_queued_calls(backend);
 }
 
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -346,7 +346,7 @@
 {
     AprGateway_t *gateway = exchange->gateway;
     const char *owner;
-    AprHost_t *member;
+    const AprHost_t *member;
 
     if (exchange->keyed) {
         owner = AprOwnership_FindOwner(
@@ -354,6 +354,12 @@
         if (owner == NULL || owner[0] == '\0') {
             return false;
         }
+        member = AprMembers_Find(gateway->members, owner);
+        if (member != NULL &&
+            !AprGateway_MayStartIn(gateway, member->failure_domain,
+                                   exchange->head.service, true)) {
+            return false;
+        }
         g_strlcpy(host, owner, APR_NAME_SIZE);
         return true;
     }
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -298,6 +298,11 @@
     gateway->kv = options->kv;
     gateway->config_key = options->config_key;
     gateway->parse_routes = options->parse_routes;
+    gateway->operator_prefix = options->operator_prefix;
+    gateway->evacuation_prefix = options->evacuation_prefix;
+    AprEvacuation_Init(
+        &gateway->evacuation, gateway->settings.host,
+        (int64_t)(gateway->settings.evacuation_deadline_s * 1000));
     AprRetryBudget_Init(&gateway->retry_budget);
     gateway->time_limits =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -345,6 +350,7 @@
     AprRouteTable_Free(gateway->routes);
     AprMetrics_Free(gateway->metrics);
     g_hash_table_destroy(gateway->time_limits);
+    AprEvacuation_Clear(&gateway->evacuation);
     free(gateway);
 }
 
--- a/src/gateway/item_source.c
+++ b/src/gateway/item_source.c
@@ -175,12 +175,14 @@
         back_off_watch(watch, result->code);
         return;
     }
-    record_watch_answer(watch);
     AprStoreCache_RecordStoreResult(cache, APR_OK);
     watch->failures = 0;
     for (int i = 0; i < result->item_count; i++) {
         AprStoreCache_ApplyItem(cache, &result->items[i]);
     }
+    /* After the items: an evacuation is as old as the items' earlier age at
+       most. */
+    record_watch_answer(watch);
     if (result->revision > watch->cursor) {
         watch->cursor = result->revision;
     }
--- a/src/gateway/key_moves.c
+++ b/src/gateway/key_moves.c
@@ -324,6 +324,8 @@
         if (!member->registered || !member->accepts_calls ||
             member->incarnation.id[0] == '\0' ||
             member->service_id != own_service_id ||
+            AprGateway_IsEvacuated(ownership->gateway,
+                                   member->failure_domain) ||
             (except != NULL && strcmp(member->host, except) == 0)) {
             continue;
         }
@@ -670,9 +672,27 @@
         reassign_lost_host_keys, ownership);
 }
 
-/* Plans moves of keys at a heartbeat: a backend server that shuts down loses
-   all keys, an overloaded one some of them. Returns whether a change was sent;
-   the answer to the heartbeat then waits for its result. */
+/* Reassigns all keys of this host, whose failure domain is evacuated, to hosts
+   outside; the backend server may still hold grants of them. The keys stay
+   here when there is no such host. Returns whether a change was sent. */
+static bool
+hand_over_evacuated_keys(AprOwnership_t *ownership)
+{
+    int keys = AprOwnership_CountOwnKeys(ownership);
+
+    if (keys == 0 || !reassign_own_keys(ownership, true, "evacuated")) {
+        return false;
+    }
+    AprLog_Write(APR_LOG_INFO, "evacuation_handover", "keys=%d retries=%d",
+                 keys, ownership->conflict_retries);
+    AprGateway_IncrementCounter(ownership->gateway,
+                                "evacuation_handovers_total", "");
+    return true;
+}
+
+/* Plans moves of keys at a heartbeat: a backend server that shuts down or is
+   evacuated loses all keys, an overloaded one some of them. Returns whether a
+   change was sent; the answer to the heartbeat then waits for its result. */
 bool
 AprKeyMoves_OnHeartbeat(AprOwnership_t *ownership)
 {
@@ -684,6 +704,9 @@
         return AprOwnership_CountOwnKeys(ownership) > 0 &&
                reassign_own_keys(ownership, true, "leaving");
     }
+    if (AprGateway_IsHandoverDue(ownership->gateway)) {
+        return hand_over_evacuated_keys(ownership);
+    }
     return move_keys_for_balance(ownership);
 }
 
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -405,6 +405,27 @@
            AprBackend_IsProbeDue(members->gateway->backend);
 }
 
+/* Returns whether a host outside the evacuated failure domains has a backend
+   server of a service, so that it could receive keys. */
+bool
+AprMembers_HasUsableHost(AprMembers_t *members, const char *service)
+{
+    GQuark service_id = g_quark_try_string(service);
+
+    for (int i = 0; i < members->host_count; i++) {
+        const AprHost_t *member = &members->hosts[i];
+
+        if (member->registered && member->accepts_calls &&
+            member->incarnation.id[0] != '\0' &&
+            member->service_id == service_id &&
+            !AprGateway_IsEvacuated(members->gateway,
+                                    member->failure_domain)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Chooses the host for a request that any backend server of a service can
    handle. Hosts in `tried` are excluded. Returns NULL when no host is left.
    The pointer is valid until the next AprMembers_ApplyEntry(). */
@@ -431,6 +452,7 @@
         }
         if (!member->accepts_calls || reports_refusal(member, now_ms) ||
             member->incarnation.id[0] == '\0' ||
+            AprGateway_IsEvacuated(members->gateway, member->failure_domain) ||
             was_tried(member->host, tried, tried_count) ||
             (!member->registered &&
              now_ms - member->load_report_ms > UNLISTED_USE_MS &&
--- a/src/gateway/store_cache.c
+++ b/src/gateway/store_cache.c
@@ -167,6 +167,11 @@
     if (strcmp(item->key, gateway->config_key) == 0) {
         apply_config(cache, item);
     }
+    else if (g_str_has_prefix(item->key, gateway->evacuation_prefix)) {
+        AprGateway_ApplyEvacuation(
+            gateway, item->key + strlen(gateway->evacuation_prefix), item,
+            cache->source_confirmed_ms);
+    }
     else if ((name = key_suffix(cache, item->key, APR_MEMBER_KEY_PREFIX)) !=
              NULL) {
         AprMembers_ApplyEntry(gateway->members, name, item);
@@ -289,7 +294,10 @@
     /* A source of changes or a watch completes it before the first use. */
     cache->config_watch.allow_stale = true;
     cache->prefix_watch.cache = cache;
-    g_strlcpy(cache->config_watch.prefix, gateway->config_key,
+    g_strlcpy(cache->config_watch.prefix,
+              gateway->settings.evacuation_deadline_s > 0
+                  ? gateway->operator_prefix
+                  : gateway->config_key,
               sizeof(cache->config_watch.prefix));
     g_strlcpy(cache->prefix_watch.prefix, gateway->settings.store_prefix,
               sizeof(cache->prefix_watch.prefix));
--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -895,8 +895,11 @@
 static void
 host_start_gateway(ClusterHost_t *host)
 {
-    AprGatewayOptions_t options = {&host->settings, &cluster_header_names,
-                                   &host->kv, "config", cluster_parse_routes};
+    /* The operators' prefix covers the key of the configuration. */
+    AprGatewayOptions_t options = {
+        &host->settings, &cluster_header_names, &host->kv,
+        "config",        cluster_parse_routes,  "conf",
+        "conf/evacuate/"};
     AprError_t error;
 
     host->gateway =
@@ -951,9 +954,9 @@
     snprintf(address, APR_ADDRESS_SIZE, "127.0.0.1:%d", cluster->next_port++);
 }
 
-/* Starts all gateways and backend servers and schedules the heartbeats. */
+/* Prepares the store and the settings of all hosts. */
 static void
-cluster_start(Cluster_t *cluster)
+cluster_init(Cluster_t *cluster)
 {
     memset(cluster, 0, sizeof(*cluster));
     cluster->loop = ev_loop_new(EVBACKEND_EPOLL);
@@ -988,6 +991,16 @@
         host->settings.hold_max_s = 10;
         host->settings.drain_s = 2;
         host->settings.stop_grace_s = 6;
+    }
+}
+
+/* Starts all gateways and backend servers and schedules the heartbeats. */
+static void
+cluster_start_hosts(Cluster_t *cluster)
+{
+    for (int i = 0; i < CLUSTER_HOSTS; i++) {
+        ClusterHost_t *host = &cluster->hosts[i];
+
         host_start_backend(host);
         host_start_gateway(host);
         ev_timer_init(&host->heartbeat_timer, host_on_heartbeat_timer,
@@ -997,6 +1010,14 @@
     }
 }
 
+/* Starts a cluster with the usual settings. */
+static inline void
+cluster_start(Cluster_t *cluster)
+{
+    cluster_init(cluster);
+    cluster_start_hosts(cluster);
+}
+
 /* Returns the number of items that a host sent to other hosts. */
 static inline int64_t
 host_items_sent(ClusterHost_t *host)
