Move hot keys as soon as a host is overloaded

Demand was tracked per 16 keys, and moves were planned only at heartbeats, from the ends of ranges and once per range, so that a hot spot of a few seconds left its host overloaded until it was over.

With adaptive balancing each tick checks the load of the last 400 ms, and a plan cuts the hottest keys anywhere in a range into pieces for several receivers. The change is sent at once. Handover tokens that arrive while a change is open are kept until its outcome is known: they were dropped, so that the new owner waited for the end of the grant.

--- a/internal/ownership_state.h
+++ b/internal/ownership_state.h
@@ -5,6 +5,7 @@
    backend server) and key_moves.c (changes of the key map). */
 
 #include "apricot/departures.h"
+#include "apricot/hot_range_plan.h"
 #include "internal/gateway.h"
 #include "internal/generation_record.h"
 #include "internal/removal_queue.h"
@@ -12,6 +13,7 @@
 #define APR_MAX_GRANTS 1024
 #define APR_MAX_MAPS 64
 #define APR_MAX_CONDITIONS 2
+#define APR_MAX_EARLY_RELEASES 256
 #define APR_STORE_KEY_SIZE 256
 
 /* The key map of one service as last known from the store. */
@@ -61,6 +63,11 @@
     /* Revisions of the stored parts that the proposal replaces. */
     int64_t proposal_base_revisions[APR_KEY_PARTS];
     const char *proposal_reason; /* static text for the log */
+    /* Own keys that the backend server released while the proposal was open,
+       with the fencing token of their range. Who gets their handover tokens
+       depends on the outcome. */
+    AprGrant_t early_releases[APR_MAX_EARLY_RELEASES];
+    int early_release_count;
     /* Conditions of the change in addition to the revisions of its parts. */
     AprKvCondition_t change_conditions[APR_MAX_CONDITIONS];
     char change_condition_keys[APR_MAX_CONDITIONS][APR_STORE_KEY_SIZE];
@@ -72,6 +79,7 @@
     /* Share of this host's demand that stays here once the proposal is in
        force; 0: the proposal does not change the demand. */
     double remaining_demand_share;
+    AprHotRangePlanner_t hot_ranges; /* used if balancing is adaptive */
     int64_t last_query_ms; /* last query of the hosts about a missing one */
     int candidate_count;
     int64_t candidates_changed_ms; /* last change of candidate_count */
@@ -97,6 +105,9 @@
                                 int64_t revision);
 void AprOwnership_SendPendingReply(AprOwnership_t *ownership);
 void AprOwnership_ReleaseAllKeys(AprOwnership_t *ownership);
+void AprOwnership_SettleEarlyReleases(AprOwnership_t *ownership);
+bool AprOwnership_IsRangeHeld(const AprOwnership_t *ownership,
+                              const AprKeyRange_t *range);
 
 bool AprKeyMoves_CanSendChange(AprOwnership_t *ownership);
 bool AprKeyMoves_OnHeartbeat(AprOwnership_t *ownership);
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -701,10 +701,8 @@
     request.objective_ms = MIN(head->objective_ms, request.deadline_ms);
     decision = AprAdmission_Offer(&backend->admission, &request, now_ms);
     add_demand(backend, request.expected_service_ms, now_ms);
-    if (head->key != APR_NO_KEY) {
-        AprOwnership_AddDemand(backend->gateway->ownership, head->key,
-                               request.expected_service_ms);
-    }
+    AprOwnership_AddDemand(backend->gateway->ownership, head->key,
+                           request.expected_service_ms);
     if (!decision.admitted) {
         failure->error = APR_CALL_FULL;
         failure->not_run = true;
--- a/src/gateway/key_moves.c
+++ b/src/gateway/key_moves.c
@@ -150,6 +150,12 @@
     }
     ownership->remaining_demand_share = 0;
     AprStoreCache_ApplyConflictItems(ownership->gateway->store_cache, result);
+    if (!ownership->has_proposal) {
+        AprOwnership_SettleEarlyReleases(ownership);
+        AprHotRangePlanner_OnChangeDone(&ownership->hot_ranges,
+                                        result->code == APR_OK, g_random_int(),
+                                        AprOwnership_NowMs(ownership));
+    }
     AprRemovalQueue_OnMapChangeDone(&ownership->removal_queue,
                                     result->code == APR_OK);
     if (result->code == APR_E_CONFLICT && result->item_count > 0 &&
@@ -425,6 +431,108 @@
                          reason, &claim, 1);
 }
 
+/* Returns whether the backend server holds all keys of an own range and no
+   previous holder has to release them; an AprKeyReleased_t. When such keys
+   move, the backend server gives a handover token for each. */
+static bool
+is_own_range_movable(const void *context, const AprKeyRange_t *range)
+{
+    const AprOwnership_t *ownership = context;
+
+    return is_own_range_released(context, range) &&
+           AprOwnership_IsRangeHeld(ownership, range);
+}
+
+/* Returns whether one of the hosts has no keys. */
+static bool
+has_host_without_keys(const AprKeyCandidate_t *candidates, int count)
+{
+    for (int i = 0; i < count; i++) {
+        if (candidates[i].keys == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Sends planned moves of hot keys. Takes ownership of `map`. Returns whether
+   the change was sent. */
+static bool
+send_hot_key_moves(AprOwnership_t *ownership, AprKeyMap_t *map,
+                   const AprHotRangeResult_t *result)
+{
+    AprGateway_t *gateway = ownership->gateway;
+    char claim_key[APR_STORE_KEY_SIZE];
+    AprKvCondition_t claim;
+
+    fill_claim_condition(ownership, claim_key, &claim);
+    ownership->planned_demand = ownership->demand;
+    ownership->remaining_demand_share =
+        result->load_after / result->load_before;
+    if (!send_map_change(ownership, map, "hot_keys", &claim, 1)) {
+        ownership->remaining_demand_share = 0;
+        AprHotRangePlanner_OnChangeDone(&ownership->hot_ranges, false,
+                                        g_random_int(),
+                                        AprOwnership_NowMs(ownership));
+        return false;
+    }
+    AprGateway_IncrementCounter(gateway, "key_move_plans_total", "");
+    for (int i = 0; i < result->moves; i++) {
+        AprGateway_IncrementCounter(gateway, "key_moves_total", "");
+    }
+    return true;
+}
+
+/* Moves hot keys of this host to hosts with spare capacity, if it is
+   overloaded; at a heartbeat also gives first keys to a host without any.
+   Returns whether a change was sent. */
+static bool
+move_hot_keys(AprOwnership_t *ownership, bool at_heartbeat)
+{
+    static AprKeyCandidate_t candidates[MAX_CANDIDATES];
+    AprServiceKeyMap_t *entry = AprOwnership_FindOwnMap(ownership);
+    AprHotRangePlanner_t *planner = &ownership->hot_ranges;
+    const char *host = AprOwnership_OwnHost(ownership);
+    int64_t now_ms = AprOwnership_NowMs(ownership);
+    AprHostLoad_t load = {0};
+    AprHotRangeInput_t input = {.host = host,
+                                .candidates = candidates,
+                                .is_movable = is_own_range_movable,
+                                .context = ownership,
+                                .now_ms = now_ms};
+    AprHotRangeResult_t result;
+    AprKeyMap_t map;
+    bool due;
+
+    if (entry == NULL || AprOwnership_CountOwnKeys(ownership) == 0) {
+        return false;
+    }
+    AprBackend_GetLoad(ownership->gateway->backend, &load);
+    due = AprHotRangePlanner_IsDue(planner, &entry->map, host, load.slots,
+                                   now_ms);
+    if (!due && (!at_heartbeat || now_ms < planner->next_plan_ms)) {
+        return false;
+    }
+    input.count = list_candidates(ownership, host, candidates, MAX_CANDIDATES);
+    if ((!due && !has_host_without_keys(candidates, input.count)) ||
+        AprKeyMap_Copy(&map, &entry->map) != APR_OK) {
+        return false;
+    }
+    input.map = &map;
+    input.slots = load.slots;
+    input.seed = g_random_int();
+    if (AprHotRangePlanner_Plan(planner, &input, &result) == 0) {
+        AprKeyMap_Free(&map);
+        return false;
+    }
+    AprLog_Write(APR_LOG_INFO, "hot_keys_move",
+                 "moves=%d receivers=%d load_before=%.2f load_after=%.2f "
+                 "mean=%.2f ranges=%d",
+                 result.moves, result.receivers, result.load_before,
+                 result.load_after, result.mean, map.count);
+    return send_hot_key_moves(ownership, &map, &result);
+}
+
 /* Moves some of this host's keys to hosts with less load. Returns whether a
    change was sent. */
 static bool
@@ -684,7 +792,9 @@
         return AprOwnership_CountOwnKeys(ownership) > 0 &&
                reassign_own_keys(ownership, true, "leaving");
     }
-    return move_keys_for_balance(ownership);
+    return AprGateway_IsBalancingAdaptive(ownership->gateway)
+               ? move_hot_keys(ownership, true)
+               : move_keys_for_balance(ownership);
 }
 
 /* Returns whether an incarnation of the backend server sends heartbeats for
@@ -724,6 +834,10 @@
         return;
     }
     reassign_lost_backend_keys(ownership);
+    if (AprGateway_IsBalancingAdaptive(ownership->gateway) &&
+        !ownership->backend_leaving && AprKeyMoves_CanSendChange(ownership)) {
+        move_hot_keys(ownership, false);
+    }
     if (AprKeyMoves_CanSendChange(ownership)) {
         assign_unowned_keys(ownership);
     }
--- a/src/gateway/ownership.c
+++ b/src/gateway/ownership.c
@@ -315,12 +315,19 @@
     return entry == NULL ? NULL : &entry->map;
 }
 
-/* Adds a request to the recorded demand for a key; `cost_ms` is its service
+/* Adds a request, also one that is refused, to the recorded demand for a key
+   or, with APR_NO_KEY, to that of the host; `cost_ms` is its expected service
    time. */
 void
 AprOwnership_AddDemand(AprOwnership_t *ownership, int key, double cost_ms)
 {
-    AprKeyDemand_Add(&ownership->demand, key, cost_ms);
+    if (key != APR_NO_KEY) {
+        AprKeyDemand_Add(&ownership->demand, key, cost_ms);
+    }
+    if (AprGateway_IsBalancingAdaptive(ownership->gateway)) {
+        AprHotRangePlanner_AddRequest(&ownership->hot_ranges, key, cost_ms,
+                                      AprOwnership_NowMs(ownership));
+    }
 }
 
 /* Copies the key map without the keys of this host that a proposed change
@@ -458,6 +465,86 @@
     }
 }
 
+/* Limits released keys to a range. Returns whether any are left. */
+static bool
+clip_release(AprGrant_t *released, const AprKeyRange_t *range)
+{
+    released->first = MAX(released->first, range->first);
+    released->last = MIN(released->last, range->last);
+    released->fence = range->fence;
+    return released->first <= released->last;
+}
+
+/* Keeps the handover tokens of keys that the backend server releases while a
+   change of the key map is open, for the keys that this host owns as far as it
+   knows. They may belong to another host by the change. The fencing tokens
+   tell whether they still have the same assignment when it is settled. */
+static void
+keep_early_releases(AprOwnership_t *ownership, const AprGrant_t *released,
+                    int count)
+{
+    AprServiceKeyMap_t *entry = AprOwnership_FindOwnMap(ownership);
+
+    for (int i = 0; i < count && entry != NULL; i++) {
+        for (int j = 0; j < entry->map.count; j++) {
+            const AprKeyRange_t *range = &entry->map.ranges[j];
+            AprGrant_t grant = released[i];
+
+            if (strcmp(range->host, AprOwnership_OwnHost(ownership)) == 0 &&
+                clip_release(&grant, range) &&
+                ownership->early_release_count < APR_MAX_EARLY_RELEASES) {
+                ownership->early_releases[ownership->early_release_count++] =
+                    grant;
+            }
+        }
+    }
+}
+
+/* Uses the handover tokens that arrived while a change was open, now that its
+   outcome is known: they go to the new owners, or, if the keys have not moved,
+   back to the backend server with its next grants. */
+void
+AprOwnership_SettleEarlyReleases(AprOwnership_t *ownership)
+{
+    AprServiceKeyMap_t *entry = AprOwnership_FindOwnMap(ownership);
+    int count = ownership->early_release_count;
+
+    ownership->early_release_count = 0;
+    send_release_tokens(ownership, ownership->early_releases, count);
+    for (int i = 0; i < count && entry != NULL; i++) {
+        const AprGrant_t *grant = &ownership->early_releases[i];
+        const AprKeyRange_t *range =
+            AprKeyMap_FindRange(&entry->map, grant->first);
+
+        if (range->fence == grant->fence && range->last >= grant->last &&
+            strcmp(range->host, AprOwnership_OwnHost(ownership)) == 0) {
+            AprGrantTable_AddHandoverToken(&ownership->grant_table, grant);
+        }
+    }
+}
+
+/* Returns whether the backend server holds a grant of all keys of an own
+   range by the last reply to its heartbeats. */
+bool
+AprOwnership_IsRangeHeld(const AprOwnership_t *ownership,
+                         const AprKeyRange_t *range)
+{
+    int key = range->first;
+
+    if (AprOwnership_NowMs(ownership) >= ownership->held_grants_until_ms) {
+        return false;
+    }
+    for (int i = 0; i < ownership->held_grant_count; i++) {
+        const AprGrant_t *grant = &ownership->held_grants[i];
+
+        if (grant->first <= key && key <= grant->last &&
+            grant->fence / APR_GENERATIONS_PER_FENCE == range->fence) {
+            key = grant->last + 1;
+        }
+    }
+    return key > range->last;
+}
+
 /* Tells the hosts that took over keys from this one that all grants of the
    local backend server have ended. */
 void
@@ -531,6 +618,7 @@
             AprOwnership_ReleaseAllKeys(ownership);
         }
         ownership->held_grant_count = 0;
+        ownership->early_release_count = 0;
         ownership->backend_leaving = false;
         ownership->incarnation = heartbeat->incarnation;
     }
@@ -704,6 +792,11 @@
     accept_heartbeat(ownership, heartbeat);
     send_release_tokens(ownership, heartbeat->released,
                         heartbeat->released_count);
+    if (ownership->has_proposal &&
+        AprGateway_IsBalancingAdaptive(ownership->gateway)) {
+        keep_early_releases(ownership, heartbeat->released,
+                            heartbeat->released_count);
+    }
     AprOwnership_SendPendingReply(ownership);
     changed =
         AprOwnership_IsKeyed(ownership) &&
