Merge key ranges and write moves shortly before a heartbeat

With 64 hosts and 60 hot keys the map reached its limit of ranges within 40 s, and a change that was written at once left capacity of the old owner idle until its next heartbeat. Adjacent ranges of a host are merged, short cold ones go to the owners of their neighbours, and moves are written 200 ms before the next heartbeat.

--- a/include/apricot/hot_range_plan.h
+++ b/include/apricot/hot_range_plan.h
@@ -52,6 +52,8 @@
     double excess_ms;
     int64_t checked_ms; /* last check of the load */
     int64_t next_plan_ms;
+    int conflicts; /* failed changes since the last one in force */
+    int64_t next_idle_check_ms;
     double allowance; /* moves that may be made now */
     int64_t allowance_ms;
     AprKeyTransfer_t transfers[APR_HOT_RANGE_TRANSFERS];
@@ -88,7 +90,13 @@
                                   int64_t window_ms, int64_t now_ms);
 bool AprHotRangePlanner_IsDue(AprHotRangePlanner_t *planner,
                               const AprKeyMap_t *map, const char *host,
-                              int slots, int64_t now_ms);
+                              int slots, int64_t next_heartbeat_ms,
+                              int64_t now_ms);
+bool AprHotRangePlanner_IsIdleCheckDue(AprHotRangePlanner_t *planner,
+                                       int64_t next_heartbeat_ms,
+                                       uint32_t seed, int64_t now_ms);
+int AprHotRangePlanner_Consolidate(AprHotRangePlanner_t *planner,
+                                   const AprHotRangeInput_t *input);
 int AprHotRangePlanner_Plan(AprHotRangePlanner_t *planner,
                             const AprHotRangeInput_t *input,
                             AprHotRangeResult_t *result);
--- a/internal/ownership_state.h
+++ b/internal/ownership_state.h
@@ -89,6 +89,7 @@
 };
 
 int64_t AprOwnership_NowMs(const AprOwnership_t *ownership);
+int64_t AprOwnership_NextHeartbeatMs(const AprOwnership_t *ownership);
 const char *AprOwnership_OwnHost(const AprOwnership_t *ownership);
 bool AprOwnership_IsOwnService(const AprOwnership_t *ownership,
                                const char *service);
--- a/src/gateway/key_moves.c
+++ b/src/gateway/key_moves.c
@@ -465,6 +465,11 @@
     char claim_key[APR_STORE_KEY_SIZE];
     AprKvCondition_t claim;
 
+    AprLog_Write(APR_LOG_INFO, "hot_keys_move",
+                 "moves=%d receivers=%d load_before=%.2f load_after=%.2f "
+                 "mean=%.2f ranges=%d",
+                 result->moves, result->receivers, result->load_before,
+                 result->load_after, result->mean, map->count);
     fill_claim_condition(ownership, claim_key, &claim);
     ownership->planned_demand = ownership->demand;
     ownership->remaining_demand_share =
@@ -483,9 +488,25 @@
     return true;
 }
 
+/* Sends a change that merges ranges. Takes ownership of `map`. Returns whether
+   the change was sent. */
+static bool
+send_merged_ranges(AprOwnership_t *ownership, AprKeyMap_t *map, int changes)
+{
+    char claim_key[APR_STORE_KEY_SIZE];
+    AprKvCondition_t claim;
+
+    AprLog_Write(APR_LOG_INFO, "ranges_merge", "changes=%d ranges=%d", changes,
+                 map->count);
+    fill_claim_condition(ownership, claim_key, &claim);
+    AprGateway_IncrementCounter(ownership->gateway, "key_range_merges_total",
+                                "");
+    return send_map_change(ownership, map, "merge", &claim, 1);
+}
+
 /* Moves hot keys of this host to hosts with spare capacity, if it is
-   overloaded; at a heartbeat also gives first keys to a host without any.
-   Returns whether a change was sent. */
+   overloaded. Otherwise gives first keys to a host without any, or merges
+   ranges that earlier moves have left. Returns whether a change was sent. */
 static bool
 move_hot_keys(AprOwnership_t *ownership, bool at_heartbeat)
 {
@@ -494,6 +515,8 @@
     AprHotRangePlanner_t *planner = &ownership->hot_ranges;
     const char *host = AprOwnership_OwnHost(ownership);
     int64_t now_ms = AprOwnership_NowMs(ownership);
+    int64_t heartbeat_ms =
+        at_heartbeat ? now_ms : AprOwnership_NextHeartbeatMs(ownership);
     AprHostLoad_t load = {0};
     AprHotRangeInput_t input = {.host = host,
                                 .candidates = candidates,
@@ -502,6 +525,7 @@
                                 .now_ms = now_ms};
     AprHotRangeResult_t result;
     AprKeyMap_t map;
+    int changes;
     bool due;
 
     if (entry == NULL || AprOwnership_CountOwnKeys(ownership) == 0) {
@@ -509,28 +533,28 @@
     }
     AprBackend_GetLoad(ownership->gateway->backend, &load);
     due = AprHotRangePlanner_IsDue(planner, &entry->map, host, load.slots,
-                                   now_ms);
-    if (!due && (!at_heartbeat || now_ms < planner->next_plan_ms)) {
+                                   heartbeat_ms, now_ms);
+    if (!due && !AprHotRangePlanner_IsIdleCheckDue(planner, heartbeat_ms,
+                                                   g_random_int(), now_ms)) {
         return false;
     }
     input.count = list_candidates(ownership, host, candidates, MAX_CANDIDATES);
-    if ((!due && !has_host_without_keys(candidates, input.count)) ||
-        AprKeyMap_Copy(&map, &entry->map) != APR_OK) {
+    if (AprKeyMap_Copy(&map, &entry->map) != APR_OK) {
         return false;
     }
     input.map = &map;
     input.slots = load.slots;
     input.seed = g_random_int();
-    if (AprHotRangePlanner_Plan(planner, &input, &result) == 0) {
-        AprKeyMap_Free(&map);
-        return false;
+    if ((due || has_host_without_keys(candidates, input.count)) &&
+        AprHotRangePlanner_Plan(planner, &input, &result) > 0) {
+        return send_hot_key_moves(ownership, &map, &result);
     }
-    AprLog_Write(APR_LOG_INFO, "hot_keys_move",
-                 "moves=%d receivers=%d load_before=%.2f load_after=%.2f "
-                 "mean=%.2f ranges=%d",
-                 result.moves, result.receivers, result.load_before,
-                 result.load_after, result.mean, map.count);
-    return send_hot_key_moves(ownership, &map, &result);
+    changes = AprHotRangePlanner_Consolidate(planner, &input);
+    if (changes > 0) {
+        return send_merged_ranges(ownership, &map, changes);
+    }
+    AprKeyMap_Free(&map);
+    return false;
 }
 
 /* Moves some of this host's keys to hosts with less load. Returns whether a
--- a/src/gateway/ownership.c
+++ b/src/gateway/ownership.c
@@ -43,6 +43,15 @@
     return AprGateway_NowMs(ownership->gateway);
 }
 
+/* Returns the time at which the next heartbeat of the backend server is
+   expected. */
+int64_t
+AprOwnership_NextHeartbeatMs(const AprOwnership_t *ownership)
+{
+    return ownership->last_heartbeat_ms +
+           (int64_t)(ownership->gateway->settings.heartbeat_s * 1000);
+}
+
 const char *
 AprOwnership_OwnHost(const AprOwnership_t *ownership)
 {
--- a/src/state/hot_range_plan.c
+++ b/src/state/hot_range_plan.c
@@ -46,8 +46,32 @@
 #define PLAN_PAUSE_MS 250
 
 /* A change that conflicted with that of another host is planned again after a
-   random time of at most this. */
+   random time of at most this, doubled with each further conflict. */
 #define CONFLICT_PAUSE_MS 60
+#define MAX_CONFLICT_DOUBLINGS 3
+
+/* Keys move this long before the next heartbeat of the backend server. It
+   serves them until then, and its capacity would be idle while the requests
+   already wait at the new owners. With 64 hosts and 60 hot keys this cuts the
+   moves to a third and raises the served share from 0.885 to 0.910. */
+#define WRITE_LEAD_MS 200
+
+/* Ranges of the map, or of the host, from which ranges are merged. */
+#define CONSOLIDATE_MAP_RANGES 512
+#define CONSOLIDATE_HOST_RANGES 16
+
+/* Shortest interval at which a host that is not overloaded looks for hosts
+   without keys and for ranges to merge. A random time of at most the same is
+   added. */
+#define IDLE_CHECK_INTERVAL_MS 1000
+
+/* Keys of a range that is given to the owner of its neighbour to be merged,
+   at most, and requests for them within the window. */
+#define CONSOLIDATE_KEYS 32
+#define CONSOLIDATE_REQUESTS 1
+
+/* Ranges that one merge changes at most. */
+#define CONSOLIDATE_CHANGES 16
 
 /* Fewest requests in the window from which keys are moved. */
 #define MIN_REQUESTS 12
@@ -213,10 +237,12 @@
 }
 
 /* Updates the excess work of the host and returns whether it is large enough
-   for a plan. Called several times a second. */
+   for a plan, and the next heartbeat of the backend server near enough. Called
+   several times a second. */
 bool
 AprHotRangePlanner_IsDue(AprHotRangePlanner_t *planner, const AprKeyMap_t *map,
-                         const char *host, int slots, int64_t now_ms)
+                         const char *host, int slots,
+                         int64_t next_heartbeat_ms, int64_t now_ms)
 {
     int64_t interval_ms = now_ms - planner->checked_ms;
     double load;
@@ -241,7 +267,8 @@
         planner->excess_ms = 0;
     }
     return planner->excess_ms >= MIN_EXCESS_MS && load > 0 &&
-           now_ms >= planner->next_plan_ms;
+           now_ms >= planner->next_plan_ms &&
+           now_ms >= next_heartbeat_ms - WRITE_LEAD_MS;
 }
 
 static int
@@ -680,7 +707,7 @@
 
     if (hottest_slots >= kept) {
         plan->kept_key = hottest;
-        kept = hottest_slots;
+        kept = MAX(MAX(kept, hottest_slots), OVERLOAD * plan->input->slots);
     }
     plan->excess = plan->own_slots - kept;
     select_receivers(plan, mean,
@@ -788,6 +815,184 @@
     return plan.moves;
 }
 
+static int
+count_requests(const AprHotRangePlanner_t *planner, int first, int last)
+{
+    int count = 0;
+
+    for (int i = 0; i < planner->request_count; i++) {
+        int key = request_at(planner, i)->key;
+
+        count += first <= key && key <= last;
+    }
+    return count;
+}
+
+/* Returns whether a host is a candidate with room for another range. */
+static bool
+takes_range(const AprHotRangeInput_t *input, const char *host)
+{
+    int ranges = 0;
+
+    for (int i = 0; i < input->map->count; i++) {
+        ranges += strcmp(input->map->ranges[i].host, host) == 0;
+    }
+    if (ranges >= APR_HOT_RANGE_MAX_HOST_RANGES) {
+        return false;
+    }
+    for (int i = 0; i < input->count; i++) {
+        if (strcmp(input->candidates[i].host, host) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static int
+count_keys(const AprKeyRange_t *range)
+{
+    return range->last - range->first + 1;
+}
+
+/* Returns the longer one of the neighbours of a short range, if another host
+   owns it and it is longer than the range; otherwise NULL. */
+static const AprKeyRange_t *
+find_longer_neighbour(const AprHotRangeInput_t *input, int index)
+{
+    const AprKeyRange_t *range = &input->map->ranges[index];
+    const AprKeyRange_t *best = NULL;
+
+    for (int step = -1; step <= 1; step += 2) {
+        const AprKeyRange_t *next = range + step;
+
+        if (index + step >= 0 && index + step < input->map->count &&
+            next->first / APR_KEYS_PER_PART ==
+                range->first / APR_KEYS_PER_PART &&
+            count_keys(next) > count_keys(range) &&
+            (best == NULL || count_keys(next) > count_keys(best))) {
+            best = next;
+        }
+    }
+    return best != NULL && strcmp(best->host, input->host) != 0 ? best : NULL;
+}
+
+static bool
+is_movable_in_part(const AprHotRangeInput_t *input, int index, int part)
+{
+    const AprKeyRange_t *range = &input->map->ranges[index];
+
+    return range->first / APR_KEYS_PER_PART == part &&
+           range->last / APR_KEYS_PER_PART == part &&
+           strcmp(range->host, input->host) == 0 &&
+           input->is_movable(input->context, range);
+}
+
+/* Gives short ranges without much demand in a part to the owners of their
+   neighbours. Returns the number of changes. */
+static int
+give_short_ranges(const AprHotRangePlanner_t *planner,
+                  const AprHotRangeInput_t *input, int part)
+{
+    int changes = 0;
+
+    for (int i = 0; i < input->map->count && changes < CONSOLIDATE_CHANGES;
+         i++) {
+        AprKeyRange_t range = input->map->ranges[i];
+        const AprKeyRange_t *next;
+        char host[APR_NAME_SIZE];
+
+        if (!is_movable_in_part(input, i, part) ||
+            count_keys(&range) > CONSOLIDATE_KEYS ||
+            count_requests(planner, range.first, range.last) >
+                CONSOLIDATE_REQUESTS) {
+            continue;
+        }
+        next = find_longer_neighbour(input, i);
+        if (next == NULL || !takes_range(input, next->host)) {
+            continue;
+        }
+        g_strlcpy(host, next->host, sizeof(host));
+        changes += AprKeyMap_Assign(input->map, range.first, range.last, host,
+                                    input->host) == APR_OK;
+    }
+    return changes;
+}
+
+/* Merges adjacent ranges of the host in a part under a new fencing token. The
+   backend server holds their keys before and after it. Returns the number of
+   changes. */
+static int
+merge_own_ranges(const AprHotRangeInput_t *input, int part)
+{
+    int changes = 0;
+
+    for (int i = 0; i < input->map->count && changes < CONSOLIDATE_CHANGES;
+         i++) {
+        int end = i;
+
+        while (end < input->map->count &&
+               is_movable_in_part(input, end, part)) {
+            end++;
+        }
+        if (end - i >= 2) {
+            changes +=
+                AprKeyMap_Assign(input->map, input->map->ranges[i].first,
+                                 input->map->ranges[end - 1].last, input->host,
+                                 NULL) == APR_OK;
+        }
+        else if (end > i) {
+            i = end - 1;
+        }
+    }
+    return changes;
+}
+
+/* Returns whether a host that is not overloaded is to look for hosts without
+   keys and for ranges to merge. Sets the time of the next look. */
+bool
+AprHotRangePlanner_IsIdleCheckDue(AprHotRangePlanner_t *planner,
+                                  int64_t next_heartbeat_ms, uint32_t seed,
+                                  int64_t now_ms)
+{
+    if (now_ms < planner->next_idle_check_ms ||
+        now_ms < planner->next_plan_ms ||
+        now_ms < next_heartbeat_ms - WRITE_LEAD_MS) {
+        return false;
+    }
+    planner->next_idle_check_ms = now_ms + IDLE_CHECK_INTERVAL_MS +
+                                  (int64_t)(seed % IDLE_CHECK_INTERVAL_MS);
+    return true;
+}
+
+/* Merges ranges in one part of the map, if moves have left many: own ones with
+   each other, and short ones that are no longer hot with those of their
+   neighbours. Only keys that the planner calls movable change. Returns the
+   number of changes in the map. */
+int
+AprHotRangePlanner_Consolidate(AprHotRangePlanner_t *planner,
+                               const AprHotRangeInput_t *input)
+{
+    int own = 0;
+
+    for (int i = 0; i < input->map->count; i++) {
+        own += strcmp(input->map->ranges[i].host, input->host) == 0;
+    }
+    if (own <= CONSOLIDATE_HOST_RANGES &&
+        input->map->count <= CONSOLIDATE_MAP_RANGES) {
+        return 0;
+    }
+    for (int i = 0; i < APR_KEY_PARTS; i++) {
+        int part = (int)((input->seed + (uint32_t)i) % APR_KEY_PARTS);
+        int changes = merge_own_ranges(input, part) +
+                      give_short_ranges(planner, input, part);
+
+        if (changes > 0) {
+            return changes;
+        }
+    }
+    return 0;
+}
+
 /* Handles the result of a change of the map. Planned moves that are not in
    force are planned again soon, with other receivers. */
 void
@@ -814,7 +1019,14 @@
     }
     planner->transfer_count = kept;
     if (dropped) {
-        planner->next_plan_ms = now_ms + (int64_t)(seed % CONFLICT_PAUSE_MS);
+        planner->next_plan_ms =
+            now_ms +
+            (int64_t)(seed % (CONFLICT_PAUSE_MS << planner->conflicts));
+        planner->conflicts =
+            MIN(planner->conflicts + 1, MAX_CONFLICT_DOUBLINGS);
         planner->excess_ms = MIN_EXCESS_MS;
     }
+    else if (in_force) {
+        planner->conflicts = 0;
+    }
 }
--- a/src/state/key_map.c
+++ b/src/state/key_map.c
@@ -156,8 +156,8 @@
     return APR_OK;
 }
 
-/* Removes the owner of those keys of a host whose assignment differs in the
-   proposal. While the outcome of the proposed change is unknown, the host must
+/* Removes the owner of those keys of a host that the proposal gives to another
+   one. While the outcome of the proposed change is unknown, the host must
    not serve these keys, since they may belong to another host. Returns
    APR_E_NOMEM when memory runs out. */
 int
@@ -175,6 +175,7 @@
 
             if (strcmp(range->host, host) == 0 &&
                 range->fence != proposed->fence &&
+                strcmp(proposed->host, host) != 0 &&
                 AprKeyMap_Assign(map, key, last, NULL, NULL) != APR_OK) {
                 return APR_E_NOMEM;
             }
