Keep changes of the key map from starving each other

With adaptive balancing the parts of the map change many times a second. Changes of a host that left conflicted nine times in ten, and the removal of a lost host started over after each conflict. Each conflict now halves the parts of the next change, a removal goes on from its fence, and ranges are merged four times a second by all hosts together at most.

--- a/include/apricot/hot_range_plan.h
+++ b/include/apricot/hot_range_plan.h
@@ -54,6 +54,7 @@
     int64_t next_plan_ms;
     int conflicts; /* failed changes since the last one in force */
     int64_t next_idle_check_ms;
+    int64_t next_merge_ms;
     double allowance; /* moves that may be made now */
     int64_t allowance_ms;
     AprKeyTransfer_t transfers[APR_HOT_RANGE_TRANSFERS];
--- a/internal/removal_queue.h
+++ b/internal/removal_queue.h
@@ -60,6 +60,7 @@
                              struct AprGateway_t *gateway,
                              int64_t max_grant_ms,
                              AprRemovalReassign_t reassign, void *context);
-void AprRemovalQueue_OnMapChangeDone(AprRemovalQueue_t *queue, bool changed);
+const char *AprRemovalQueue_ReassigningHost(const AprRemovalQueue_t *queue);
+void AprRemovalQueue_OnMapChangeDone(AprRemovalQueue_t *queue, bool done);
 
 #endif
--- a/src/gateway/key_moves.c
+++ b/src/gateway/key_moves.c
@@ -64,6 +64,9 @@
    on the updated key map, while the heartbeat that led to it waits. */
 #define MAX_CONFLICT_RETRIES 5
 
+/* After this many conflicts in a row a change has one part only. */
+#define MAX_CONFLICT_HALVINGS 4
+
 /* Applies the parts that a successful change wrote to the local key map, and
    frees the proposal. */
 static void
@@ -126,6 +129,18 @@
     }
 }
 
+/* Returns whether the lost host whose removal sent the last change still owns
+   keys. */
+static bool
+has_reassigned_host_keys(AprOwnership_t *ownership)
+{
+    AprServiceKeyMap_t *entry = AprOwnership_FindOwnMap(ownership);
+    const char *host =
+        AprRemovalQueue_ReassigningHost(&ownership->removal_queue);
+
+    return host != NULL && AprOwnership_CountKeysOf(entry, host) > 0;
+}
+
 static void
 on_map_changed(void *context, const AprKvResult_t *result)
 {
@@ -133,6 +148,8 @@
     AprServiceKeyMap_t *entry = AprOwnership_FindOwnMap(ownership);
 
     ownership->change_in_flight = false;
+    ownership->conflicts_in_row =
+        result->code == APR_E_CONFLICT ? ownership->conflicts_in_row + 1 : 0;
     AprLog_Write(APR_LOG_INFO, "keys_change_done",
                  "reason=%s result=%s revision=%lld",
                  ownership->proposal_reason, AprError_Name(result->code),
@@ -157,7 +174,8 @@
                                         AprOwnership_NowMs(ownership));
     }
     AprRemovalQueue_OnMapChangeDone(&ownership->removal_queue,
-                                    result->code == APR_OK);
+                                    result->code == APR_OK &&
+                                        !has_reassigned_host_keys(ownership));
     if (result->code == APR_E_CONFLICT && result->item_count > 0 &&
         ownership->pending_reply != NULL &&
         ownership->conflict_retries < MAX_CONFLICT_RETRIES) {
@@ -170,16 +188,31 @@
     AprOwnership_SendPendingReply(ownership);
 }
 
-/* Returns the changed parts of `map` as a bit set. Parts that do not fit into
-   one change of the store are reset in `map`, and planned again later. Returns
-   0 when nothing changed or memory runs out. */
+/* Returns how many parts one change may have. A change of many parts fails as
+   soon as another host has changed one of them. With adaptive balancing the
+   parts change many times a second, so that each conflict halves the number:
+   before, nine of ten changes of a host that left had conflicts. */
+static int
+max_changed_parts(const AprOwnership_t *ownership, int condition_count)
+{
+    int room = (MAX_CHANGE_ENTRIES - condition_count) / 2;
+
+    if (AprGateway_IsBalancingAdaptive(ownership->gateway)) {
+        room = MIN(room, APR_KEY_PARTS >> MIN(ownership->conflicts_in_row,
+                                              MAX_CONFLICT_HALVINGS));
+    }
+    return room;
+}
+
+/* Returns the changed parts of `map` as a bit set. Parts beyond `room` are
+   reset in `map`, and planned again later. Returns 0 when nothing changed or
+   memory runs out. */
 static uint32_t
 limit_changed_parts(const AprServiceKeyMap_t *entry, AprKeyMap_t *map,
-                    int condition_count)
+                    int room)
 {
     uint32_t changed = AprKeyMap_ChangedParts(&entry->map, map);
     uint32_t parts = 0;
-    int room = (MAX_CHANGE_ENTRIES - condition_count) / 2;
 
     for (int part = 0; part < APR_KEY_PARTS; part++) {
         if ((changed & (1u << part)) == 0) {
@@ -286,7 +319,8 @@
                 int condition_count)
 {
     AprServiceKeyMap_t *entry = AprOwnership_FindOwnMap(ownership);
-    uint32_t parts = limit_changed_parts(entry, map, condition_count);
+    uint32_t parts = limit_changed_parts(
+        entry, map, max_changed_parts(ownership, condition_count));
 
     if (parts == 0) {
         AprKeyMap_Free(map);
--- a/src/gateway/removal_queue.c
+++ b/src/gateway/removal_queue.c
@@ -269,11 +269,35 @@
     }
 }
 
-/* Handles the result of a key map change. After a success the removal that
-   sent the change is finished; after a failure it starts over. Has no effect
-   when no removal has sent a change. */
+/* Returns whether the fence of a removal is still the known one. */
+static bool
+is_fence_in_force(const AprHostRemoval_t *removal)
+{
+    char key[STORE_KEY_SIZE];
+    const AprItem_t *fence;
+
+    format_store_key(removal, "fences", key);
+    fence = AprStoreCache_FindItem(removal->gateway->store_cache, key);
+    return fence != NULL && !fence->removed &&
+           fence->revision == removal->fence_revision;
+}
+
+/* Returns the host whose removal has sent a change of the key map, or NULL. */
+const char *
+AprRemovalQueue_ReassigningHost(const AprRemovalQueue_t *queue)
+{
+    return queue->has_reassigning
+               ? queue->removals[queue->reassigning_index].host
+               : NULL;
+}
+
+/* Handles the result of a key map change. `done` tells that the host has no
+   keys left, which finishes the removal that sent the change. Otherwise it
+   sends another change if the fence is still there, as another host may just
+   have changed the map, or the change did not have all keys; else it starts
+   over. Has no effect when no removal has sent a change. */
 void
-AprRemovalQueue_OnMapChangeDone(AprRemovalQueue_t *queue, bool changed)
+AprRemovalQueue_OnMapChangeDone(AprRemovalQueue_t *queue, bool done)
 {
     AprHostRemoval_t *removal;
 
@@ -283,10 +307,11 @@
     queue->has_reassigning = false;
     removal = &queue->removals[queue->reassigning_index];
     removal->call_pending = false;
-    if (changed) {
+    if (done) {
         reset_removal(removal);
     }
     else {
-        enter_step(removal, APR_REMOVAL_MISSING);
+        enter_step(removal, is_fence_in_force(removal) ? APR_REMOVAL_FENCED
+                                                       : APR_REMOVAL_MISSING);
     }
 }
--- a/src/state/hot_range_plan.c
+++ b/src/state/hot_range_plan.c
@@ -58,7 +58,11 @@
 
 /* Ranges of the map, or of the host, from which ranges are merged. */
 #define CONSOLIDATE_MAP_RANGES 512
-#define CONSOLIDATE_HOST_RANGES 16
+#define CONSOLIDATE_HOST_RANGES 32
+
+/* Mean time between two merges by all hosts together. Each one is a write to
+   the store and conflicts with other changes of the same part. */
+#define MERGE_INTERVAL_MS 250
 
 /* Shortest interval at which a host that is not overloaded looks for hosts
    without keys and for ranges to merge. A random time of at most the same is
@@ -974,6 +978,13 @@
 {
     int own = 0;
 
+    if (input->now_ms < planner->next_merge_ms) {
+        return 0;
+    }
+    planner->next_merge_ms =
+        input->now_ms + (int64_t)input->count * MERGE_INTERVAL_MS / 2 +
+        (int64_t)(input->seed %
+                  (uint32_t)(input->count * MERGE_INTERVAL_MS + 1));
     for (int i = 0; i < input->map->count; i++) {
         own += strcmp(input->map->ranges[i].host, input->host) == 0;
     }
