Admit by learned costs under uneven overload

With uneven work, slots go to answers that come after their objective: the present admission keeps late requests queued, takes a mean service time for all requests of a route, and notices slow periods by that mean only.

The model learns the distribution of service times by route, size class and number of calls, and the pace apart from it. Without a cost model nothing changes.

--- a/include/apricot/admission.h
+++ b/include/apricot/admission.h
@@ -4,6 +4,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "apricot/cost_model.h"
+
 /* Admission control in front of one backend server, which runs `slots`
    requests at a time. The code makes decisions only: it does no input or
    output, and the caller passes the time, in milliseconds of a monotonic
@@ -33,6 +35,11 @@
     int64_t deadline_ms;  /* time after which the caller no longer waits */
     double expected_service_ms;  /* set on admission */
     double service_deviation_ms; /* usual error of that; set on admission */
+    /* With a cost model: size class of the body; mean and standard deviation
+       of the logarithm of the service time, which are set on admission. */
+    int size_class;
+    double log_mean;
+    double log_deviation;
 } AprAdmissionRequest_t;
 
 /* A request that occupies a slot. */
@@ -41,6 +48,11 @@
     uint32_t kind;
     int64_t started_ms;
     double expected_service_ms;
+    /* With a cost model: size class of the body, calls made so far, and
+       AprCostModel_Progress() at the start. */
+    int size_class;
+    int calls;
+    double started_progress;
 } AprRunningRequest_t;
 
 /* Statistics of the requests of one kind. */
@@ -69,6 +81,14 @@
        `allowance_ms`; negative after starts that had to exceed it. */
     double allowance;
     int64_t allowance_ms;
+    /* Cost model of the backend server, which must outlive this; NULL: none.
+       With one, expected service times are those at pace 1, and
+       adaptive_admission.c decides what is queued and what starts. */
+    AprCostModel_t *costs;
+    /* Service time that the arrivals of each rank required, decaying; the
+       first element is that of nested calls. */
+    double demand_ms[APR_ADMISSION_MAX_RANKS + 1];
+    int64_t demand_updated_ms;
 } AprAdmission_t;
 
 typedef struct AprAdmissionDecision_t {
@@ -79,6 +99,11 @@
 } AprAdmissionDecision_t;
 
 void AprAdmission_Init(AprAdmission_t *admission, int slots);
+void AprAdmission_SetCostModel(AprAdmission_t *admission,
+                               AprCostModel_t *costs);
+void AprAdmission_CountNestedCall(AprAdmission_t *admission, uint64_t id);
+double AprAdmission_RemainingWorkMs(const AprAdmission_t *admission,
+                                    int64_t now_ms);
 void AprAdmission_SetRequestLimit(AprAdmission_t *admission, double per_s,
                                   int64_t now_ms);
 void AprAdmission_CountSent(AprAdmission_t *admission, int64_t now_ms);
--- a/src/state/admission.c
+++ b/src/state/admission.c
@@ -3,6 +3,8 @@
 #include <math.h>
 #include <string.h>
 
+#include "internal/adaptive_admission.h"
+
 /* Minimum share of the service time of each kind that has queued requests.
    Without it a flood of urgent requests would starve the other kinds. */
 #define MIN_KIND_SHARE 0.15
@@ -36,6 +38,9 @@
    tell that it takes more again. */
 #define MIN_REQUEST_LIMIT 0.25
 
+/* Places in the queue that only nested calls may take, with a cost model. */
+#define NESTED_QUEUE 64
+
 /* Bounds of the retry delay that is returned with a rejection. */
 #define RETRY_AFTER_MIN_MS 20
 #define RETRY_AFTER_MAX_MS 2000
@@ -120,6 +125,32 @@
     return missing > 0 ? missing * 1000.0 / admission->request_limit : 0;
 }
 
+double
+AprAdmission_LimitWaitMs(const AprAdmission_t *admission, int ahead,
+                         int64_t now_ms)
+{
+    return allowance_wait_ms(admission, ahead, now_ms);
+}
+
+/* Lets a cost model decide on the requests, or none if it is NULL. Queued and
+   running requests keep the expected service times that they have. */
+void
+AprAdmission_SetCostModel(AprAdmission_t *admission, AprCostModel_t *costs)
+{
+    admission->costs = costs;
+}
+
+/* Counts a call that a running request makes. */
+void
+AprAdmission_CountNestedCall(AprAdmission_t *admission, uint64_t id)
+{
+    for (int i = 0; i < admission->running_count; i++) {
+        if (admission->running[i].id == id) {
+            admission->running[i].calls++;
+        }
+    }
+}
+
 /* Returns the milliseconds, rounded up, until the limit lets the next request
    start. */
 int64_t
@@ -347,6 +378,33 @@
     return (int64_t)delay_ms;
 }
 
+/* Queues a copy of a request, or rejects it, by the cost model. Part of the
+   queue is kept for nested calls. */
+static AprAdmissionDecision_t
+offer_by_cost(AprAdmission_t *admission, AprAdmissionRequest_t *request,
+              int64_t now_ms)
+{
+    AprAdmissionDecision_t decision = {false, 0, 0};
+    int most = request->nested ? APR_ADMISSION_MAX_QUEUE
+                               : APR_ADMISSION_MAX_QUEUE - NESTED_QUEUE;
+    double wait_ms;
+
+    AprAdaptiveAdmission_SetCost(admission, request, now_ms);
+    wait_ms = AprAdaptiveAdmission_WaitMs(admission, request, now_ms);
+    decision.wait_ms = (int64_t)wait_ms;
+    decision.admitted = admission->queue_count < most &&
+                        !AprAdaptiveAdmission_ShouldReject(admission, request,
+                                                           now_ms, wait_ms);
+    AprAdaptiveAdmission_AddDemand(admission, request, now_ms);
+    if (decision.admitted) {
+        admission->queue[admission->queue_count++] = *request;
+    }
+    else {
+        decision.retry_after_ms = retry_delay_ms(request, now_ms, wait_ms);
+    }
+    return decision;
+}
+
 /* Queues a copy of a request, or rejects it when the queue is full or it is
    not expected to be answered in time. Sets `expected_service_ms` of the
    request and limits its rank to the valid range. AprAdmission_StartNext
@@ -361,6 +419,9 @@
     if (request->rank >= APR_ADMISSION_MAX_RANKS) {
         request->rank = APR_ADMISSION_MAX_RANKS - 1;
     }
+    if (admission->costs != NULL) {
+        return offer_by_cost(admission, request, now_ms);
+    }
     request->expected_service_ms = AprAdmission_ExpectedServiceMs(
         admission, request->kind, request->objective_ms - request->arrived_ms);
     request->service_deviation_ms =
@@ -513,20 +574,53 @@
         allowance_wait_ms(admission, 0, now_ms) > 0) {
         return false;
     }
-    index = find_first_of_kind(admission, find_underserved_kind(admission),
-                               now_ms);
+    index = admission->costs != NULL
+                ? AprAdaptiveAdmission_FindNext(
+                      admission, find_underserved_kind(admission), now_ms)
+                : find_first_of_kind(admission,
+                                     find_underserved_kind(admission), now_ms);
     *request = admission->queue[index];
     remove_queued(admission, index);
-    charge_kind(admission, request);
-    credit_waiting_kinds(admission, request);
+    /* With a cost model, nested calls may use the shares of other kinds. */
+    if (admission->costs == NULL || !request->nested) {
+        charge_kind(admission, request);
+        credit_waiting_kinds(admission, request);
+    }
     running = &admission->running[admission->running_count++];
     running->id = request->id;
     running->kind = request->kind;
     running->started_ms = now_ms;
     running->expected_service_ms = request->expected_service_ms;
+    running->size_class = request->size_class;
+    running->calls = 0;
+    running->started_progress =
+        admission->costs == NULL
+            ? 0
+            : AprCostModel_Progress(admission->costs, now_ms);
     return true;
 }
 
+/* Returns the expected wait of a queued request, and in `rejected` whether it
+   is no longer expected to be answered in time. */
+static double
+check_queued(const AprAdmission_t *admission,
+             const AprAdmissionRequest_t *request, int64_t now_ms,
+             bool *rejected)
+{
+    ExpectedWait_t wait;
+    double wait_ms;
+
+    if (admission->costs != NULL) {
+        wait_ms = AprAdaptiveAdmission_WaitMs(admission, request, now_ms);
+        *rejected = AprAdaptiveAdmission_ShouldReject(admission, request,
+                                                      now_ms, wait_ms);
+        return wait_ms;
+    }
+    wait = expected_wait(admission, request, now_ms);
+    *rejected = should_reject(request, now_ms, wait);
+    return wait.by_order_ms;
+}
+
 /* Takes a request that is no longer expected to be answered in time from the
    queue into `request`, so that its caller is told at once, and describes the
    rejection in `decision`. Returns false when there is none. */
@@ -536,15 +630,16 @@
                       AprAdmissionDecision_t *decision)
 {
     for (int i = 0; i < admission->queue_count; i++) {
-        ExpectedWait_t wait =
-            expected_wait(admission, &admission->queue[i], now_ms);
+        bool rejected;
+        double wait_ms =
+            check_queued(admission, &admission->queue[i], now_ms, &rejected);
 
-        if (should_reject(&admission->queue[i], now_ms, wait)) {
+        if (rejected) {
             *request = admission->queue[i];
             decision->admitted = false;
-            decision->wait_ms = (int64_t)wait.by_order_ms;
+            decision->wait_ms = (int64_t)wait_ms;
             decision->retry_after_ms =
-                retry_delay_ms(request, now_ms, wait.by_order_ms);
+                retry_delay_ms(request, now_ms, wait_ms);
             remove_queued(admission, i);
             return true;
         }
@@ -583,6 +678,14 @@
         if (running->id != id) {
             continue;
         }
+        if (measured && admission->costs != NULL) {
+            AprCostModel_AddSample(
+                admission->costs, running->kind, running->size_class,
+                running->calls,
+                AprCostModel_Progress(admission->costs, now_ms) -
+                    running->started_progress,
+                (double)(now_ms - running->started_ms), now_ms);
+        }
         if (measured) {
             add_service_sample(admission, running->kind,
                                (double)(now_ms - running->started_ms));
@@ -604,5 +707,8 @@
     probe.arrived_ms = now_ms;
     probe.objective_ms = INT64_MAX / 2;
     probe.deadline_ms = INT64_MAX / 2;
+    if (admission->costs != NULL) {
+        return (int64_t)AprAdaptiveAdmission_WaitMs(admission, &probe, now_ms);
+    }
     return (int64_t)expected_wait(admission, &probe, now_ms).by_order_ms;
 }
