Test the edge cases of an evacuation and show its state

The state dump lists the evacuated domains. Load reports of a domain are discarded when it is taken back, because they still say for up to a second that its hosts accept no calls. An item has no effect without the setting.

The stand-in for the store can lose its history, and the one for the configuration can name a service without keys.

--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -263,6 +263,7 @@
                                    int64_t age_ms);
 void AprMembers_RecordUnreachable(AprMembers_t *members, const char *host);
 char *AprMembers_FormatOwnEntry(const AprGateway_t *gateway);
+void AprMembers_DiscardLoadReports(AprMembers_t *members, const char *domain);
 bool AprMembers_HasUsableHost(AprMembers_t *members, const char *service);
 AprHost_t *AprMembers_ChooseHost(AprMembers_t *members, const char *service,
                                  char tried[][APR_NAME_SIZE], int tried_count);
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -486,14 +486,18 @@
 static void
 refuse_evacuated_calls(AprBackend_t *backend)
 {
+    const AprGateway_t *gateway = backend->gateway;
     int i = 0;
 
+    if (!AprGateway_IsEvacuated(gateway, gateway->settings.failure_domain)) {
+        return;
+    }
     while (i < backend->admission.queue_count) {
         uint64_t id = backend->admission.queue[i].id;
         AprBackendCall_t *call = find_call(backend, id);
         AprCallFailure_t failure = {
             APR_CALL_LEAVING, true,
-            (int64_t)(backend->gateway->settings.heartbeat_s * 500)};
+            (int64_t)(gateway->settings.heartbeat_s * 500)};
 
         if (call == NULL || may_start_here(backend, call->head.key)) {
             i++;
--- a/src/gateway/evacuations.c
+++ b/src/gateway/evacuations.c
@@ -18,6 +18,9 @@
     const AprEvacuatedDomain_t *entry;
     AprMetric_t *gauge;
 
+    if (evacuation->deadline_ms <= 0) {
+        return;
+    }
     if (item->removed) {
         entry = AprEvacuation_Find(evacuation, domain);
         if (entry == NULL) {
@@ -29,6 +32,7 @@
                      (long long)item->revision,
                      (long long)(now_ms - entry->known_ms));
         AprEvacuation_Remove(evacuation, domain);
+        AprMembers_DiscardLoadReports(gateway->members, domain);
     }
     else if (AprEvacuation_Add(evacuation, domain, complete_ms, now_ms)) {
         entry = AprEvacuation_Find(evacuation, domain);
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -405,6 +405,18 @@
            AprBackend_IsProbeDue(members->gateway->backend);
 }
 
+/* Discards the load reports of the hosts in a failure domain: after an
+   evacuation they still say that the hosts accept no calls. */
+void
+AprMembers_DiscardLoadReports(AprMembers_t *members, const char *domain)
+{
+    for (int i = 0; i < members->host_count; i++) {
+        if (strcmp(members->hosts[i].failure_domain, domain) == 0) {
+            members->hosts[i].load_report_ms = 0;
+        }
+    }
+}
+
 /* Returns whether a host outside the evacuated failure domains has a backend
    server of a service, so that it could receive keys. */
 bool
--- a/src/gateway/state_dump.c
+++ b/src/gateway/state_dump.c
@@ -48,6 +48,24 @@
     return list;
 }
 
+static json_t *
+dump_evacuations(const AprGateway_t *gateway)
+{
+    int64_t now_ms = AprGateway_NowMs(gateway);
+    json_t *list = json_array();
+
+    for (int i = 0; i < gateway->evacuation.count; i++) {
+        const AprEvacuatedDomain_t *entry = &gateway->evacuation.domains[i];
+
+        json_array_append_new(
+            list,
+            json_pack("{s:s,s:I,s:I}", "domain", entry->name, "known_age_ms",
+                      (json_int_t)(now_ms - entry->known_ms), "keyed_left_ms",
+                      (json_int_t)(entry->keyed_until_ms - now_ms)));
+    }
+    return list;
+}
+
 /* Returns the present state of this process as JSON text, which the caller
    frees with free(), or NULL when memory runs out. */
 char *
@@ -62,7 +80,7 @@
 
     AprGateway_GetLoad(gateway, &load);
     root = json_pack(
-        "{s:s,s:I,s:I,s:s,s:I,s:b,s:b,s:b,s:I,s:i,s:i,s:i,s:s,s:o,s:o}",
+        "{s:s,s:I,s:I,s:s,s:I,s:b,s:b,s:b,s:I,s:i,s:i,s:i,s:s,s:o,s:o,s:o}",
         "host", gateway->settings.host, "config_version",
         (json_int_t)(gateway->routes == NULL ? 0 : gateway->routes->version),
         "revision", (json_int_t)load.known_revision, "item_source",
@@ -73,7 +91,8 @@
         "authority_ms", (json_int_t)authority_ms, "running", load.running,
         "queued", load.queued, "load_permille", load.load_permille, "backend",
         AprBackend_GetIncarnation(gateway->backend)->id, "members",
-        dump_members(gateway), "ranges", dump_ranges(map));
+        dump_members(gateway), "ranges", dump_ranges(map), "evacuated",
+        dump_evacuations(gateway));
     text = json_dumps(root, JSON_INDENT(1));
     json_decref(root);
     return text;
--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -57,6 +57,8 @@
     AprKvTransaction_t late_change; /* owned texts; valid if has_late_change */
     bool has_late_change;
     bool ignores_watches; /* new watches get no response and time out */
+    /* Changes up to this revision are no longer known. */
+    int64_t compacted_revision;
     int commit_count;
     int conflict_count;
 } ClusterStore_t;
@@ -187,6 +189,10 @@
     if (request->store->down || request->lost) {
         request->result.code = APR_E_UNKNOWN_OUTCOME;
     }
+    else if (request->is_watch &&
+             request->after_revision < request->store->compacted_revision) {
+        request->result.code = APR_E_STALE;
+    }
     else if (request->is_watch) {
         request->result.items = items;
         request->result.item_count =
@@ -330,6 +336,23 @@
     item->revision = store->revision;
 }
 
+/* Drops the history up to the present revision, removals included. */
+static inline void
+store_compact(ClusterStore_t *store)
+{
+    int kept = 0;
+
+    for (int i = 0; i < store->item_count; i++) {
+        if (!store->items[i].removed) {
+            store->items[kept++] = store->items[i];
+        }
+    }
+    memset(&store->items[kept], 0,
+           (size_t)(store->item_count - kept) * sizeof(store->items[0]));
+    store->item_count = kept;
+    store->compacted_revision = store->revision;
+}
+
 /* Returns a lease that has not ended, or NULL. */
 static StoreLease_t *
 store_find_lease(ClusterStore_t *store, int64_t id)
@@ -863,8 +886,9 @@
     "Attempt", "Time-Left", "Expected", "Not-Run", "Caller",
     "Key",     "Limit",     "Leaving",  '.',       false};
 
-/* Creates a configuration with one route to one keyed service; `text` is its
-   version. */
+/* Creates a configuration with one route to one service; `text` is its
+   version, followed by "unkeyed" if the service has no keys, and by
+   "idempotent" if requests may run more than once. */
 static int
 cluster_parse_routes(const char *text, size_t size, AprRouteTable_t **table,
                      AprError_t *error)
@@ -875,10 +899,11 @@
     routes->version = strtoull(text, NULL, 10);
     (void)size;
     strcpy(routes->services[0].name, CLUSTER_SERVICE);
-    routes->services[0].owns_keys = true;
+    routes->services[0].owns_keys = strstr(text, "unkeyed") == NULL;
     routes->routes[0].host = strdup("desk.example");
     routes->routes[0].prefix = strdup("/");
     strcpy(routes->routes[0].name, "all");
+    routes->routes[0].idempotent = strstr(text, "idempotent") != NULL;
     routes->routes[0].max_attempts = 2;
     routes->routes[0].timeout_ms = 1000;
     routes->routes[0].objective_ms = 300;
