Let requests wait for a grant that comes in time

A request for a key that its new owner had not granted yet was refused, for about one heartbeat after each move. With adaptive balancing it waits if the grant is expected early enough for its objective or else its deadline. As many may wait as fit the queue, and they are refused as not run once they can no longer be served in time. An entry gateway that hears 'not owner' waits until it knows another owner instead of asking the same host again: four attempts 40 ms apart end before the change arrives, which takes 60 to 200 ms.

--- a/internal/exchange.h
+++ b/internal/exchange.h
@@ -60,6 +60,8 @@
     int status;
     ev_timer deadline_timer;
     ev_timer retry_timer; /* delays the next attempt */
+    /* Since when the owner of the key is expected to change; 0: not. */
+    int64_t owner_change_since_ms;
     AprExchange_t *next;
 };
 
--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -277,6 +277,8 @@
                                    const char *service, int key);
 AprKeyStatus_t AprOwnership_CheckKey(AprOwnership_t *ownership, int key,
                                      int64_t *wait_ms);
+int64_t AprOwnership_ExpectedGrantMs(AprOwnership_t *ownership, int key);
+bool AprOwnership_AreGrantsSettled(const AprOwnership_t *ownership);
 void AprOwnership_OnHeartbeat(AprOwnership_t *ownership,
                               const AprHeartbeat_t *heartbeat,
                               AprHeartbeatReply_t reply, void *context);
--- a/internal/ownership_state.h
+++ b/internal/ownership_state.h
@@ -49,6 +49,7 @@
     /* Grants that the backend server holds by the last reply. */
     AprGrant_t held_grants[APR_MAX_GRANTS];
     int held_grant_count;
+    int64_t last_reply_ms;        /* time of the last reply with grants */
     int64_t held_grants_until_ms; /* new requests use them until then */
 
     /* Proposed change of the own service's key map. Until it is settled, keys
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -8,6 +8,7 @@
 
 #include "apricot/admission.h"
 #include "apricot/error.h"
+#include "apricot/grant_waits.h"
 #include "apricot/log.h"
 #include "internal/backend_conn.h"
 #include "internal/gateway.h"
@@ -46,9 +47,15 @@
    gets one request at a time until it responds again. */
 #define UNRESPONSIVE_MIN_CALLS 2
 
+/* Shortest interval of the checks of requests that wait for a grant. Each
+   compares all of them with the grants. */
+#define GRANT_CHECK_INTERVAL_MS 20
+
 struct AprBackend_t {
     AprGateway_t *gateway;
     AprAdmission_t admission;
+    AprGrantWaits_t grant_waits;
+    int64_t next_settle_ms;              /* next check of grant_waits */
     AprBackendIncarnation_t incarnation; /* empty id: no heartbeat yet */
     bool leaving;
     int64_t leaving_since_ms;
@@ -560,7 +567,8 @@
     AprBackendCall_t *call = context;
     AprBackend_t *backend = call->backend;
 
-    if (AprAdmission_RemoveQueued(&backend->admission, (uint64_t)call->id)) {
+    if (AprAdmission_RemoveQueued(&backend->admission, (uint64_t)call->id) ||
+        AprGrantWaits_Remove(&backend->grant_waits, (uint64_t)call->id)) {
         free_call(call);
         return;
     }
@@ -673,6 +681,97 @@
     return call;
 }
 
+/* Returns whether a refused request is for a key whose grant may be waited
+   for. */
+static bool
+may_wait_for_grant(const AprBackend_t *backend,
+                   const AprCallFailure_t *failure)
+{
+    return failure->error == APR_CALL_FULL &&
+           AprGateway_IsBalancingAdaptive(backend->gateway);
+}
+
+/* Lets a request wait for the grant of its key if it can be answered in time
+   then. Sets its expected service time. */
+static AprAdmissionDecision_t
+offer_to_grant_waits(AprBackend_t *backend, AprAdmissionRequest_t *request,
+                     int key, int64_t now_ms)
+{
+    AprAdmissionDecision_t decision;
+
+    request->expected_service_ms = AprAdmission_ExpectedServiceMs(
+        &backend->admission, request->kind,
+        request->objective_ms - request->arrived_ms);
+    decision = AprGrantWaits_Offer(
+        &backend->grant_waits, request, key, backend->admission.slots,
+        AprAdmission_ExpectedWaitMs(&backend->admission, request->rank,
+                                    now_ms),
+        AprOwnership_ExpectedGrantMs(backend->gateway->ownership, key),
+        now_ms);
+    AprGateway_IncrementCounter(backend->gateway, "grant_waits_total",
+                                decision.admitted ? "result=\"waits\""
+                                                  : "result=\"refused\"");
+    return decision;
+}
+
+/* Moves a request whose key is granted to the queue, or refuses it. Returns
+   false if it is to wait on. */
+static bool
+settle_grant_wait(AprBackend_t *backend, int index, int64_t now_ms)
+{
+    AprGrantWait_t wait = backend->grant_waits.entries[index];
+    AprBackendCall_t *call = find_call(backend, wait.request.id);
+    AprCallFailure_t failure = {APR_CALL_FULL, true, 0};
+    AprAdmissionDecision_t decision;
+
+    if (check_key_held(backend, wait.key, &failure)) {
+        if (!AprOwnership_AreGrantsSettled(backend->gateway->ownership)) {
+            return false;
+        }
+        decision =
+            AprAdmission_Offer(&backend->admission, &wait.request, now_ms);
+        failure.error = APR_CALL_FULL;
+        failure.retry_after_ms = decision.retry_after_ms;
+        AprGrantWaits_Remove(&backend->grant_waits, wait.request.id);
+        if (decision.admitted) {
+            return true;
+        }
+    }
+    else if (failure.error == APR_CALL_FULL &&
+             AprGrantWaits_IsWorthWaiting(
+                 &backend->grant_waits, index, backend->admission.slots,
+                 AprOwnership_ExpectedGrantMs(backend->gateway->ownership,
+                                              wait.key),
+                 now_ms)) {
+        return false;
+    }
+    else {
+        AprGrantWaits_Remove(&backend->grant_waits, wait.request.id);
+    }
+    AprGateway_IncrementCounter(backend->gateway, "grant_waits_total",
+                                "result=\"ended\"");
+    if (call != NULL) {
+        fail_call(call, &failure);
+    }
+    return true;
+}
+
+/* Queues the requests whose keys have been granted, and refuses those that can
+   no longer be served in time or whose keys have another owner. */
+static void
+settle_grant_waits(AprBackend_t *backend, int64_t now_ms)
+{
+    int index = 0;
+
+    if (now_ms < backend->next_settle_ms) {
+        return;
+    }
+    backend->next_settle_ms = now_ms + GRANT_CHECK_INTERVAL_MS;
+    while (index < backend->grant_waits.count) {
+        index += settle_grant_wait(backend, index, now_ms) ? 0 : 1;
+    }
+}
+
 /* Queues a request for the local backend server. `head`, `data` and `handlers`
    are copied. Returns false and fills in `failure` when the request is refused
    at once; otherwise fills in `ref`, and the handlers are called from the
@@ -687,8 +786,9 @@
     AprAdmissionDecision_t decision;
     AprBackendCall_t *call;
     AprAdmissionRequest_t request = {0};
+    bool granted = check_accepts_call(backend, head, failure);
 
-    if (!check_accepts_call(backend, head, failure)) {
+    if (!granted && !may_wait_for_grant(backend, failure)) {
         return false;
     }
     request.id = backend->next_id + 1;
@@ -699,7 +799,9 @@
     request.deadline_ms =
         AprGateway_LimitDeadline(backend->gateway, head->deadline_ms);
     request.objective_ms = MIN(head->objective_ms, request.deadline_ms);
-    decision = AprAdmission_Offer(&backend->admission, &request, now_ms);
+    decision =
+        granted ? AprAdmission_Offer(&backend->admission, &request, now_ms)
+                : offer_to_grant_waits(backend, &request, head->key, now_ms);
     add_demand(backend, request.expected_service_ms, now_ms);
     AprOwnership_AddDemand(backend->gateway->ownership, head->key,
                            request.expected_service_ms);
@@ -712,6 +814,7 @@
     call = create_call(backend, head, data, size, end);
     if (call == NULL) {
         AprAdmission_RemoveQueued(&backend->admission, request.id);
+        AprGrantWaits_Remove(&backend->grant_waits, request.id);
         failure->error = APR_CALL_FULL;
         failure->not_run = true;
         return false;
@@ -760,24 +863,29 @@
     }
 }
 
-/* Applies the limit that a planned stop sets on deadlines to the queued calls.
-   Those that can't be answered by then are refused as not run. */
-void
-AprBackend_LimitDeadlines(AprBackend_t *backend)
+static void
+limit_deadline(AprBackend_t *backend, AprAdmissionRequest_t *request)
 {
-    AprAdmission_t *admission = &backend->admission;
+    AprBackendCall_t *call = find_call(backend, request->id);
 
-    for (int i = 0; i < admission->queue_count; i++) {
-        AprAdmissionRequest_t *request = &admission->queue[i];
-        AprBackendCall_t *call = find_call(backend, request->id);
+    request->deadline_ms =
+        AprGateway_LimitDeadline(backend->gateway, request->deadline_ms);
+    request->objective_ms = MIN(request->objective_ms, request->deadline_ms);
+    if (call != NULL) {
+        call->head.deadline_ms = request->deadline_ms;
+    }
+}
 
-        request->deadline_ms =
-            AprGateway_LimitDeadline(backend->gateway, request->deadline_ms);
-        request->objective_ms =
-            MIN(request->objective_ms, request->deadline_ms);
-        if (call != NULL) {
-            call->head.deadline_ms = request->deadline_ms;
-        }
+/* Applies the limit that a planned stop sets on deadlines to the calls that
+   wait. Those that can't be answered by then are refused as not run. */
+void
+AprBackend_LimitDeadlines(AprBackend_t *backend)
+{
+    for (int i = 0; i < backend->admission.queue_count; i++) {
+        limit_deadline(backend, &backend->admission.queue[i]);
+    }
+    for (int i = 0; i < backend->grant_waits.count; i++) {
+        limit_deadline(backend, &backend->grant_waits.entries[i].request);
     }
 }
 
@@ -852,7 +960,8 @@
 int
 AprBackend_CountCalls(const AprBackend_t *backend)
 {
-    return backend->admission.running_count + backend->admission.queue_count;
+    return backend->admission.running_count + backend->admission.queue_count +
+           backend->grant_waits.count;
 }
 
 /* Returns the head of the running request with an attempt id, or NULL. `id`
@@ -926,6 +1035,7 @@
         conn = next;
     }
     detect_unresponsive_server(backend, now_ms);
+    settle_grant_waits(backend, now_ms);
     start_queued_calls(backend);
 }
 
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -24,6 +24,10 @@
 /* Delay of the next attempt for a key whose owner is about to change. */
 #define OWNER_CHANGE_RETRY_MS 40
 
+/* Time within which a change of the key map reaches this host at the latest,
+   usually; measured: 60 to 200 ms. */
+#define OWNER_CHANGE_MAX_MS 300
+
 /* Retry-After of failures whose end is not known. */
 #define RETRY_AFTER_DEFAULT_MS 200
 
@@ -31,6 +35,7 @@
 #define MIN_RETRY_TIME_FRACTION 0.3
 
 static void start_attempt(AprExchange_t *exchange);
+static void start_retry_timer(AprExchange_t *exchange);
 
 static int64_t
 exchange_now_ms(const AprExchange_t *exchange)
@@ -241,9 +246,8 @@
                  exchange->tried_hosts[exchange->attempt_count - 1],
                  AprCallError_Name(failure->error), exchange->attempt_count);
     if (exchange->keyed) {
-        ev_timer_set(&exchange->retry_timer, OWNER_CHANGE_RETRY_MS / 1000.0,
-                     0.0);
-        ev_timer_start(exchange->gateway->loop, &exchange->retry_timer);
+        exchange->owner_change_since_ms = exchange_now_ms(exchange);
+        start_retry_timer(exchange);
         return;
     }
     start_attempt(exchange);
@@ -401,12 +405,47 @@
     }
 }
 
+/* Returns whether the host that was tried last said that it does not own the
+   key, and this host does not know the new owner yet. An attempt at the same
+   host would only use up one of the attempts. */
+static bool
+awaits_owner_change(const AprExchange_t *exchange)
+{
+    AprGateway_t *gateway = exchange->gateway;
+    const char *owner;
+
+    if (!exchange->keyed || !AprGateway_IsBalancingAdaptive(gateway) ||
+        exchange->last_failure.error != APR_CALL_NOT_OWNER ||
+        exchange_now_ms(exchange) - exchange->owner_change_since_ms >=
+            OWNER_CHANGE_MAX_MS) {
+        return false;
+    }
+    owner = AprOwnership_FindOwner(gateway->ownership, exchange->head.service,
+                                   exchange->head.key);
+    return owner != NULL &&
+           strcmp(owner, exchange->tried_hosts[exchange->attempt_count - 1]) ==
+               0;
+}
+
+static void
+start_retry_timer(AprExchange_t *exchange)
+{
+    ev_timer_set(&exchange->retry_timer, OWNER_CHANGE_RETRY_MS / 1000.0, 0.0);
+    ev_timer_start(exchange->gateway->loop, &exchange->retry_timer);
+}
+
 static void
 on_retry_timer(struct ev_loop *loop, ev_timer *watcher, int events)
 {
+    AprExchange_t *exchange = watcher->data;
+
     (void)loop;
     (void)events;
-    start_attempt(watcher->data);
+    if (awaits_owner_change(exchange)) {
+        start_retry_timer(exchange);
+        return;
+    }
+    start_attempt(exchange);
 }
 
 /* Answers a request whose time is over and cancels its call. Does nothing when
--- a/src/gateway/ownership.c
+++ b/src/gateway/ownership.c
@@ -26,6 +26,9 @@
 /* No new request uses a grant during this time before its end. */
 #define GRANT_END_MARGIN_MS 200
 
+/* Time after which requests that waited for a grant start. */
+#define GRANT_SETTLE_MS 20
+
 /* An incarnation of the backend server with an earlier start time than the
    known one is accepted this long after the grants of the known one have
    ended. */
@@ -271,6 +274,16 @@
     return entry == NULL ? NULL : AprKeyMap_FindRange(&entry->map, key)->host;
 }
 
+/* Returns whether an open change gives an own key to another host. */
+static bool
+is_key_leaving(const AprOwnership_t *ownership, int key)
+{
+    return ownership->has_proposal &&
+           AprGateway_IsBalancingAdaptive(ownership->gateway) &&
+           strcmp(AprKeyMap_FindRange(&ownership->proposal, key)->host,
+                  AprOwnership_OwnHost(ownership)) != 0;
+}
+
 /* Returns whether the local backend server may receive a request for a key.
    For APR_KEY_GRANT_PENDING, *wait_ms is set to the expected time until the
    key is granted; otherwise it is left as it is. */
@@ -290,8 +303,10 @@
             }
         }
     }
-    if (entry == NULL || strcmp(AprKeyMap_FindRange(&entry->map, key)->host,
-                                AprOwnership_OwnHost(ownership)) != 0) {
+    if (entry == NULL ||
+        strcmp(AprKeyMap_FindRange(&entry->map, key)->host,
+               AprOwnership_OwnHost(ownership)) != 0 ||
+        is_key_leaving(ownership, key)) {
         return APR_KEY_NOT_OWNED;
     }
     *wait_ms = ownership->last_heartbeat_ms + interval_ms - now_ms;
@@ -301,6 +316,39 @@
     return APR_KEY_GRANT_PENDING;
 }
 
+/* Returns the time at which an own key that is not granted is expected to be
+   granted: at the next heartbeat after its previous holder releases it. */
+int64_t
+AprOwnership_ExpectedGrantMs(AprOwnership_t *ownership, int key)
+{
+    AprServiceKeyMap_t *entry = AprOwnership_FindOwnMap(ownership);
+    int64_t now_ms = AprOwnership_NowMs(ownership);
+    int64_t interval_ms =
+        (int64_t)(ownership->gateway->settings.heartbeat_s * 1000);
+    int64_t release_ms = AprGrantTable_ExpectedReleaseMs(
+        &ownership->grant_table, AprKeyMap_FindRange(&entry->map, key),
+        now_ms);
+    int64_t grant_ms = AprOwnership_NextHeartbeatMs(ownership);
+
+    if (grant_ms < now_ms) {
+        grant_ms = now_ms + interval_ms / 4; /* the heartbeat is late */
+    }
+    while (grant_ms < release_ms && interval_ms > 0) {
+        grant_ms += interval_ms;
+    }
+    return grant_ms;
+}
+
+/* Returns whether the backend server has had the time to learn of its last
+   grants: the reply that carries them and a request that is sent right after
+   it take different connections. */
+bool
+AprOwnership_AreGrantsSettled(const AprOwnership_t *ownership)
+{
+    return AprOwnership_NowMs(ownership) >=
+           ownership->last_reply_ms + GRANT_SETTLE_MS;
+}
+
 /* Extends the authority to grant keys until the given time. An earlier time
    has no effect. */
 void
@@ -394,6 +442,7 @@
         return;
     }
     ownership->held_grant_count = count;
+    ownership->last_reply_ms = now_ms;
     ownership->held_grants_until_ms =
         now_ms + ownership->grant_table.grant_ms - GRANT_END_MARGIN_MS;
     reply(context, true, ownership->held_grants, count,
--- a/src/state/grant_table.c
+++ b/src/state/grant_table.c
@@ -13,6 +13,15 @@
    requests that start at the last moment. */
 #define GRANT_EXPIRY_MARGIN_MS 100
 
+/* Usual time from a change of the key map until its handover tokens arrive:
+   the previous owner writes it up to 200 ms before a heartbeat, whose reply
+   omits the keys, and the tokens come with the next one 100 ms later. */
+#define USUAL_HANDOVER_MS 400
+
+/* A token that has not arrived after the usual time is expected within this
+   time: at the latest, one heartbeat interval later. */
+#define LATE_HANDOVER_MS 200
+
 /* Initializes the state without authority to issue grants. Grants that an
    earlier process of this host issued may still be in force, so their expiry
    is taken as if they had been issued now. */
@@ -184,6 +193,31 @@
     return true;
 }
 
+/* Returns the time at which the previous holder of an own range is expected to
+   have released it; `now_ms` if it has. */
+int64_t
+AprGrantTable_ExpectedReleaseMs(const AprGrantTable_t *table,
+                                const AprKeyRange_t *range, int64_t now_ms)
+{
+    const AprPendingRange_t *entry;
+    int64_t release_ms;
+    int64_t expiry_ms;
+
+    if (AprGrantTable_IsReleased(table, range, now_ms)) {
+        return now_ms;
+    }
+    entry = find_pending(table->pending, table->pending_count, range);
+    if (entry == NULL) {
+        return now_ms + table->grant_ms;
+    }
+    release_ms = entry->seen_ms + USUAL_HANDOVER_MS;
+    if (release_ms < now_ms) {
+        release_ms = now_ms + LATE_HANDOVER_MS;
+    }
+    expiry_ms = AprGrant_LatestExpiryMs(entry->seen_ms, table->grant_ms);
+    return release_ms < expiry_ms ? release_ms : expiry_ms;
+}
+
 /* Handles a restart of the backend server: the grants of the previous
    incarnation have ended. The texts of the handover tokens are cleared,
    because the previous incarnation has used them and each is valid only once.
