--- a/src/state/hot_range_plan.c
+++ b/src/state/hot_range_plan.c
@@ -92,9 +92,9 @@
    as well and choose receivers at the same time. */
 #define SHARED_SPARE_SHARE 0.6
 
-/* Number of keys that is added to the length of a window of keys when windows
-   are compared by their demand per key, so that a whole hot spot is preferred
-   to its hottest key. */
+/* Least number of keys that is added to the length of a window of keys when
+   windows are compared by their demand per key, so that a whole hot spot is
+   preferred to its hottest key. */
 #define WINDOW_KEYS 64
 
 /* A window that ends this close to the end of a range takes the rest, which
@@ -145,7 +145,8 @@
     KeyLoad_t keys[APR_HOT_RANGE_REQUESTS]; /* sorted, own keys only */
     int segments[APR_HOT_RANGE_REQUESTS];   /* -1: the key may not move */
     int key_count;
-    int kept_key; /* -1: none */
+    int kept_key;    /* -1: none */
+    int window_keys; /* added to the length of a window; see WINDOW_KEYS */
     Receiver_t receivers[MAX_CANDIDATES];
     int receiver_count;
     int at; /* receiver of the next piece */
@@ -330,6 +331,7 @@
     int at = 0;
     int segment = 0;
     int end = -2; /* last key of the present segment */
+    int own_keys = 0;
 
     plan->own_range_count = 0;
     for (int i = 0; i < input->map->count; i++) {
@@ -338,6 +340,7 @@
         bool movable;
 
         plan->own_range_count += own;
+        own_keys += own ? range->last - range->first + 1 : 0;
         while (at < plan->key_count && plan->keys[at].key < range->first) {
             plan->segments[at++] = -1;
         }
@@ -365,6 +368,10 @@
             at++;
         }
     }
+    /* Without hot keys, requests come for keys that lie far apart. A window of
+       one key must not look denser than one of many. */
+    plan->window_keys =
+        MAX(WINDOW_KEYS, 2 * own_keys / MAX(plan->key_count, 1));
 }
 
 /* Returns what a host was given recently and its load report does not show
@@ -514,8 +521,8 @@
         if (sum > plan->excess * (from == to ? MAX_KEY_EXCESS : 1.0)) {
             continue;
         }
-        density =
-            sum / (plan->keys[to].key - plan->keys[from].key + WINDOW_KEYS);
+        density = sum / (plan->keys[to].key - plan->keys[from].key +
+                         plan->window_keys);
         if (density > best_density) {
             best_density = density;
             *best = (KeyWindow_t){from, to, sum};
@@ -695,6 +702,23 @@
     return hottest;
 }
 
+/* Returns the load, relative to its slots, up to which a receiver is filled:
+   the mean of the hosts, or the load that an overloaded host keeps if there is
+   too little room below the mean, as with one overloaded host among many. */
+static double
+receiver_limit(const Plan_t *plan, double mean)
+{
+    double room = 0;
+
+    for (int i = 0; i < plan->receiver_count; i++) {
+        double slots = plan->receivers[i].candidate->slots;
+        double spare = mean * slots - plan->receivers[i].load;
+
+        room += spare >= MIN_SPARE * slots ? spare : 0;
+    }
+    return room < plan->excess ? MAX(mean, TARGET_LOAD) : mean;
+}
+
 /* Sets the excess of an overloaded host and its receivers. A key that exceeds
    the load which the host is to keep stays, and its neighbours leave. */
 static void
@@ -710,7 +734,7 @@
         kept = MAX(MAX(kept, hottest_slots), OVERLOAD * plan->input->slots);
     }
     plan->excess = plan->own_slots - kept;
-    select_receivers(plan, mean,
+    select_receivers(plan, receiver_limit(plan, mean),
                      overloaded > 0 ? SHARED_SPARE_SHARE : SPARE_SHARE);
 }
 
