Test hot keys with whole gateways

The simulated backend server lost the handover tokens of keys that a reply without delay left out, since its list was cleared after the call: the next owner waited for the end of the grant (3.2 s) instead of the token. It now keeps them and reports them 100 ms later, as the platform does.

--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -23,6 +23,7 @@
 #define CLUSTER_HOSTS 4
 #define CLUSTER_SERVICE "desk"
 #define CLUSTER_HEARTBEAT_S 0.3
+#define CLUSTER_RELEASE_S 0.1 /* until the heartbeat with released keys */
 #define CLUSTER_SERVICE_TIME_S 0.01
 #define CLUSTER_STORE_TIMEOUT_S 1.0
 #define CLUSTER_MAX_ITEMS 64
@@ -659,6 +660,12 @@
     host->held_until_s =
         ev_now(host->cluster->loop) + (double)grant_ms / 1000.0;
     cluster_count_overlaps(host->cluster);
+    if (host->released_count > 0 && ev_is_active(&host->heartbeat_timer)) {
+        ev_timer_stop(host->cluster->loop, &host->heartbeat_timer);
+        ev_timer_set(&host->heartbeat_timer, CLUSTER_RELEASE_S,
+                     CLUSTER_HEARTBEAT_S);
+        ev_timer_start(host->cluster->loop, &host->heartbeat_timer);
+    }
 }
 
 /* Sends a heartbeat of the backend server to the gateway of its host. */
@@ -666,6 +673,7 @@
 host_on_heartbeat_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
     ClusterHost_t *host = timer->data;
+    AprGrant_t released[CLUSTER_MAX_GRANTS];
     AprHeartbeat_t heartbeat = {0};
 
     (void)loop;
@@ -682,11 +690,14 @@
     strcpy(heartbeat.address, host->settings.backend_address);
     heartbeat.held = host->held;
     heartbeat.held_count = host->held_count;
-    heartbeat.released = host->released;
+    heartbeat.released = released;
     heartbeat.released_count = host->released_count;
+    memcpy(released, host->released,
+           (size_t)host->released_count * sizeof(*released));
+    /* The reply, which may come before the call returns, adds new ones. */
+    host->released_count = 0;
     AprOwnership_OnHeartbeat(host->gateway->ownership, &heartbeat,
                              host_on_grants, host);
-    host->released_count = 0;
 }
 
 /* A request that a backend server runs. */
