Test late keys and the restart of an evacuated host

The restart test passed also when a restarted process gave keyed requests the full time, because the process could not claim its generation record and granted nothing. It now loses the store only after its grants are renewed, and fails on such a process. A new test gives keys to an evacuated domain from a host that does not know of the evacuation.

--- a/tests/test_gateway_evacuation.c
+++ b/tests/test_gateway_evacuation.c
@@ -9,6 +9,7 @@
 #include <cmocka.h>
 
 #include "gateway_cluster.h"
+#include "internal/ownership_state.h"
 #include "internal/store_cache_state.h"
 
 #define START_TIMEOUT_S 6.0
@@ -167,6 +168,36 @@
     assert_single_owner();
 }
 
+/* Guards against keys that stay in an evacuated domain because a host which
+   does not know of the evacuation gave them away later. */
+static void
+test_later_keys_are_handed_over(void **state)
+{
+    int later = 0;
+
+    (void)state;
+    start_with_evacuation();
+    set_evacuated("d0", true);
+    cluster_run_for(&cluster, 2.0);
+    assert_int_equal(count_held_ranges("d0"), 0);
+    AprEvacuation_Remove(&cluster.hosts[1].gateway->evacuation, "d0");
+    AprMembers_DiscardLoadReports(cluster.hosts[1].gateway->members, "d0");
+    cluster.hosts[1].leaving = true;
+    for (int i = 0; i < 200; i++) {
+        AprServiceKeyMap_t *entry =
+            AprOwnership_FindOwnMap(cluster.hosts[2].gateway->ownership);
+
+        later |= AprKeyMap_CountKeysOf(&entry->map, "h0") +
+                 AprKeyMap_CountKeysOf(&entry->map, "h3");
+        cluster_run_for(&cluster, 0.02);
+    }
+    assert_true(later > 0);
+    assert_int_equal(count_held_ranges("d0"), 0);
+    assert_int_equal(cluster_count_unheld_keys(&cluster), 0);
+    assert_int_equal(count_runs("d0"), 0);
+    assert_single_owner();
+}
+
 /* Guards against keys that are taken from all hosts, requests that run or wait
    although no host is left, and a service that stays closed afterwards. */
 static void
@@ -291,20 +322,34 @@
 test_started_host_knows_the_evacuation(void **state)
 {
     ClusterHost_t *host = &cluster.hosts[0];
+    int64_t wait_ms;
     int runs;
+    int key;
 
     (void)state;
     start_with_evacuation();
-    host->store_refuses_changes = true;
+    key = host->held[0].first;
     host_kill_gateway(host);
     set_evacuated("d0", true);
     cluster_run_for(&cluster, 0.5);
     runs = host->run_count;
     host_start_gateway(host);
-    while (!AprGateway_IsReady(host->gateway)) {
-        assert_int_equal(host->run_count, runs);
+    /* The process renews its grants at the first heartbeat, and can't move the
+       keys after that. */
+    for (int i = 0;
+         i < 600 && AprOwnership_CheckKey(host->gateway->ownership, key,
+                                          &wait_ms) != APR_KEY_GRANTED;
+         i++) {
+        cluster_run_for(&cluster, 0.005);
+    }
+    host->store_refuses_changes = true;
+    assert_int_equal(
+        AprOwnership_CheckKey(host->gateway->ownership, key, &wait_ms),
+        APR_KEY_GRANTED);
+    for (int i = 0; i < 100 && !AprGateway_IsReady(host->gateway); i++) {
         cluster_run_for(&cluster, 0.02);
     }
+    assert_true(AprGateway_IsReady(host->gateway));
     assert_true(AprGateway_IsEvacuated(host->gateway, "d0"));
     assert_true(host->held_count > 0);
     cluster_run_with_load(&cluster, 1.0, "POST");
@@ -548,6 +593,8 @@
         cmocka_unit_test_teardown(test_domain_gets_no_requests_after_deadline,
                                   stop_cluster),
         cmocka_unit_test_teardown(test_domain_is_used_again, stop_cluster),
+        cmocka_unit_test_teardown(test_later_keys_are_handed_over,
+                                  stop_cluster),
         cmocka_unit_test_teardown(test_last_domain_keeps_its_keys,
                                   stop_cluster),
         cmocka_unit_test_teardown(test_owner_without_store_refuses_after_limit,
