Report the usable slots of a cold host and give it no keys for balance

A cold host reported all its slots, so that others gave it the keys of lost and loaded hosts and chose it like a warm one. Key plans and the choice of a host now use the reported slots while the report is fresh; hosts that report fewer slots than their entry names receive no rebalanced keys, and a cold host plans its own load relative to the reduced slots.

--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -166,6 +166,7 @@
 bool AprBackend_IsUnreachable(const AprBackend_t *backend);
 bool AprBackend_IsCold(const AprBackend_t *backend);
 int AprBackend_CountSlots(const AprBackend_t *backend);
+int AprBackend_CountUsableSlots(const AprBackend_t *backend);
 int AprBackend_CountCalls(const AprBackend_t *backend);
 /* Returns the request with the given id if the backend server runs it now,
    else NULL. */
@@ -248,6 +249,8 @@
 int64_t AprMembers_StoreOutageSinceMs(AprMembers_t *members);
 void AprMembers_RecordReachability(AprMembers_t *members, const char *host,
                                    int64_t age_ms);
+int AprMembers_ReportedSlots(const AprMembers_t *members,
+                             const AprHost_t *host, int64_t max_age_ms);
 void AprMembers_RecordUnreachable(AprMembers_t *members, const char *host);
 char *AprMembers_FormatOwnEntry(const AprGateway_t *gateway);
 AprHost_t *AprMembers_ChooseHost(AprMembers_t *members, const char *service,
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -905,6 +905,14 @@
     return NULL;
 }
 
+/* Returns the number of slots that requests can use: fewer while the backend
+   server is cold. */
+int
+AprBackend_CountUsableSlots(const AprBackend_t *backend)
+{
+    return AprBackendCold_UsableSlots(&backend->cold);
+}
+
 /* Fills in the load of the backend server; other members of `load` stay. */
 void
 AprBackend_GetLoad(const AprBackend_t *backend, AprHostLoad_t *load)
--- a/src/gateway/key_moves.c
+++ b/src/gateway/key_moves.c
@@ -333,7 +333,8 @@
             continue;
         }
         g_strlcpy(candidate->host, member->host, sizeof(candidate->host));
-        candidate->slots = member->slots;
+        candidate->slots =
+            AprMembers_ReportedSlots(members, member, LOAD_REPORT_VALID_MS);
         candidate->load =
             fresh ? member->load_report.load_permille / 1000.0 : 0.5;
         candidate->keys =
@@ -425,6 +426,25 @@
                          reason, &claim, 1);
 }
 
+/* Removes the hosts with a cold backend server, which get no keys for balance.
+   Returns the number of those that are left. */
+static int
+drop_cold_candidates(AprOwnership_t *ownership, AprKeyCandidate_t *candidates,
+                     int count)
+{
+    AprMembers_t *members = ownership->gateway->members;
+    int kept = 0;
+
+    for (int i = 0; i < count; i++) {
+        const AprHost_t *member = AprMembers_Find(members, candidates[i].host);
+
+        if (member == NULL || candidates[i].slots >= member->slots) {
+            candidates[kept++] = candidates[i];
+        }
+    }
+    return kept;
+}
+
 /* Moves some of this host's keys to hosts with less load. Returns whether a
    change was sent. */
 static bool
@@ -450,6 +470,7 @@
     }
     count = list_candidates(ownership, AprOwnership_OwnHost(ownership),
                             candidates, MAX_CANDIDATES);
+    count = drop_cold_candidates(ownership, candidates, count);
     AprBackend_GetLoad(gateway->backend, &load);
     ownership->planned_demand = ownership->demand;
     moves = AprKeyPlan_Rebalance(&map, AprOwnership_OwnHost(ownership), &after,
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -19,6 +19,10 @@
    refuses what comes too early without running it. */
 #define REFUSAL_REPORT_VALID_MS 1000
 
+/* Time for which the reported number of slots counts, rather than that of the
+   entry, when a host is chosen for a request. */
+#define SLOTS_REPORT_VALID_MS 3000
+
 /* Time for which a host without an entry in the store is still used, counted
    from its last load report or from the loss of the entry, whichever is later.
    An entry may expire while its host works. */
@@ -361,6 +365,26 @@
     return false;
 }
 
+/* Returns the number of slots by a host's last load report, which is smaller
+   while its backend server is cold. Without a report of the last `max_age_ms`,
+   returns the slots of its entry. */
+int
+AprMembers_ReportedSlots(const AprMembers_t *members, const AprHost_t *host,
+                         int64_t max_age_ms)
+{
+    if (host->is_self) {
+        return AprBackend_IsCold(members->gateway->backend)
+                   ? AprBackend_CountUsableSlots(members->gateway->backend)
+                   : host->slots;
+    }
+    if (host->load_report_ms == 0 || host->load_report.slots < 1 ||
+        AprGateway_NowMs(members->gateway) - host->load_report_ms >=
+            max_age_ms) {
+        return host->slots;
+    }
+    return host->load_report.slots;
+}
+
 static void
 fill_host_candidate(AprMembers_t *members, AprHost_t *member,
                     AprHostCandidate_t *candidate, int64_t now_ms)
@@ -377,7 +401,8 @@
         member->is_self
             ? 0
             : AprLinks_CountOutboundCalls(gateway->links, member->host);
-    candidate->slots = member->slots;
+    candidate->slots =
+        AprMembers_ReportedSlots(members, member, SLOTS_REPORT_VALID_MS);
     candidate->same_domain = member->in_own_domain;
     candidate->suspect =
         member->unreachable_ms != 0 &&
