--- a/include/apricot/hot_range_plan.h
+++ b/include/apricot/hot_range_plan.h
@@ -24,8 +24,8 @@
    row of 29 to 60 bytes for each and must stay below 4 KiB. */
 #define APR_HOT_RANGE_MAX_HOST_RANGES 64
 
-/* Most ranges of a map that plans with hot keys create. Each host stores all
-   of them, and a changed part is sent to each host. */
+/* Most ranges of a map that plans with hot keys create, with any number of
+   hosts. */
 #define APR_HOT_RANGE_MAX_MAP_RANGES 2048
 
 /* A request for a key. */
@@ -96,6 +96,8 @@
 bool AprHotRangePlanner_IsIdleCheckDue(AprHotRangePlanner_t *planner,
                                        int64_t next_heartbeat_ms,
                                        uint32_t seed, int64_t now_ms);
+bool AprHotRangePlanner_IsMergeDue(AprHotRangePlanner_t *planner,
+                                   const AprHotRangeInput_t *input);
 int AprHotRangePlanner_Consolidate(AprHotRangePlanner_t *planner,
                                    const AprHotRangeInput_t *input);
 int AprHotRangePlanner_Plan(AprHotRangePlanner_t *planner,
--- a/src/gateway/key_moves.c
+++ b/src/gateway/key_moves.c
@@ -375,7 +375,8 @@
             continue;
         }
         g_strlcpy(candidate->host, member->host, sizeof(candidate->host));
-        candidate->slots = member->slots;
+        candidate->slots =
+            AprMembers_ReportedSlots(members, member, LOAD_REPORT_VALID_MS);
         candidate->load =
             fresh ? member->load_report.load_permille / 1000.0 : 0.5;
         candidate->keys =
@@ -467,6 +468,25 @@
                          reason, &claim, 1);
 }
 
+/* Removes the hosts with a cold backend server, which get no keys for balance.
+   Returns the number of those that are left. */
+static int
+drop_cold_candidates(AprOwnership_t *ownership, AprKeyCandidate_t *candidates,
+                     int count)
+{
+    AprMembers_t *members = ownership->gateway->members;
+    int kept = 0;
+
+    for (int i = 0; i < count; i++) {
+        const AprHost_t *member = AprMembers_Find(members, candidates[i].host);
+
+        if (member == NULL || candidates[i].slots >= member->slots) {
+            candidates[kept++] = candidates[i];
+        }
+    }
+    return kept;
+}
+
 /* Returns whether the backend server holds all keys of an own range and no
    previous holder has to release them; an AprKeyReleased_t. When such keys
    move, the backend server gives a handover token for each. */
@@ -575,6 +595,7 @@
         return false;
     }
     input.count = list_candidates(ownership, host, candidates, MAX_CANDIDATES);
+    input.count = drop_cold_candidates(ownership, candidates, input.count);
     if (AprKeyMap_Copy(&map, &entry->map) != APR_OK) {
         return false;
     }
@@ -585,7 +606,9 @@
         AprHotRangePlanner_Plan(planner, &input, &result) > 0) {
         return send_hot_key_moves(ownership, &map, &result);
     }
-    changes = AprHotRangePlanner_Consolidate(planner, &input);
+    changes = AprHotRangePlanner_IsMergeDue(planner, &input)
+                  ? AprHotRangePlanner_Consolidate(planner, &input)
+                  : 0;
     if (changes > 0) {
         return send_merged_ranges(ownership, &map, changes);
     }
@@ -618,6 +641,7 @@
     }
     count = list_candidates(ownership, AprOwnership_OwnHost(ownership),
                             candidates, MAX_CANDIDATES);
+    count = drop_cold_candidates(ownership, candidates, count);
     AprBackend_GetLoad(gateway->backend, &load);
     ownership->planned_demand = ownership->demand;
     moves = AprKeyPlan_Rebalance(&map, AprOwnership_OwnHost(ownership), &after,
--- a/src/state/hot_range_plan.c
+++ b/src/state/hot_range_plan.c
@@ -23,9 +23,13 @@
 #define OVERLOAD 0.85
 
 /* A host whose load exceeds the mean of the hosts by less than this factor
-   keeps its keys: the load of a host that gets 40 requests a second varies by
-   that much in a window. */
-#define MEAN_FACTOR 1.15
+   keeps its keys. The load of a host that gets 40 requests a second varies by
+   0.15 in a window, and each change of the map is sent to all hosts. */
+#define MEAN_FACTOR 1.3
+
+/* Load above which a receiver gets no keys, however high the mean is: while
+   all hosts are overloaded, a move only changes which requests are refused. */
+#define MAX_RECEIVER_LOAD 0.95
 
 /* Load that an overloaded host keeps, if the mean is lower. */
 #define TARGET_LOAD 0.7
@@ -58,11 +62,14 @@
 
 /* Ranges of the map, or of the host, from which ranges are merged. */
 #define CONSOLIDATE_MAP_RANGES 512
-#define CONSOLIDATE_HOST_RANGES 32
+#define CONSOLIDATE_HOST_RANGES 16
 
-/* Mean time between two merges by all hosts together. Each one is a write to
-   the store and conflicts with other changes of the same part. */
-#define MERGE_INTERVAL_MS 250
+/* Mean time between two merges by all hosts together, in a map with few ranges
+   and in one that has as many as it may have. Each merge is a write to the
+   store, conflicts with other changes of the same part, and is sent to all
+   hosts: 34 merges a second doubled the store calls of a deployment. */
+#define MERGE_INTERVAL_MS 250.0
+#define FULL_MAP_MERGE_INTERVAL_MS 25.0
 
 /* Shortest interval at which a host that is not overloaded looks for hosts
    without keys and for ranges to merge. A random time of at most the same is
@@ -77,6 +84,11 @@
 /* Ranges that one merge changes at most. */
 #define CONSOLIDATE_CHANGES 16
 
+/* Ranges that plans create in a map at most: so many, and so many more for
+   each host. */
+#define MIN_MAP_RANGES 256
+#define RANGES_PER_HOST 16
+
 /* Fewest requests in the window from which keys are moved. */
 #define MIN_REQUESTS 12
 
@@ -535,12 +547,21 @@
     return best_density > 0;
 }
 
+/* Returns the most ranges of a map that plans with hot keys create. Each host
+   stores all of them, and a changed part is sent to each host. */
+static int
+max_map_ranges(const AprHotRangeInput_t *input)
+{
+    return MIN(APR_HOT_RANGE_MAX_MAP_RANGES,
+               MIN_MAP_RANGES + RANGES_PER_HOST * (input->count + 1));
+}
+
 static bool
 has_room(const Plan_t *plan)
 {
     return plan->at < plan->receiver_count &&
            plan->planner->allowance >= 1.0 &&
-           plan->input->map->count + 2 <= APR_HOT_RANGE_MAX_MAP_RANGES &&
+           plan->input->map->count + 2 <= max_map_ranges(plan->input) &&
            plan->planner->transfer_count < APR_HOT_RANGE_TRANSFERS;
 }
 
@@ -708,7 +729,8 @@
 
 /* Returns the load, relative to its slots, up to which a receiver is filled:
    the mean of the hosts, or the load that an overloaded host keeps if there is
-   too little room below the mean, as with one overloaded host among many. */
+   too little room below the mean, as with one overloaded host among many. It
+   never exceeds MAX_RECEIVER_LOAD. */
 static double
 receiver_limit(const Plan_t *plan, double mean)
 {
@@ -720,7 +742,10 @@
 
         room += spare >= MIN_SPARE * slots ? spare : 0;
     }
-    return room < plan->excess ? MAX(mean, TARGET_LOAD) : mean;
+    if (room < plan->excess) {
+        mean = MAX(mean, TARGET_LOAD);
+    }
+    return MIN(mean, MAX_RECEIVER_LOAD);
 }
 
 /* Sets the excess of an overloaded host and its receivers. A key that exceeds
@@ -992,6 +1017,26 @@
     return true;
 }
 
+/* Returns whether ranges may be merged now, and sets the time of the next
+   merge: the fuller the map is, the sooner. */
+bool
+AprHotRangePlanner_IsMergeDue(AprHotRangePlanner_t *planner,
+                              const AprHotRangeInput_t *input)
+{
+    double room =
+        MAX(0.0, 1.0 - (double)input->map->count / max_map_ranges(input));
+    double interval_ms = input->count * (FULL_MAP_MERGE_INTERVAL_MS +
+                                         MERGE_INTERVAL_MS * room * room);
+
+    if (input->now_ms < planner->next_merge_ms) {
+        return false;
+    }
+    planner->next_merge_ms =
+        input->now_ms +
+        (int64_t)(interval_ms / 2 + interval_ms * (input->seed % 1024) / 1024);
+    return true;
+}
+
 /* Merges ranges in one part of the map, if moves have left many: own ones with
    each other, and short ones that are no longer hot with those of their
    neighbours. Only keys that the planner calls movable change. Returns the
@@ -1002,13 +1047,6 @@
 {
     int own = 0;
 
-    if (input->now_ms < planner->next_merge_ms) {
-        return 0;
-    }
-    planner->next_merge_ms =
-        input->now_ms + (int64_t)input->count * MERGE_INTERVAL_MS / 2 +
-        (int64_t)(input->seed %
-                  (uint32_t)(input->count * MERGE_INTERVAL_MS + 1));
     for (int i = 0; i < input->map->count; i++) {
         own += strcmp(input->map->ranges[i].host, input->host) == 0;
     }
--- a/tests/placement_simulation.h
+++ b/tests/placement_simulation.h
@@ -277,7 +277,9 @@
     AprKeyMap_Copy(&change->map, &simulation->map);
     input.map = &change->map;
     input.seed = g_rand_int(simulation->random);
-    changes = AprHotRangePlanner_Consolidate(&host->planner, &input);
+    changes = AprHotRangePlanner_IsMergeDue(&host->planner, &input)
+                  ? AprHotRangePlanner_Consolidate(&host->planner, &input)
+                  : 0;
     if (changes == 0) {
         AprKeyMap_Free(&change->map);
         return 0;
