Learn costs from running requests and the reported pace

The admission of a gateway knows a mean service time by route, which slow periods of the backend server and the size of a body distort.

While balancing is adaptive, admission gets the cost model of the backend server, fed with each complete run, its size class and the calls that it made, and with the pace in the header that backend servers send with each response. A header that cannot be meant is ignored and counted in backend_load_invalid_total. event=admission_mode tells when the mode changes.

--- a/internal/backend_conn.h
+++ b/internal/backend_conn.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "apricot/admission.h"
+#include "apricot/server_load.h"
 #include "internal/call.h"
 #include "internal/gateway.h"
 #include "internal/http_message.h"
@@ -27,6 +28,8 @@
 typedef struct AprBackendNotice_t {
     double request_limit; /* requests a second, or APR_NO_REQUEST_LIMIT */
     bool leaving;         /* it is shutting down */
+    AprServerLoad_t load;
+    bool load_invalid; /* it reports a load that cannot be meant */
 } AprBackendNotice_t;
 
 /* A request for the local backend server, queued or running. */
--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -35,6 +35,9 @@
     /* In a response: requests a second that the backend server takes. */
     const char *request_limit;
     const char *leaving; /* in a response: "1" if the backend server leaves */
+    /* In a response: running and waiting requests, slots and, optionally, the
+       pace of the backend server; see AprServerLoad_t. NULL: none. */
+    const char *server_load;
     /* Ends the id of the running request at the start of the id of a call that
        this request makes; 0: ids do not show which request made a call. */
     char nested_separator;
@@ -163,6 +166,8 @@
 bool AprBackend_IsProbeDue(const AprBackend_t *backend);
 bool AprBackend_IsUnreachable(const AprBackend_t *backend);
 int AprBackend_CountCalls(const AprBackend_t *backend);
+void AprBackend_RecordNestedCall(AprBackend_t *backend,
+                                 const AprCallHead_t *parent);
 /* Returns the request with the given id if the backend server runs it now,
    else NULL. */
 const AprCallHead_t *AprBackend_FindRunningRequest(const AprBackend_t *backend,
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -1,6 +1,7 @@
 /* Calls to the local backend server: admission, dispatch and responses. */
 
 #include <glib.h>
+#include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -49,6 +50,7 @@
 struct AprBackend_t {
     AprGateway_t *gateway;
     AprAdmission_t admission;
+    AprCostModel_t costs;                /* used while balancing is adaptive */
     AprBackendIncarnation_t incarnation; /* empty id: no heartbeat yet */
     bool leaving;
     int64_t leaving_since_ms;
@@ -102,6 +104,7 @@
     if (backend != NULL) {
         backend->gateway = gateway;
         AprAdmission_Init(&backend->admission, DEFAULT_SLOTS);
+        AprCostModel_Init(&backend->costs, AprGateway_NowMs(gateway));
         backend->notice.request_limit = APR_NO_REQUEST_LIMIT;
         ev_timer_init(&backend->allowance_timer, on_allowance_timer, 0.0, 0.0);
         backend->allowance_timer.data = backend;
@@ -237,6 +240,14 @@
             AprBackend_EndDrain(backend);
         }
     }
+    if (notice->load_invalid) {
+        AprGateway_IncrementCounter(backend->gateway,
+                                    "backend_load_invalid_total", "");
+    }
+    if (notice->load.pace != 0) {
+        AprCostModel_ReportPace(&backend->costs, notice->load.pace,
+                                AprGateway_NowMs(backend->gateway));
+    }
     backend->notice = *notice;
     backend->notice_known = true;
 }
@@ -260,6 +271,30 @@
     }
 }
 
+/* Lets the cost model decide while balancing is adaptive. */
+static void
+update_cost_model(AprBackend_t *backend)
+{
+    bool adaptive = AprGateway_IsBalancingAdaptive(backend->gateway);
+
+    if (adaptive != (backend->admission.costs != NULL)) {
+        AprAdmission_SetCostModel(&backend->admission,
+                                  adaptive ? &backend->costs : NULL);
+        AprLog_Write(APR_LOG_INFO, "admission_mode", "adaptive=%d", adaptive);
+    }
+}
+
+/* Counts a call that a running request makes. */
+void
+AprBackend_RecordNestedCall(AprBackend_t *backend, const AprCallHead_t *parent)
+{
+    const AprBackendCall_t *call =
+        (const AprBackendCall_t *)((const char *)parent -
+                                   offsetof(AprBackendCall_t, head));
+
+    AprAdmission_CountNestedCall(&backend->admission, (uint64_t)call->id);
+}
+
 /* Fails all queued calls. */
 static void
 refuse_queued_calls(AprBackend_t *backend)
@@ -688,6 +723,7 @@
     AprBackendCall_t *call;
     AprAdmissionRequest_t request = {0};
 
+    update_cost_model(backend);
     if (!check_accepts_call(backend, head, failure)) {
         return false;
     }
@@ -695,6 +731,8 @@
     request.kind = request_kind(head);
     request.rank = head->rank;
     request.nested = head->nested;
+    request.size_class = AprCostModel_SizeClass(end || head->has_length,
+                                                end ? size : head->length);
     request.arrived_ms = head->arrived_ms;
     request.deadline_ms =
         AprGateway_LimitDeadline(backend->gateway, head->deadline_ms);
@@ -746,7 +784,8 @@
         backend->incarnation = heartbeat->incarnation;
         backend->leaving = false;
         backend->unresponsive = false;
-        backend->notice = (AprBackendNotice_t){APR_NO_REQUEST_LIMIT, false};
+        backend->notice =
+            (AprBackendNotice_t){APR_NO_REQUEST_LIMIT, false, {0}, false};
         backend->notice_known = false;
         backend->sent_requests = 0;
         AprAdmission_SetRequestLimit(&backend->admission, APR_NO_REQUEST_LIMIT,
--- a/src/gateway/backend_conn.c
+++ b/src/gateway/backend_conn.c
@@ -123,8 +123,8 @@
 static AprBackendNotice_t
 parse_notice(const AprHeaderNames_t *names, const AprHttpHead_t *head)
 {
-    AprBackendNotice_t notice = {APR_NO_REQUEST_LIMIT, false};
-    char text[32];
+    AprBackendNotice_t notice = {APR_NO_REQUEST_LIMIT, false, {0}, false};
+    char text[64];
     char *end;
 
     if (AprHttpHead_CopyValue(head, names->request_limit, text,
@@ -138,6 +138,19 @@
     notice.leaving = AprHttpHead_CopyValue(head, names->leaving, text,
                                            sizeof(text)) == APR_OK &&
                      strcmp(text, "1") == 0;
+    if (names->server_load != NULL) {
+        switch (AprHttpHead_CopyValue(head, names->server_load, text,
+                                      sizeof(text))) {
+        case APR_OK:
+            notice.load_invalid = !AprServerLoad_Parse(text, &notice.load);
+            break;
+        case APR_E_NOT_FOUND:
+            break;
+        default:
+            notice.load_invalid = true;
+            break;
+        }
+    }
     return notice;
 }
 
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -680,6 +680,7 @@
         return;
     }
     head->nested = true;
+    AprBackend_RecordNestedCall(gateway->backend, parent);
     if (parent->rank < head->rank) {
         head->rank = parent->rank;
     }
--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -860,8 +860,8 @@
 }
 
 static const AprHeaderNames_t cluster_header_names = {
-    "Attempt", "Time-Left", "Expected", "Not-Run", "Caller",
-    "Key",     "Limit",     "Leaving",  '.',       false};
+    "Attempt", "Time-Left", "Expected", "Not-Run", "Caller", "Key",
+    "Limit",   "Leaving",   "Load",     '.',       false};
 
 /* Creates a configuration with one route to one keyed service; `text` is its
    version. */
--- a/tests/test_cost_model.c
+++ b/tests/test_cost_model.c
@@ -8,6 +8,7 @@
 #include <cmocka.h>
 
 #include "apricot/cost_model.h"
+#include "apricot/server_load.h"
 
 #define KIND 5
 
@@ -147,6 +148,34 @@
                                        0, &estimate));
 }
 
+/* Guards against a header that cannot be meant and is believed, and against
+   one without a pace that is refused. */
+static void
+test_server_load_header(void **state)
+{
+    static const char *const invalid[] = {
+        "",          "3,1",         "3,1,0,100",
+        "3,1,6,",    "3,1,6,100,1", "-3,1,6,50",
+        "3, 1,6,50", "3,1,6,0",     "3,1,6,9999",
+        "3,1,6,1e2", "a,b,c,d",     "3,1,6,99999999999999999999"};
+    AprServerLoad_t load;
+
+    (void)state;
+    for (size_t i = 0; i < sizeof(invalid) / sizeof(invalid[0]); i++) {
+        assert_false(AprServerLoad_Parse(invalid[i], &load));
+        assert_false(load.known);
+        assert_int_equal(load.pace, 0);
+    }
+    assert_true(AprServerLoad_Parse("3,12,6,300", &load));
+    assert_int_equal(load.running, 3);
+    assert_int_equal(load.waiting, 12);
+    assert_int_equal(load.slots, 6);
+    assert_int_equal(load.pace, 300);
+    assert_true(AprServerLoad_Parse("0,0,4", &load));
+    assert_true(load.known);
+    assert_int_equal(load.pace, 0);
+}
+
 int
 main(void)
 {
@@ -155,6 +184,7 @@
         cmocka_unit_test(test_pace_is_apart_from_cost),
         cmocka_unit_test(test_old_and_invalid_paces),
         cmocka_unit_test(test_more_kinds_than_cells),
+        cmocka_unit_test(test_server_load_header),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_hostile_backend.c
+++ b/tests/test_hostile_backend.c
@@ -37,8 +37,8 @@
 static Cluster_t cluster;
 static HostileServer_t server;
 static const AprHeaderNames_t echoing_header_names = {
-    "Attempt", "Time-Left", "Expected", "Not-Run", "Caller",
-    "Key",     "Limit",     "Leaving",  '.',       true};
+    "Attempt", "Time-Left", "Expected", "Not-Run", "Caller", "Key",
+    "Limit",   "Leaving",   "Load",     '.',       true};
 
 static void
 observe_data(void *context, const char *data, size_t size)
