--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -944,6 +944,7 @@
     .nested_separator = '.',
     .attempt_id_echoed = false,
     .cold_left = "Cold-Ms",
+    .load = "Load",
 };
 
 /* Creates a configuration with one route to one service; `text` is its
--- a/tests/test_hostile_backend.c
+++ b/tests/test_hostile_backend.c
@@ -48,6 +48,7 @@
     .nested_separator = '.',
     .attempt_id_echoed = true,
     .cold_left = "Cold-Ms",
+    .load = "Load",
 };
 
 static void
