Send no keyed probe to an evacuated backend server

A keyed request to an unresponsive backend server tests whether it responds again, also in an evacuated domain until the keyed limit. It is now refused. The new test failed on the earlier code and passes.

--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -687,7 +687,8 @@
     failure->retry_after_ms =
         (int64_t)(backend->gateway->settings.heartbeat_s * 500);
     if (backend->incarnation.id[0] == '\0' || backend->unreachable ||
-        (backend->unresponsive && AprBackend_CountCalls(backend) > 0)) {
+        (backend->unresponsive && (AprBackend_CountCalls(backend) > 0 ||
+                                   !may_start_here(backend, APR_NO_KEY)))) {
         failure->error = APR_CALL_NO_BACKEND;
         return false;
     }
--- a/tests/test_gateway_evacuation.c
+++ b/tests/test_gateway_evacuation.c
@@ -471,6 +471,36 @@
     assert_int_equal(cluster.hosts[0].run_count, runs);
 }
 
+/* Guards against keyed requests that test an unresponsive backend server of an
+   evacuated domain while it still owns their keys. */
+static void
+test_unresponsive_owner_is_not_probed(void **state)
+{
+    ClusterHost_t *host = &cluster.hosts[0];
+    int runs;
+    int key;
+
+    (void)state;
+    start_with_evacuation();
+    key = host->held[0].first;
+    host->store_refuses_changes = true;
+    host->unresponsive = true;
+    for (int i = 0; i < 4; i++) {
+        cluster_send_request(&cluster, 0, key, "POST");
+    }
+    cluster_run_for(&cluster, 2.0);
+    assert_true(AprBackend_IsProbeDue(host->gateway->backend));
+    set_evacuated("d0", true);
+    cluster_run_for(&cluster, 0.7);
+    assert_true(
+        AprGateway_MayStartIn(host->gateway, "d0", CLUSTER_SERVICE, true));
+    assert_true(host->held_count > 0);
+    runs = host->run_count;
+    cluster_send_request(&cluster, 0, key, "POST");
+    cluster_run_for(&cluster, 0.5);
+    assert_int_equal(host->run_count, runs);
+}
+
 /* A backend server that answers the first request of a connection and keeps
    the next one until the test closes the connection. */
 typedef struct KeepingBackend_t {
@@ -611,6 +641,8 @@
                                   stop_cluster),
         cmocka_unit_test_teardown(test_unresponsive_backend_is_not_probed,
                                   stop_cluster),
+        cmocka_unit_test_teardown(test_unresponsive_owner_is_not_probed,
+                                  stop_cluster),
         cmocka_unit_test_teardown(test_request_is_not_resent, stop_cluster),
         cmocka_unit_test_teardown(test_unused_without_setting, stop_cluster),
     };
