Let no request wait for grants that are suspended

A host without authority to grant keys, as one that is cut off from the store, kept requests waiting for the next heartbeat until their deadlines.

--- a/internal/ownership_state.h
+++ b/internal/ownership_state.h
@@ -73,6 +73,7 @@
     AprKvCondition_t change_conditions[APR_MAX_CONDITIONS];
     char change_condition_keys[APR_MAX_CONDITIONS][APR_STORE_KEY_SIZE];
     int change_condition_count;
+    bool grants_withheld; /* from the last heartbeat */
     int conflicts_in_row; /* of changes, also of different ones */
     int conflict_retries; /* retries of the current change after a conflict */
 
--- a/src/gateway/ownership.c
+++ b/src/gateway/ownership.c
@@ -316,8 +316,24 @@
     return APR_KEY_GRANT_PENDING;
 }
 
+/* Returns whether nothing can be granted at present: the authority to grant
+   keys has ended, as for a host without a connection to the store, the last
+   grants were withheld, or the backend server misses a heartbeat. */
+static bool
+are_grants_suspended(const AprOwnership_t *ownership)
+{
+    int64_t now_ms = AprOwnership_NowMs(ownership);
+    int64_t interval_ms =
+        (int64_t)(ownership->gateway->settings.heartbeat_s * 1000);
+
+    return ownership->grants_withheld ||
+           now_ms >= ownership->grant_table.authority_until_ms ||
+           now_ms > AprOwnership_NextHeartbeatMs(ownership) + interval_ms / 2;
+}
+
 /* Returns the time at which an own key that is not granted is expected to be
-   granted: at the next heartbeat after its previous holder releases it. */
+   granted: at the next heartbeat after its previous holder releases it.
+   INT64_MAX while nothing can be granted. */
 int64_t
 AprOwnership_ExpectedGrantMs(AprOwnership_t *ownership, int key)
 {
@@ -330,6 +346,9 @@
         now_ms);
     int64_t grant_ms = AprOwnership_NextHeartbeatMs(ownership);
 
+    if (are_grants_suspended(ownership)) {
+        return INT64_MAX;
+    }
     if (grant_ms < now_ms) {
         grant_ms = now_ms + interval_ms / 4; /* the heartbeat is late */
     }
@@ -430,6 +449,7 @@
                                         &ownership->incarnation),
         now_ms, ownership->held_grants, APR_MAX_GRANTS);
     AprKeyMap_Free(&grantable);
+    ownership->grants_withheld = count < 0;
     if (count < 0) {
         AprLog_Write(
             APR_LOG_WARN, "grants_withheld",
--- a/src/state/grant_waits.c
+++ b/src/state/grant_waits.c
@@ -37,10 +37,10 @@
 }
 
 /* Decides whether a request waits for the grant of its key, which is expected
-   at `grant_ms`, and keeps a copy of it in that case. The requests that wait
-   already start first, and so do those of the queue, which would let the
-   request start after `queue_wait_ms` now. `request` has its expected service
-   time. */
+   at `grant_ms` (INT64_MAX: never), and keeps a copy of it in that case. The
+   requests that wait already start first, and so do those of the queue, which
+   would let the request start after `queue_wait_ms` now. `request` has its
+   expected service time. */
 AprAdmissionDecision_t
 AprGrantWaits_Offer(AprGrantWaits_t *waits,
                     const AprAdmissionRequest_t *request, int key, int slots,
@@ -49,6 +49,9 @@
     double start_ms = (double)(grant_ms > now_ms ? grant_ms : now_ms);
     AprAdmissionDecision_t decision = {0};
 
+    if (grant_ms == INT64_MAX) {
+        return decision;
+    }
     if ((double)(now_ms + queue_wait_ms) > start_ms) {
         start_ms = (double)(now_ms + queue_wait_ms);
     }
