--- a/src/gateway/ownership.c
+++ b/src/gateway/ownership.c
@@ -26,6 +26,9 @@
 /* No new request uses a grant during this time before its end. */
 #define GRANT_END_MARGIN_MS 200
 
+/* Grants from which the reply to a heartbeat may exceed 4 KiB. */
+#define LONG_REPLY_GRANTS 100
+
 /* Time after which requests that waited for a grant start. */
 #define GRANT_SETTLE_MS 20
 
@@ -441,6 +444,9 @@
         reply(context, true, NULL, -1, 0);
         return;
     }
+    if (count > LONG_REPLY_GRANTS) {
+        AprLog_Write(APR_LOG_WARN, "heartbeat_reply_long", "grants=%d", count);
+    }
     ownership->held_grant_count = count;
     ownership->last_reply_ms = now_ms;
     ownership->held_grants_until_ms =
--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -58,6 +58,7 @@
     const char *lost_prefix;
     AprKvTransaction_t late_change; /* owned texts; valid if has_late_change */
     bool has_late_change;
+    double watch_poll_s;  /* longest delay of a change; 0: 20 ms */
     bool ignores_watches; /* new watches get no response and time out */
     int commit_count;
     int conflict_count;
@@ -203,7 +204,11 @@
         request->result.revision = request->store->revision;
         if (request->result.item_count == 0 &&
             ev_now(loop) < request->deadline_s) {
-            ev_timer_set(timer, 0.02, 0.0);
+            ev_timer_set(timer,
+                         request->store->watch_poll_s > 0
+                             ? request->store->watch_poll_s
+                             : 0.02,
+                         0.0);
             ev_timer_start(loop, timer);
             return;
         }
--- a/tests/test_gateway_placement.c
+++ b/tests/test_gateway_placement.c
@@ -237,6 +237,30 @@
     cluster_stop(&cluster);
 }
 
+/* Guards against requests that are refused because their entry gateway learns
+   of a move up to 200 ms after the old owner: it asks the old owner again and
+   again until its attempts are used up. */
+static void
+test_late_news_of_moves(void **state)
+{
+    (void)state;
+    start_adaptive_cluster();
+    cluster.store.watch_poll_s = 0.2;
+    cluster_run_for(&cluster, 0.5);
+    cluster.answered = cluster.refused = cluster.sent = 0;
+    run_hot_load(4.0, FIRST_HOT_KEY, HOT_KEYS, 4);
+    cluster_run_for(&cluster, 1.0);
+    print_message("answered %d, refused %d, of %d\n", cluster.answered,
+                  cluster.refused, cluster.sent);
+    assert_true(sum_metric("key_moves_total", "") > 0);
+    assert_int_equal(sum_metric("requests_failed_total",
+                                "reason=\"not_owner\",status=\"503\""),
+                     0);
+    assert_true(cluster.answered * 10 >= cluster.sent * 9);
+    assert_single_holders();
+    cluster_stop(&cluster);
+}
+
 int
 main(void)
 {
@@ -244,6 +268,7 @@
         cmocka_unit_test(test_hot_keys_spread_over_hosts),
         cmocka_unit_test(test_moved_keys_move_again),
         cmocka_unit_test(test_lost_change_of_hot_keys),
+        cmocka_unit_test(test_late_news_of_moves),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_grants.c
+++ b/tests/test_grants.c
@@ -571,6 +571,92 @@
     AprKeyMap_Free(&map);
 }
 
+/* Guards against keys that are granted by two hosts, or never, when a range
+   moves on as soon as its last holder has released it: each new owner needs
+   the token that belongs to its own fencing token, and those rise. */
+static void
+test_released_range_moves_on(void **state)
+{
+    AprGrant_t first = {0, 999, 2, "t1"};
+    AprGrant_t second = {400, 499, 3, "t2"};
+    AprGrant_t grants[MAX_GRANTS];
+    static AprGrantTable_t h2;
+    static AprGrantTable_t h3;
+    int64_t fence;
+    AprKeyMap_t map;
+
+    (void)state;
+    AprKeyMap_Init(&map);
+    AprKeyMap_Assign(&map, 0, 999, "h1", NULL);
+    AprKeyMap_Assign(&map, 0, 999, "h2", "h1");
+    AprGrantTable_Init(&h2, "h2", GRANT_MS, 0);
+    AprGrantTable_Init(&h3, "h3", GRANT_MS, 0);
+    h2.authority_until_ms = 99999;
+    h3.authority_until_ms = 99999;
+    AprGrantTable_ApplyKeyMap(&h2, &map, 100);
+    assert_false(
+        AprGrantTable_IsReleased(&h2, AprKeyMap_FindRange(&map, 0), 200));
+    AprGrantTable_AddHandoverToken(&h2, &first);
+    assert_true(
+        AprGrantTable_IsReleased(&h2, AprKeyMap_FindRange(&map, 0), 200));
+    assert_int_equal(AprGrantTable_RenewGrants(&h2, &map, GENERATION, 200,
+                                               grants, MAX_GRANTS),
+                     1);
+    fence = grants[0].fence;
+    assert_string_equal(grants[0].token, "t1");
+
+    /* A part of it goes from h2 to h3; the rest stays as it is. */
+    AprKeyMap_Assign(&map, 400, 499, "h3", "h2");
+    AprGrantTable_ApplyKeyMap(&h2, &map, 300);
+    AprGrantTable_ApplyKeyMap(&h3, &map, 300);
+    assert_true(
+        AprGrantTable_IsReleased(&h2, AprKeyMap_FindRange(&map, 0), 300));
+    assert_true(
+        AprGrantTable_IsReleased(&h2, AprKeyMap_FindRange(&map, 999), 300));
+    assert_int_equal(AprGrantTable_RenewGrants(&h2, &map, GENERATION, 300,
+                                               grants, MAX_GRANTS),
+                     2);
+    assert_int_equal(grants[0].last, 399);
+    assert_int_equal(grants[1].first, 500);
+    assert_int_equal(grants[0].fence, fence);
+    /* The token of the earlier move is none for this one. */
+    AprGrantTable_AddHandoverToken(&h3, &first);
+    assert_int_equal(AprGrantTable_RenewGrants(&h3, &map, GENERATION, 400,
+                                               grants, MAX_GRANTS),
+                     0);
+    AprGrantTable_AddHandoverToken(&h3, &second);
+    assert_int_equal(AprGrantTable_RenewGrants(&h3, &map, GENERATION, 400,
+                                               grants, MAX_GRANTS),
+                     1);
+    assert_true(grants[0].fence > fence);
+    assert_string_equal(grants[0].token, "t2");
+    AprKeyMap_Free(&map);
+}
+
+/* Guards against keys that are withheld from the backend server while a change
+   that merges ranges of its own host is open, and against granting keys that
+   the same change gives away. */
+static void
+test_merged_ranges_stay_granted(void **state)
+{
+    AprKeyMap_t map;
+    AprKeyMap_t proposal;
+
+    (void)state;
+    AprKeyMap_Init(&map);
+    AprKeyMap_Assign(&map, 0, 99, "h1", NULL);
+    AprKeyMap_Assign(&map, 100, 199, "h1", "h2");
+    AprKeyMap_Assign(&map, 200, 299, "h1", NULL);
+    AprKeyMap_Copy(&proposal, &map);
+    AprKeyMap_Assign(&proposal, 0, 199, "h1", NULL);
+    AprKeyMap_Assign(&proposal, 200, 299, "h2", "h1");
+    AprKeyMap_UnassignChangedKeys(&map, &proposal, "h1");
+    assert_int_equal(AprKeyMap_CountKeysOf(&map, "h1"), 200);
+    assert_string_equal(AprKeyMap_FindRange(&map, 250)->host, "");
+    AprKeyMap_Free(&map);
+    AprKeyMap_Free(&proposal);
+}
+
 /* Guards against moves while the load is balanced well enough, and against an
    added backend server that never gets keys. */
 static void
@@ -687,6 +773,8 @@
         cmocka_unit_test(test_second_move_waits_for_the_first_holder),
         cmocka_unit_test(test_rebalances_hot_keys),
         cmocka_unit_test(test_moves_keys_only_when_unbalanced),
+        cmocka_unit_test(test_released_range_moves_on),
+        cmocka_unit_test(test_merged_ranges_stay_granted),
         cmocka_unit_test(test_concurrent_plans_choose_different_hosts),
         cmocka_unit_test(test_only_the_most_loaded_fills_an_empty_host),
     };
