Choose hosts for unkeyed requests by remaining work

Entry gateways compare all hosts by the number of requests in old reports, so that many of them choose the same hosts, a slow host looks like a fast one, and one that fails at once looks idle.

While balancing is adaptive, hosts report remaining work and pace at the end of the load in frames; other frames stay as they are. Reports lose their weight with their age, requests sent since count, and failures of the last second count as waiting time, at the entry and in the host's own report.

--- a/internal/backend_conn.h
+++ b/internal/backend_conn.h
@@ -93,6 +93,8 @@
 /* Implemented in backend.c; AprBackend_OnConnDone() may free `conn`. */
 void AprBackend_OnConnDone(AprBackendConn_t *conn, AprConnOutcome_t outcome);
 void AprBackend_SendOnConn(AprBackendCall_t *call);
+void AprBackend_RecordOutcome(AprBackend_t *backend, const AprCallHead_t *head,
+                              bool answered);
 void AprBackend_RecordResponse(AprBackend_t *backend,
                                const AprBackendIncarnation_t *sender,
                                const AprBackendNotice_t *notice);
--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -17,6 +17,7 @@
 #include "apricot/stop_plan.h"
 #include "apricot/time_limits.h"
 #include "internal/call.h"
+#include "internal/host_choice.h"
 #include "internal/link_frame.h"
 #include "internal/stream.h"
 
@@ -232,6 +233,8 @@
     AprHostLoad_t load_report; /* the latest */
     int64_t load_report_ms;    /* receipt of load_report; 0: not valid */
     int64_t unreachable_ms;    /* last failure to reach it; 0: none */
+    int sent_count; /* unkeyed requests sent to it since load_report */
+    AprRecentFailures_t failures; /* of unkeyed requests sent to it */
     /* Last time at which another host received bytes from it; 0: not known. */
     int64_t heard_by_peer_ms;
 } AprHost_t;
@@ -251,6 +254,10 @@
                                    int64_t age_ms);
 void AprMembers_RecordUnreachable(AprMembers_t *members, const char *host);
 char *AprMembers_FormatOwnEntry(const AprGateway_t *gateway);
+/* Records the outcome of an unkeyed request: 0, or the time left until its
+   objective when the host failed or refused it. */
+void AprMembers_RecordOutcome(AprMembers_t *members, const char *host,
+                              double lost_ms);
 AprHost_t *AprMembers_ChooseHost(AprMembers_t *members, const char *service,
                                  char tried[][APR_NAME_SIZE], int tried_count);
 
--- a/internal/link_frame.h
+++ b/internal/link_frame.h
@@ -46,6 +46,11 @@
     bool stopping;          /* the gateway is shutting down */
     bool store_lost;        /* this host cannot reach the store */
     int64_t known_revision; /* store revision up to which it has all items */
+    /* Remaining work, reported while balancing is adaptive only. Frames of
+       other hosts end with the members above. */
+    bool has_work;
+    int64_t work_ms; /* service time at the usual pace, over all slots */
+    int pace; /* 100: work takes as long as usual, 300: three times as long */
 } AprHostLoad_t;
 
 /* An item of the store that one gateway forwards to another, or the end of a
@@ -105,6 +110,8 @@
     AprItemFrame_t item;               /* APR_LINK_ITEM */
 } AprLinkFrame_t;
 
+void AprLinkFrame_Encode(msgpack_sbuffer *buffer, const AprLinkFrame_t *frame,
+                         int64_t now_ms);
 void AprLinkFrame_Write(AprStream_t *stream, const AprLinkFrame_t *frame,
                         int64_t now_ms);
 int AprLinkFrame_Decode(msgpack_zone *zone, const char *bytes, size_t size,
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -51,6 +51,7 @@
     AprGateway_t *gateway;
     AprAdmission_t admission;
     AprCostModel_t costs;                /* used while balancing is adaptive */
+    AprRecentFailures_t failures;        /* of runs */
     AprBackendIncarnation_t incarnation; /* empty id: no heartbeat yet */
     bool leaving;
     int64_t leaving_since_ms;
@@ -135,6 +136,19 @@
     start_queued_calls(backend);
 }
 
+/* Records whether the backend server answered a request. A failure counts with
+   the time left until the objective, as if the answer came then. */
+void
+AprBackend_RecordOutcome(AprBackend_t *backend, const AprCallHead_t *head,
+                         bool answered)
+{
+    int64_t now_ms = AprGateway_NowMs(backend->gateway);
+
+    AprRecentFailures_Add(&backend->failures,
+                          answered ? 0 : (double)(head->objective_ms - now_ms),
+                          now_ms);
+}
+
 /* Frees a call and reports its failure, unless its caller is gone. */
 static void
 fail_call(AprBackendCall_t *call, const AprCallFailure_t *failure)
@@ -149,6 +163,9 @@
                  AprCallError_Name(failure->error), failure->not_run,
                  (long long)(AprGateway_NowMs(call->backend->gateway) -
                              call->submitted_ms));
+    if (!failure->not_run || failure->error == APR_CALL_UNREACHABLE) {
+        AprBackend_RecordOutcome(call->backend, &call->head, false);
+    }
     finish_call(call, false);
     if (!detached) {
         handlers.on_failure(context, failure);
@@ -723,7 +740,6 @@
     AprBackendCall_t *call;
     AprAdmissionRequest_t request = {0};
 
-    update_cost_model(backend);
     if (!check_accepts_call(backend, head, failure)) {
         return false;
     }
@@ -925,6 +941,20 @@
         &backend->admission, 0, AprGateway_NowMs(backend->gateway));
     load->load_permille = (int)(AprBackend_RelativeDemand(backend) * 1000);
     load->accepts_calls = AprBackend_IsOpen(backend) && !backend->unresponsive;
+    load->has_work = backend->admission.costs != NULL;
+    if (load->has_work) {
+        int64_t now_ms = AprGateway_NowMs(backend->gateway);
+
+        /* Failures of the backend server that come too early for an answer
+           count as work, so that it does not look idle to other hosts. */
+        load->work_ms = (int64_t)(AprAdmission_RemainingWorkMs(
+                                      &backend->admission, now_ms) +
+                                  backend->admission.slots *
+                                      AprRecentFailures_PenaltyMs(
+                                          &backend->failures, now_ms));
+        load->pace = (int)(AprCostModel_Pace(&backend->costs, now_ms) * 100);
+        load->pace = load->pace < 1 ? 1 : load->pace;
+    }
 }
 
 /* Returns whether the response to a sent call is not complete in time. */
@@ -948,6 +978,7 @@
     int64_t now_ms = AprGateway_NowMs(backend->gateway);
     AprBackendCall_t *call;
 
+    update_cost_model(backend);
     while ((call = g_hash_table_find(backend->calls, is_overdue, &now_ms)) !=
            NULL) {
         AprBackendConn_t *conn = call->conn;
--- a/src/gateway/backend_conn.c
+++ b/src/gateway/backend_conn.c
@@ -192,6 +192,8 @@
         conn->not_run = true;
         return 0;
     }
+    AprBackend_RecordOutcome(conn->backend, &conn->call->head,
+                             head->status < 500);
     return forward_response_head(conn, head);
 }
 
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -212,6 +212,21 @@
                AprGateway_GetRetryBudget(exchange->gateway));
 }
 
+/* Tells the table of hosts how the current attempt of an unkeyed request
+   ended. A failure counts with the time left until the objective. */
+static void
+record_outcome(const AprExchange_t *exchange, bool answered)
+{
+    if (!exchange->keyed && exchange->attempt_count > 0) {
+        AprMembers_RecordOutcome(
+            exchange->gateway->members,
+            exchange->tried_hosts[exchange->attempt_count - 1],
+            answered ? 0
+                     : (double)(exchange->head.objective_ms -
+                                exchange_now_ms(exchange)));
+    }
+}
+
 /* Handles a failed attempt: retries it, on another host if the service is not
    keyed, or responds with the failure. */
 static void
@@ -223,6 +238,7 @@
                          failure->error != APR_CALL_UNREACHABLE;
 
     exchange->call_ref.call = NULL;
+    record_outcome(exchange, false);
     exchange->last_failure = *failure;
     if (!failure->not_run) {
         exchange->may_have_run = true;
@@ -263,6 +279,7 @@
     bool has_body =
         !exchange->omit_response_body && status_has_body(head->status);
 
+    record_outcome(exchange, head->status < 500);
     exchange->response_started = true;
     exchange->status = head->status;
     exchange->close_after = should_close(exchange);
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -42,7 +42,8 @@
     int host_capacity;
     GHashTable *index_by_name; /* name -> index in `hosts` */
     uint64_t random_state;
-    int64_t version; /* rises with each change of an entry */
+    int64_t version;           /* rises with each change of an entry */
+    AprUsualLoad_t usual_load; /* of the reports with remaining work */
 };
 
 /* Creates an empty table; returns NULL when memory runs out. */
@@ -277,6 +278,24 @@
         member->load_report = *load;
         member->load_report_ms = AprGateway_NowMs(members->gateway);
         member->unreachable_ms = 0;
+        member->sent_count = 0;
+        if (load->has_work) {
+            AprUsualLoad_Add(&members->usual_load, (double)load->work_ms,
+                             load->pace / 100.0, load->running + load->queued,
+                             load->slots);
+        }
+    }
+}
+
+void
+AprMembers_RecordOutcome(AprMembers_t *members, const char *host,
+                         double lost_ms)
+{
+    AprHost_t *member = AprMembers_Find(members, host);
+
+    if (member != NULL) {
+        AprRecentFailures_Add(&member->failures, lost_ms,
+                              AprGateway_NowMs(members->gateway));
     }
 }
 
@@ -383,6 +402,44 @@
     candidate->suspect =
         member->unreachable_ms != 0 &&
         now_ms - member->unreachable_ms < FAILED_HOST_AVOID_MS;
+    candidate->has_work =
+        member->load_report_ms != 0 && member->load_report.has_work;
+    candidate->work_ms = (double)member->load_report.work_ms;
+    candidate->pace = member->load_report.pace / 100.0;
+    candidate->sent_count = member->is_self ? 0 : member->sent_count;
+    candidate->failures_ms =
+        AprRecentFailures_PenaltyMs(&member->failures, now_ms);
+    if (member->load_report_ms == 0 &&
+        AprGateway_IsBalancingAdaptive(gateway)) {
+        candidate->age_ms = INT32_MAX; /* the usual load is assumed */
+    }
+}
+
+/* Starts a sample of hosts for a request. */
+static void
+init_sample(AprMembers_t *members, AprHostSample_t *sample)
+{
+    AprHost_t *self =
+        AprMembers_Find(members, members->gateway->settings.host);
+
+    members->random_state = members->random_state * 6364136223846793005u + 1;
+    AprHostSample_Init(sample, members->host_count,
+                       self == NULL ? -1 : (int)(self - members->hosts),
+                       members->random_state);
+}
+
+/* Returns the best host of a sample, which gets the request; NULL when the
+   sample is empty. */
+static AprHost_t *
+take_best(AprMembers_t *members, const AprHostSample_t *sample)
+{
+    int index = AprHostSample_FindBest(sample, &members->usual_load);
+
+    if (index < 0) {
+        return NULL;
+    }
+    members->hosts[index].sent_count++;
+    return &members->hosts[index];
 }
 
 /* Returns whether a host is known not to accept calls at present. */
@@ -416,11 +473,21 @@
     GQuark service_id = g_quark_try_string(service);
     AprHost_t *best = NULL;
     AprHostCandidate_t best_candidate;
+    bool adaptive = AprGateway_IsBalancingAdaptive(members->gateway);
+    AprHostSample_t sample;
 
-    for (int i = 0; i < members->host_count; i++) {
-        AprHost_t *member = &members->hosts[i];
+    if (adaptive) {
+        init_sample(members, &sample);
+    }
+    for (int i = 0; i < members->host_count + adaptive; i++) {
+        int index = adaptive ? AprHostSample_IndexAt(&sample, i) : i;
+        AprHost_t *member = index < 0 ? NULL : &members->hosts[index];
         AprHostCandidate_t candidate;
 
+        if (member == NULL) {
+            continue;
+        }
+
         if (member->service_id != service_id) {
             continue;
         }
@@ -438,6 +505,12 @@
             continue;
         }
         fill_host_candidate(members, member, &candidate, now_ms);
+        if (adaptive) {
+            if (AprHostSample_Add(&sample, index, &candidate, i)) {
+                break;
+            }
+            continue;
+        }
         members->random_state =
             members->random_state * 6364136223846793005u + 1;
         candidate.tie_breaker = (uint32_t)(members->random_state >> 32);
@@ -447,6 +520,9 @@
             best_candidate = candidate;
         }
     }
+    if (adaptive) {
+        best = take_best(members, &sample);
+    }
     for (int i = 0; i < members->host_count && best == NULL; i++) {
         AprHost_t *member = &members->hosts[i];
 
--- a/src/protocol/link_frame.c
+++ b/src/protocol/link_frame.c
@@ -33,8 +33,19 @@
     }
 }
 
-/* Elements that pack_load() writes. */
+/* Elements of a load without the remaining work, and of the remaining work.
+   The load is the last part of a frame, so that a receiver recognizes by the
+   number of elements whether the remaining work follows, and one that does not
+   know of it ignores it. */
 #define LOAD_FIELD_COUNT 9
+#define WORK_FIELD_COUNT 2
+
+/* Returns the number of elements that pack_load() writes. */
+static uint32_t
+load_field_count(const AprHostLoad_t *load)
+{
+    return LOAD_FIELD_COUNT + (load->has_work ? WORK_FIELD_COUNT : 0);
+}
 
 static void
 pack_load(msgpack_packer *packer, const AprHostLoad_t *load)
@@ -48,6 +59,10 @@
     pack_bool(packer, load->stopping);
     pack_bool(packer, load->store_lost);
     msgpack_pack_int64(packer, load->known_revision);
+    if (load->has_work) {
+        msgpack_pack_int64(packer, load->work_ms);
+        msgpack_pack_int(packer, load->pace);
+    }
 }
 
 /* Elements of APR_LINK_CALL after type and stream: send time, the 18 elements
@@ -100,7 +115,7 @@
         pack_bool(packer, frame->last_part);
         break;
     case APR_LINK_RESPONSE:
-        msgpack_pack_array(packer, 8 + LOAD_FIELD_COUNT);
+        msgpack_pack_array(packer, 8 + load_field_count(&frame->load));
         msgpack_pack_int(packer, frame->type);
         msgpack_pack_uint32(packer, frame->stream);
         msgpack_pack_int(packer, frame->response.status);
@@ -124,7 +139,7 @@
         msgpack_pack_uint32(packer, frame->stream);
         break;
     case APR_LINK_FAIL:
-        msgpack_pack_array(packer, 5 + LOAD_FIELD_COUNT);
+        msgpack_pack_array(packer, 5 + load_field_count(&frame->load));
         msgpack_pack_int(packer, frame->type);
         msgpack_pack_uint32(packer, frame->stream);
         msgpack_pack_int(packer, (int)frame->failure.error);
@@ -140,7 +155,7 @@
         break;
     case APR_LINK_PING:
     case APR_LINK_PONG:
-        msgpack_pack_array(packer, 2 + LOAD_FIELD_COUNT);
+        msgpack_pack_array(packer, 2 + load_field_count(&frame->load));
         msgpack_pack_int(packer, frame->type);
         msgpack_pack_int64(packer, frame->sequence);
         pack_load(packer, &frame->load);
@@ -197,19 +212,29 @@
     }
 }
 
-/* Encodes a frame and writes it to a stream. `now_ms` is the current time of
+/* Encodes a frame without its length prefix. `now_ms` is the current time of
    the clock that the points in time in frame->call refer to. */
 void
+AprLinkFrame_Encode(msgpack_sbuffer *buffer, const AprLinkFrame_t *frame,
+                    int64_t now_ms)
+{
+    msgpack_packer packer;
+
+    msgpack_packer_init(&packer, buffer, msgpack_sbuffer_write);
+    pack_frame(&packer, frame, now_ms);
+}
+
+/* Encodes a frame and writes it to a stream; `now_ms` as for
+   AprLinkFrame_Encode(). */
+void
 AprLinkFrame_Write(AprStream_t *stream, const AprLinkFrame_t *frame,
                    int64_t now_ms)
 {
     msgpack_sbuffer buffer;
-    msgpack_packer packer;
     uint32_t size;
 
     msgpack_sbuffer_init(&buffer);
-    msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
-    pack_frame(&packer, frame, now_ms);
+    AprLinkFrame_Encode(&buffer, frame, now_ms);
     size = htonl((uint32_t)buffer.size);
     AprStream_Write(stream, &size, sizeof(size));
     AprStream_Write(stream, buffer.data, buffer.size);
@@ -330,6 +355,14 @@
     load->stopping = read_bool(reader);
     load->store_lost = read_bool(reader);
     load->known_revision = read_int(reader);
+    if (reader->remaining >= WORK_FIELD_COUNT) {
+        load->has_work = true;
+        load->work_ms = read_int(reader);
+        load->pace = (int)read_int(reader);
+        if (load->work_ms < 0 || load->pace < 1) {
+            reader->failed = true;
+        }
+    }
 }
 
 static void
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -11,6 +11,7 @@
 #include "apricot/route_table.h"
 #include "internal/host_choice.h"
 #include "internal/http_message.h"
+#include "internal/link_frame.h"
 
 static AprRouteTable_t *
 new_table_of_three_routes(void)
@@ -81,11 +82,15 @@
 static void
 test_host_choice(void **state)
 {
-    AprHostCandidate_t idle = {0, 0, 0, 0, 6, true, false, 1};
-    AprHostCandidate_t busy = {120, 0, 12, 0, 6, true, false, 0};
-    AprHostCandidate_t other_domain = {0, 0, 0, 0, 6, false, false, 0};
-    AprHostCandidate_t failed = {0, 0, 0, 0, 6, true, true, 0};
-    AprHostCandidate_t in_flight = {0, 400, 0, 9, 6, true, false, 0};
+    AprHostCandidate_t idle = {
+        .slots = 6, .same_domain = true, .tie_breaker = 1};
+    AprHostCandidate_t busy = {
+        .wait_ms = 120, .request_count = 12, .slots = 6, .same_domain = true};
+    AprHostCandidate_t other_domain = {.slots = 6};
+    AprHostCandidate_t failed = {
+        .slots = 6, .same_domain = true, .suspect = true};
+    AprHostCandidate_t in_flight = {
+        .age_ms = 400, .in_flight = 9, .slots = 6, .same_domain = true};
 
     (void)state;
     assert_true(AprHostCandidate_IsBetter(&idle, &busy));
@@ -95,6 +100,83 @@
     assert_true(AprHostCandidate_IsBetter(&idle, &in_flight));
 }
 
+/* Guards against frames that change while balancing is not adaptive: gateways
+   of the earlier version must read them, and read these bytes. */
+static void
+test_load_without_remaining_work(void **state)
+{
+    static const unsigned char expected[] = {
+        0x9b, APR_LINK_PING, 7,    5,    1,    2,    6,
+        0xcd, 0x01,          0x2c, 0xc3, 0xc2, 0xc2, 9};
+    AprLinkFrame_t frame = {.type = APR_LINK_PING,
+                            .sequence = 7,
+                            .load = {.wait_ms = 5,
+                                     .running = 1,
+                                     .queued = 2,
+                                     .slots = 6,
+                                     .load_permille = 300,
+                                     .accepts_calls = true,
+                                     .known_revision = 9,
+                                     .work_ms = 77}};
+    AprLinkFrame_t decoded;
+    msgpack_sbuffer buffer;
+    msgpack_zone zone;
+
+    (void)state;
+    msgpack_sbuffer_init(&buffer);
+    msgpack_zone_init(&zone, 4096);
+    AprLinkFrame_Encode(&buffer, &frame, 0);
+    assert_int_equal(buffer.size, sizeof(expected));
+    assert_memory_equal(buffer.data, expected, sizeof(expected));
+    assert_int_equal(
+        AprLinkFrame_Decode(&zone, buffer.data, buffer.size, &decoded, 0),
+        APR_OK);
+    assert_false(decoded.load.has_work);
+    assert_int_equal(decoded.load.work_ms, 0);
+    assert_int_equal(decoded.load.known_revision, 9);
+    msgpack_zone_destroy(&zone);
+    msgpack_sbuffer_destroy(&buffer);
+}
+
+/* Guards against a load whose remaining work is lost, in each frame that ends
+   with a load, and against values that cannot be meant. */
+static void
+test_load_with_remaining_work(void **state)
+{
+    static const AprLinkType_t types[] = {APR_LINK_PING, APR_LINK_PONG,
+                                          APR_LINK_RESPONSE, APR_LINK_FAIL};
+
+    (void)state;
+    for (size_t i = 0; i < 2 * sizeof(types) / sizeof(types[0]); i++) {
+        bool valid = i % 2 == 0;
+        AprLinkFrame_t frame = {.type = types[i / 2],
+                                .response = {.status = 200, .headers = ""},
+                                .load = {.slots = 6,
+                                         .known_revision = 9,
+                                         .has_work = true,
+                                         .work_ms = 1234,
+                                         .pace = valid ? 300 : 0}};
+        AprLinkFrame_t decoded;
+        msgpack_sbuffer buffer;
+        msgpack_zone zone;
+
+        msgpack_sbuffer_init(&buffer);
+        msgpack_zone_init(&zone, 4096);
+        AprLinkFrame_Encode(&buffer, &frame, 0);
+        assert_int_equal(
+            AprLinkFrame_Decode(&zone, buffer.data, buffer.size, &decoded, 0),
+            valid ? APR_OK : APR_E_PARSE);
+        if (valid) {
+            assert_true(decoded.load.has_work);
+            assert_int_equal(decoded.load.work_ms, 1234);
+            assert_int_equal(decoded.load.pace, 300);
+            assert_int_equal(decoded.load.known_revision, 9);
+        }
+        msgpack_zone_destroy(&zone);
+        msgpack_sbuffer_destroy(&buffer);
+    }
+}
+
 typedef struct ParseCounts_t {
     int heads;
     int completes;
@@ -241,6 +323,8 @@
         cmocka_unit_test(test_longest_prefix_wins),
         cmocka_unit_test(test_split_follows_weights),
         cmocka_unit_test(test_host_choice),
+        cmocka_unit_test(test_load_without_remaining_work),
+        cmocka_unit_test(test_load_with_remaining_work),
         cmocka_unit_test(test_rejects_request_smuggling),
         cmocka_unit_test(test_parses_data_in_any_pieces),
         cmocka_unit_test(test_detects_truncated_responses),
