--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -301,6 +301,29 @@
     }
 }
 
+/* Exports the pace and the remaining work while balancing is adaptive. */
+static void
+update_load_metrics(AprBackend_t *backend)
+{
+    AprMetrics_t *metrics = backend->gateway->metrics;
+    AprHostLoad_t load = {0};
+    AprMetric_t *pace;
+    AprMetric_t *work;
+
+    if (backend->admission.costs == NULL) {
+        return;
+    }
+    AprBackend_GetLoad(backend, &load);
+    pace = AprMetrics_RegisterGauge(metrics, "backend_pace_percent", "",
+                                    "100: work takes as long as usual");
+    work = AprMetrics_RegisterGauge(metrics, "backend_work_ms", "",
+                                    "remaining service time, over all slots");
+    if (pace != NULL && work != NULL) {
+        AprMetric_Set(pace, load.pace);
+        AprMetric_Set(work, load.work_ms);
+    }
+}
+
 /* Counts a call that a running request makes. */
 void
 AprBackend_RecordNestedCall(AprBackend_t *backend, const AprCallHead_t *parent)
@@ -999,6 +1022,7 @@
     }
     detect_unresponsive_server(backend, now_ms);
     start_queued_calls(backend);
+    update_load_metrics(backend);
 }
 
 /* Closes all connections and frees the state. No call gets a callback. */
--- a/src/gateway/state_dump.c
+++ b/src/gateway/state_dump.c
@@ -15,18 +15,23 @@
         const AprHost_t *host = AprMembers_At(gateway->members, i);
 
         json_array_append_new(
-            list, json_pack("{s:s,s:s,s:s,s:s,s:b,s:b,s:I,s:I,s:I}", "host",
-                            host->host, "service", host->service, "domain",
-                            host->failure_domain, "backend",
-                            host->incarnation.id, "open", host->accepts_calls,
-                            "listed", host->registered, "heard_age_ms",
-                            (json_int_t)AprLinks_LastReceivedAgeMs(
-                                gateway->links, host->host),
-                            "load_age_ms",
-                            (json_int_t)(host->load_report_ms == 0
-                                             ? -1
-                                             : now_ms - host->load_report_ms),
-                            "wait_ms", (json_int_t)host->load_report.wait_ms));
+            list,
+            json_pack("{s:s,s:s,s:s,s:s,s:b,s:b,s:I,s:I,s:I,s:I,s:i,s:I}",
+                      "host", host->host, "service", host->service, "domain",
+                      host->failure_domain, "backend", host->incarnation.id,
+                      "open", host->accepts_calls, "listed", host->registered,
+                      "heard_age_ms",
+                      (json_int_t)AprLinks_LastReceivedAgeMs(gateway->links,
+                                                             host->host),
+                      "load_age_ms",
+                      (json_int_t)(host->load_report_ms == 0
+                                       ? -1
+                                       : now_ms - host->load_report_ms),
+                      "wait_ms", (json_int_t)host->load_report.wait_ms,
+                      "work_ms", (json_int_t)host->load_report.work_ms, "pace",
+                      host->load_report.pace, "failures_ms",
+                      (json_int_t)AprRecentFailures_PenaltyMs(&host->failures,
+                                                              now_ms)));
     }
     return list;
 }
