--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -62,6 +62,7 @@
     AprGrantWaits_t grant_waits;
     int64_t next_settle_ms;              /* next check of grant_waits */
     AprCostModel_t costs;                /* used while balancing is adaptive */
+    AprRecentFailures_t failures;        /* of runs */
     AprBackendIncarnation_t incarnation; /* empty id: no heartbeat yet */
     bool leaving;
     int64_t leaving_since_ms;
@@ -155,6 +156,19 @@
     start_queued_calls(backend);
 }
 
+/* Records whether the backend server answered a request. A failure counts with
+   the time left until the objective, as if the answer came then. */
+void
+AprBackend_RecordOutcome(AprBackend_t *backend, const AprCallHead_t *head,
+                         bool answered)
+{
+    int64_t now_ms = AprGateway_NowMs(backend->gateway);
+
+    AprRecentFailures_Add(&backend->failures,
+                          answered ? 0 : (double)(head->objective_ms - now_ms),
+                          now_ms);
+}
+
 /* Frees a call and reports its failure, unless its caller is gone. */
 static void
 fail_call(AprBackendCall_t *call, const AprCallFailure_t *failure)
@@ -169,6 +183,9 @@
                  AprCallError_Name(failure->error), failure->not_run,
                  (long long)(AprGateway_NowMs(call->backend->gateway) -
                              call->submitted_ms));
+    if (!failure->not_run || failure->error == APR_CALL_UNREACHABLE) {
+        AprBackend_RecordOutcome(call->backend, &call->head, false);
+    }
     finish_call(call, false);
     if (!detached) {
         handlers.on_failure(context, failure);
@@ -302,6 +319,29 @@
     }
 }
 
+/* Exports the pace and the remaining work while balancing is adaptive. */
+static void
+update_load_metrics(AprBackend_t *backend)
+{
+    AprMetrics_t *metrics = backend->gateway->metrics;
+    AprHostLoad_t load = {0};
+    AprMetric_t *pace;
+    AprMetric_t *work;
+
+    if (backend->admission.costs == NULL) {
+        return;
+    }
+    AprBackend_GetLoad(backend, &load);
+    pace = AprMetrics_RegisterGauge(metrics, "backend_pace_percent", "",
+                                    "100: work takes as long as usual");
+    work = AprMetrics_RegisterGauge(metrics, "backend_work_ms", "",
+                                    "remaining service time, over all slots");
+    if (pace != NULL && work != NULL) {
+        AprMetric_Set(pace, load.pace);
+        AprMetric_Set(work, load.work_ms);
+    }
+}
+
 /* Counts a call that a running request makes. */
 void
 AprBackend_RecordNestedCall(AprBackend_t *backend, const AprCallHead_t *parent)
@@ -897,7 +937,6 @@
     AprAdmissionRequest_t request = {0};
     bool granted = check_accepts_call(backend, head, failure);
 
-    update_cost_model(backend);
     if (!granted && !may_wait_for_grant(backend, failure)) {
         return false;
     }
@@ -1133,6 +1172,20 @@
     load->accepts_calls = AprBackend_IsOpen(backend) &&
                           !backend->unresponsive &&
                           may_start_here(backend, APR_NO_KEY);
+    load->has_work = backend->admission.costs != NULL;
+    if (load->has_work) {
+        int64_t now_ms = AprGateway_NowMs(backend->gateway);
+
+        /* Failures of the backend server that come too early for an answer
+           count as work, so that it does not look idle to other hosts. */
+        load->work_ms = (int64_t)(AprAdmission_RemainingWorkMs(
+                                      &backend->admission, now_ms) +
+                                  backend->admission.slots *
+                                      AprRecentFailures_PenaltyMs(
+                                          &backend->failures, now_ms));
+        load->pace = (int)(AprCostModel_Pace(&backend->costs, now_ms) * 100);
+        load->pace = load->pace < 1 ? 1 : load->pace;
+    }
 }
 
 /* Returns whether the response to a sent call is not complete in time. */
@@ -1156,6 +1209,7 @@
     int64_t now_ms = AprGateway_NowMs(backend->gateway);
     AprBackendCall_t *call;
 
+    update_cost_model(backend);
     while ((call = g_hash_table_find(backend->calls, is_overdue, &now_ms)) !=
            NULL) {
         AprBackendConn_t *conn = call->conn;
@@ -1180,6 +1234,7 @@
     refuse_evacuated_calls(backend);
     settle_grant_waits(backend, now_ms);
     start_queued_calls(backend);
+    update_load_metrics(backend);
 }
 
 /* Closes all connections and frees the state. No call gets a callback. */
