Spread the retries of refused callers

Refused callers are told to come back when their own turn would have come, and so return together. A Retry-After may also exceed what a caller has left.

While balancing is adaptive, the delay is spread by the request id from the time at which the queue is short enough to the time at which the present work is done, and is at most a third of the time left. The choice of host uses the slots that a host reports.

--- a/internal/adaptive_admission.h
+++ b/internal/adaptive_admission.h
@@ -21,6 +21,10 @@
 int AprAdaptiveAdmission_FindNext(const AprAdmission_t *admission,
                                   uint32_t underserved_kind, int64_t now_ms);
 
+int64_t AprAdaptiveAdmission_RetryDelayMs(const AprAdmission_t *admission,
+                                          const AprAdmissionRequest_t *request,
+                                          int64_t now_ms, double wait_ms);
+
 /* Implemented in admission.c. Returns the milliseconds until the limit of the
    backend server lets a request start that comes after `ahead` others. */
 double AprAdmission_LimitWaitMs(const AprAdmission_t *admission, int ahead,
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -162,7 +162,11 @@
 {
     int64_t after_ms = failure->retry_after_ms > 0 ? failure->retry_after_ms
                                                    : RETRY_AFTER_DEFAULT_MS;
+    int64_t left_ms = exchange->head.deadline_ms - exchange_now_ms(exchange);
 
+    if (AprGateway_IsBalancingAdaptive(exchange->gateway)) {
+        after_ms = MAX(1, MIN(after_ms, left_ms / 3));
+    }
     if (!exchange->may_have_run || exchange->head.idempotent) {
         if (failure->not_run) {
             send_gateway_response(exchange, 503, after_ms,
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -381,12 +381,36 @@
     return false;
 }
 
+/* Fills in what only the choice by remaining work uses. A cold host reports
+   fewer slots than its entry in the store names. */
+static void
+fill_remaining_work(const AprHost_t *member, AprHostCandidate_t *candidate,
+                    int64_t now_ms)
+{
+    const AprHostLoad_t *load = &member->load_report;
+
+    candidate->sent_count = member->is_self ? 0 : member->sent_count;
+    candidate->failures_ms =
+        AprRecentFailures_PenaltyMs(&member->failures, now_ms);
+    if (member->load_report_ms == 0) {
+        candidate->age_ms = INT32_MAX; /* the usual load is assumed */
+        return;
+    }
+    candidate->has_work = load->has_work;
+    candidate->work_ms = (double)load->work_ms;
+    candidate->pace = load->pace / 100.0;
+    if (load->slots > 0) {
+        candidate->slots = load->slots;
+    }
+}
+
 static void
 fill_host_candidate(AprMembers_t *members, AprHost_t *member,
                     AprHostCandidate_t *candidate, int64_t now_ms)
 {
     AprGateway_t *gateway = members->gateway;
 
+    memset(candidate, 0, sizeof(*candidate));
     candidate->wait_ms =
         member->load_report_ms == 0 ? 0 : member->load_report.wait_ms;
     candidate->age_ms =
@@ -402,16 +426,8 @@
     candidate->suspect =
         member->unreachable_ms != 0 &&
         now_ms - member->unreachable_ms < FAILED_HOST_AVOID_MS;
-    candidate->has_work =
-        member->load_report_ms != 0 && member->load_report.has_work;
-    candidate->work_ms = (double)member->load_report.work_ms;
-    candidate->pace = member->load_report.pace / 100.0;
-    candidate->sent_count = member->is_self ? 0 : member->sent_count;
-    candidate->failures_ms =
-        AprRecentFailures_PenaltyMs(&member->failures, now_ms);
-    if (member->load_report_ms == 0 &&
-        AprGateway_IsBalancingAdaptive(gateway)) {
-        candidate->age_ms = INT32_MAX; /* the usual load is assumed */
+    if (AprGateway_IsBalancingAdaptive(gateway)) {
+        fill_remaining_work(member, candidate, now_ms);
     }
 }
 
--- a/src/state/adaptive_admission.c
+++ b/src/state/adaptive_admission.c
@@ -38,6 +38,9 @@
    expected work. */
 #define MIN_REMAINING_FRACTION 0.3
 
+/* Least delay after which a refused caller should come back. */
+#define RETRY_MIN_MS 20.0
+
 /* Sets the expected service time of a request at pace 1. */
 void
 AprAdaptiveAdmission_SetCost(AprAdmission_t *admission,
@@ -320,3 +323,36 @@
     return best_of_kind >= 0 && !admission->queue[best].nested ? best_of_kind
                                                                : best;
 }
+
+/* Returns a number from 0 to 1 that spreads requests by their ids. */
+static double
+spread_by_id(uint64_t id)
+{
+    return (double)((id * 0x9e3779b97f4a7c15u) >> 40) / (double)(1 << 24);
+}
+
+/* Returns the delay in milliseconds after which the caller of a refused
+   request should come back: from the time at which the queue is short enough
+   until all work that is here now is done, spread by the id, so that the
+   callers do not return together. It is at most a third of the time that the
+   caller has. */
+int64_t
+AprAdaptiveAdmission_RetryDelayMs(const AprAdmission_t *admission,
+                                  const AprAdmissionRequest_t *request,
+                                  int64_t now_ms, double wait_ms)
+{
+    double service_ms = AprCostModel_ElapsedMs(
+        admission->costs, request->expected_service_ms, now_ms);
+    double slack_ms = (double)(request->objective_ms - now_ms) - service_ms;
+    double work_ms = AprAdmission_RemainingWorkMs(admission, now_ms);
+    double most_ms = (double)(request->deadline_ms - now_ms) / 3;
+    double first_ms = fmax(RETRY_MIN_MS, wait_ms - fmax(slack_ms, 0));
+    double last_ms =
+        first_ms + AprCostModel_ElapsedMs(admission->costs,
+                                          work_ms / admission->slots, now_ms);
+
+    last_ms = fmin(last_ms, most_ms);
+    first_ms = fmin(first_ms, last_ms / 2);
+    return (int64_t)fmax(1, first_ms + spread_by_id(request->id) *
+                                           (last_ms - first_ms));
+}
--- a/src/state/admission.c
+++ b/src/state/admission.c
@@ -400,7 +400,8 @@
         admission->queue[admission->queue_count++] = *request;
     }
     else {
-        decision.retry_after_ms = retry_delay_ms(request, now_ms, wait_ms);
+        decision.retry_after_ms = AprAdaptiveAdmission_RetryDelayMs(
+            admission, request, now_ms, wait_ms);
     }
     return decision;
 }
@@ -639,7 +640,10 @@
             decision->admitted = false;
             decision->wait_ms = (int64_t)wait_ms;
             decision->retry_after_ms =
-                retry_delay_ms(request, now_ms, wait_ms);
+                admission->costs != NULL
+                    ? AprAdaptiveAdmission_RetryDelayMs(admission, request,
+                                                        now_ms, wait_ms)
+                    : retry_delay_ms(request, now_ms, wait_ms);
             remove_queued(admission, i);
             return true;
         }
--- a/tests/test_admission_uneven.c
+++ b/tests/test_admission_uneven.c
@@ -16,7 +16,8 @@
 
 #include "apricot/admission.h"
 
-#define HOSTS 2
+#define HOSTS 4
+#define PAIR 2 /* hosts that call each other */
 #define SLOTS 6
 #define SPREAD 0.4 /* of the logarithm of a service time */
 #define LONG_SHARE 0.01
@@ -25,9 +26,10 @@
 #define SLOW_MS 400
 #define CYCLE_MS 2000 /* with one slow spell, at a random time */
 #define DURATION_MS 120000
-#define MAX_REQUESTS 60000
+#define MAX_REQUESTS 200000
 #define MAX_RUNNING 64
-#define LATE_WORTH 0.17 /* of a late answer; the users' range is 4 to 30 % */
+#define SHARED_CALLS 0.8 /* of the requests that call a shared host */
+#define LATE_WORTH 0.17  /* of a late answer; the users' range is 4 to 30 % */
 
 typedef enum Policy_t {
     POLICY_PRESENT,  /* without a cost model */
@@ -92,6 +94,8 @@
 
 typedef struct Run_t {
     Policy_t policy;
+    int host_count;
+    bool shared; /* all other hosts call the last one */
     uint64_t random_state;
     Host_t hosts[HOSTS];
     Request_t requests[MAX_REQUESTS];
@@ -168,7 +172,9 @@
         request->objective_ms = now_ms + kinds[kind].objective_ms;
         request->deadline_ms = now_ms + kinds[kind].deadline_ms;
         run->result.offered[kinds[kind].rank]++;
-        if (random_unit(run) < kinds[kind].nested_share) {
+        if (random_unit(run) <
+                (run->shared ? SHARED_CALLS : kinds[kind].nested_share) &&
+            (!run->shared || host != run->host_count - 1)) {
             request->call_at_work_ms = request->work_ms / 2;
         }
     }
@@ -219,8 +225,10 @@
             request->waits = true;
             AprAdmission_CountNestedCall(&host->admission,
                                          (uint64_t)index + 1);
-            add_request(run, (request->host + 1) % HOSTS, NESTED_KIND, index,
-                        now_ms);
+            add_request(run,
+                        run->shared ? run->host_count - 1
+                                    : (request->host + 1) % run->host_count,
+                        NESTED_KIND, index, now_ms);
         }
         else if (request->work_ms <= 0) {
             host->running[i--] = host->running[--host->running_count];
@@ -251,15 +259,17 @@
 }
 
 static Result_t
-replay(Policy_t policy, double load)
+replay(Policy_t policy, double load, bool shared)
 {
     static Run_t run;
     double due[HOSTS][KIND_COUNT] = {{0}};
 
     memset(&run, 0, sizeof(run));
     run.policy = policy;
+    run.shared = shared;
+    run.host_count = shared ? HOSTS : PAIR;
     run.random_state = 7;
-    for (int i = 0; i < HOSTS; i++) {
+    for (int i = 0; i < run.host_count; i++) {
         AprAdmission_Init(&run.hosts[i].admission, SLOTS);
         AprCostModel_Init(&run.hosts[i].costs, 0);
         if (policy != POLICY_PRESENT) {
@@ -268,7 +278,7 @@
         }
     }
     for (int64_t now_ms = 1; now_ms < DURATION_MS; now_ms++) {
-        for (int i = 0; i < HOSTS; i++) {
+        for (int i = 0; i < run.host_count; i++) {
             Host_t *host = &run.hosts[i];
 
             if (now_ms % CYCLE_MS == 1) {
@@ -337,7 +347,7 @@
 
         print_message("load %.1f, ranks 0 and 1:\n", loads[i]);
         for (int policy = 0; policy < POLICY_COUNT; policy++) {
-            results[policy] = replay((Policy_t)policy, loads[i]);
+            results[policy] = replay((Policy_t)policy, loads[i], false);
             print_result(policy_names[policy], &results[policy]);
         }
         for (int policy = POLICY_COSTS; policy < POLICY_COUNT; policy++) {
@@ -358,11 +368,92 @@
     assert_true(better);
 }
 
+/* Guards against calls to an overloaded host that are refused, so that the
+   requests that make them lose their work: three hosts call one, which has
+   requests of its own. */
+static void
+test_calls_to_an_overloaded_host(void **state)
+{
+    static const double loads[] = {1.0, 1.7, 2.5};
+
+    (void)state;
+    for (size_t i = 0; i < sizeof(loads) / sizeof(loads[0]); i++) {
+        Result_t results[POLICY_COUNT];
+
+        print_message("load %.1f, three hosts call one, ranks 0 and 1:\n",
+                      loads[i]);
+        for (int policy = 0; policy < POLICY_COUNT; policy++) {
+            results[policy] = replay((Policy_t)policy, loads[i], true);
+            print_result(policy_names[policy], &results[policy]);
+        }
+        for (int policy = POLICY_COSTS; policy < POLICY_COUNT; policy++) {
+            assert_true(timely(&results[policy]) >
+                        timely(&results[POLICY_PRESENT]));
+            assert_true(results[policy].lost_work <=
+                        results[POLICY_PRESENT].lost_work);
+        }
+    }
+}
+
+/* Guards against refused callers who come back together, or later than a third
+   of the time that they have. */
+static void
+test_retries_are_spread(void **state)
+{
+    static AprAdmission_t admission;
+    static AprCostModel_t costs;
+    AprAdmissionRequest_t request = {
+        .kind = 1, .objective_ms = 200, .deadline_ms = 900};
+    int by_quarter[4] = {0};
+    int64_t least_ms = INT64_MAX;
+    int64_t most_ms = 0;
+    int refused = 0;
+
+    (void)state;
+    AprAdmission_Init(&admission, 4);
+    AprCostModel_Init(&costs, 0);
+    AprAdmission_SetCostModel(&admission, &costs);
+    for (int i = 0; i < 400; i++) {
+        AprAdmissionRequest_t offered = request;
+        AprAdmissionDecision_t decision;
+
+        offered.id = (uint64_t)i + 1;
+        decision = AprAdmission_Offer(&admission, &offered, 0);
+        if (i < 100) {
+            while (AprAdmission_StartNext(&admission, 0, &offered)) {
+            }
+        }
+        else if (!decision.admitted) {
+            int64_t delay_ms = decision.retry_after_ms;
+
+            refused++;
+            assert_in_range(delay_ms, 1, 300);
+            least_ms = delay_ms < least_ms ? delay_ms : least_ms;
+            most_ms = delay_ms > most_ms ? delay_ms : most_ms;
+        }
+    }
+    assert_true(refused > 200);
+    assert_true(most_ms >= least_ms + 40);
+    for (uint64_t id = 100; id < 500; id++) {
+        AprAdmissionRequest_t offered = request;
+        int64_t delay_ms;
+
+        offered.id = id;
+        delay_ms = AprAdmission_Offer(&admission, &offered, 0).retry_after_ms;
+        by_quarter[(delay_ms - least_ms) * 4 / (most_ms - least_ms + 1)]++;
+    }
+    for (int i = 0; i < 4; i++) {
+        assert_in_range(by_quarter[i], 60, 140);
+    }
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_overload_with_uneven_work),
+        cmocka_unit_test(test_calls_to_an_overloaded_host),
+        cmocka_unit_test(test_retries_are_spread),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
