--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -169,14 +169,18 @@
 static void
 respond_with_failure(AprExchange_t *exchange, const AprCallFailure_t *failure)
 {
+    bool adaptive = AprGateway_IsBalancingAdaptive(exchange->gateway);
     int64_t after_ms = failure->retry_after_ms;
+    int64_t left_ms = exchange->head.deadline_ms - exchange_now_ms(exchange);
 
     if (after_ms <= 0) {
-        after_ms = failure->error == APR_CALL_SHED &&
-                           AprGateway_IsBalancingAdaptive(exchange->gateway)
+        after_ms = failure->error == APR_CALL_SHED && adaptive
                        ? SHED_RETRY_AFTER_MS
                        : RETRY_AFTER_DEFAULT_MS;
     }
+    if (adaptive) {
+        after_ms = MAX(1, MIN(after_ms, left_ms / 3));
+    }
     if (!exchange->may_have_run || exchange->head.idempotent) {
         if (failure->not_run) {
             send_gateway_response(exchange, 503, after_ms,
