--- /dev/null
+++ b/tests/scripted/hostile_connections.sh
@@ -0,0 +1,6 @@
+# Connections that callers open and leave must not take the descriptors from
+# other callers.
+run() {
+    timeout 40 /usr/bin/python3 platform/soak/hostile_callers.py "$@"
+}
+run connections
