Bound memory and descriptors under hostile callers

Cause: each request of a pipeline got a flow-control window of 256 KiB of its own, whether or not its caller read anything; nothing limited the sum over all connections; the kernel took up to megabytes more of each connection that was not read; and at the descriptor limit accept() failed in a loop.

Change: src/state/memory_budget.c decides from what is held (the capacity of all buffers, heads of requests, and unread bytes of paused connections), with a limit derived from memory_mb. A request waits while earlier responses of its connection hold more than a window unsent, or while windows are promised for half of the limit; it is refused as not run if its time ends meanwhile. From half of the limit, connections that hold more than their share are not read and other hosts' calls with incomplete bodies are refused; from 0.7, new requests of such connections are refused with 503. At 0.9 the queued request is refused, or the connection closed, with the most bytes times the time without progress. This is checked before each read, so that it holds also for frames of links, which cannot be read selectively. Buffers beyond 64 KiB grow by a quarter instead of to the double. Receive buffers of sockets are 32 to 128 KiB.

Callers get the descriptors less 200 for files and an eighth for links, the store and the backend server. At that limit the connection that has been idle for longest is closed for a new one, else the one longest within a head, else one whose reader makes no progress; if there is none, accepting pauses until the next tick. Closed callers stay allocated while a tick visits the list.

--- a/internal/exchange.h
+++ b/internal/exchange.h
@@ -17,13 +17,18 @@
     AprExchange_t *last_exchange;
     AprExchange_t *reading_exchange; /* receives its body; NULL: none */
     int exchange_count;
-    bool used;    /* a request was read */
-    bool parsing; /* a parser callback is on the stack */
+    bool used; /* a request was read */
+    bool
+        parsing; /* a parser callback or a start of requests is on the stack */
     bool read_paused;
     bool closed; /* freed when the parser returns */
     int64_t idle_since_ms;
     int64_t last_read_ms;
+    int64_t head_since_ms;        /* start of an incomplete head; 0: none */
+    uint64_t consumed_body_bytes; /* request body bytes that were passed on */
+    AprMemoryHolder_t holder;
     struct AprCallerConn_t *next;
+    struct AprCallerConn_t *next_closed;
 } AprCallerConn_t;
 
 /* One request of a caller, from its head to the end of its response. */
@@ -46,7 +51,10 @@
     bool body_not_buffered;       /* too large for a retry; streamed */
     size_t unconsumed_body_bytes; /* sent and not yet acknowledged */
     bool submitted;               /* the first attempt started */
-    bool may_have_run;            /* an attempt failed with unknown outcome */
+    bool waiting_to_start; /* until the caller has taken earlier responses */
+    bool counts_as_pipelined; /* in AprMemoryBudget_t.pipelined_in_flight */
+    size_t head_bytes;        /* of `head`, here and in its call */
+    bool may_have_run;        /* an attempt failed with unknown outcome */
     int attempt_count;
     AprCallFailure_t last_failure; /* of the last attempt */
     char tried_hosts[APR_MAX_ATTEMPTS][APR_NAME_SIZE];
@@ -70,6 +78,7 @@
 void AprExchange_AddBody(AprExchange_t *exchange, const char *data,
                          size_t size);
 void AprExchange_EndBody(AprExchange_t *exchange);
+void AprExchange_Start(AprExchange_t *exchange);
 void AprExchange_TimeOut(AprExchange_t *exchange);
 void AprExchange_Reject(AprExchange_t *exchange, int status,
                         const char *reason);
@@ -77,7 +86,14 @@
 void AprExchange_OnDrained(AprExchange_t *exchange);
 void AprExchange_WriteError(AprStream_t *stream, int status);
 
-/* Implemented in ingress.c. Both may free the connection. */
+/* Implemented in ingress.c. */
+bool AprEntry_MayStart(const AprExchange_t *exchange);
+size_t AprEntry_HeldBytes(const AprCallerConn_t *caller);
+double AprIngress_FindLargest(AprIngress_t *ingress, int64_t now_ms,
+                              AprCallerConn_t **found);
+void AprIngress_Drop(AprCallerConn_t *caller);
+
+/* Implemented in ingress.c. These may free the connection. */
 void AprEntry_UpdateReading(AprCallerConn_t *caller);
 void AprEntry_OnExchangeDone(AprCallerConn_t *caller);
 void AprEntry_AbortConn(AprCallerConn_t *caller);
--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -11,6 +11,7 @@
 #include "apricot/grant_table.h"
 #include "apricot/key_plan.h"
 #include "apricot/kv.h"
+#include "apricot/memory_budget.h"
 #include "apricot/metrics.h"
 #include "apricot/retry_budget.h"
 #include "apricot/route_table.h"
@@ -98,6 +99,11 @@
     AprMetrics_t *metrics;
     AprMetric_t *duration_buckets[APR_DURATION_BUCKETS];
     AprRetryBudget_t retry_budget;
+    AprMemoryBudget_t memory_budget;
+    size_t head_bytes;         /* memory of the heads of callers' requests */
+    int64_t closed_for_memory; /* connections, since the last log line */
+    int64_t closed_for_descriptors;
+    int64_t last_limit_log_ms;
     GHashTable *time_limits; /* route name -> AprTimeLimits_t, owned */
     AprStopStep_t stop_step;
     AprStopPlan_t stop_plan; /* valid while stopping */
@@ -140,6 +146,15 @@
 void AprGateway_IncrementCounter(AprGateway_t *gateway, const char *name,
                                  const char *labels);
 
+/* Limits on memory and descriptors (resource_limits.c). */
+void AprResources_Init(AprGateway_t *gateway);
+void AprResources_Free(AprGateway_t *gateway);
+void AprResources_Update(AprGateway_t *gateway);
+void AprResources_Tick(AprGateway_t *gateway);
+/* Counts a connection that is closed for a reason: "memory" or
+   "descriptors". */
+void AprResources_CountClosed(AprGateway_t *gateway, const char *reason);
+
 /* The local backend server: its queue, connections and load (backend.c). */
 AprBackend_t *AprBackend_New(AprGateway_t *gateway);
 void AprBackend_Free(AprBackend_t *backend);
@@ -163,6 +178,10 @@
 bool AprBackend_IsProbeDue(const AprBackend_t *backend);
 bool AprBackend_IsUnreachable(const AprBackend_t *backend);
 int AprBackend_CountCalls(const AprBackend_t *backend);
+size_t AprBackend_HeldBytes(const AprBackend_t *backend);
+double AprBackend_FindLargestQueued(AprBackend_t *backend, int64_t now_ms,
+                                    uint64_t *id);
+void AprBackend_RefuseQueued(AprBackend_t *backend, uint64_t id);
 /* Returns the request with the given id if the backend server runs it now,
    else NULL. */
 const AprCallHead_t *AprBackend_FindRunningRequest(const AprBackend_t *backend,
@@ -202,6 +221,7 @@
                                 const char *about);
 void AprLinks_Tick(AprLinks_t *links);
 int AprLinks_CountInboundCalls(const AprLinks_t *links);
+size_t AprLinks_HeldBytes(const AprLinks_t *links);
 void AprLinks_SendRenewalResult(AprLinks_t *links, const char *host,
                                 int64_t lease, int64_t age_ms);
 
--- a/internal/gateway_link.h
+++ b/internal/gateway_link.h
@@ -52,6 +52,7 @@
 void AprGatewayLink_Send(AprGatewayLink_t *link, const AprLinkFrame_t *frame);
 
 /* Implemented in link_calls.c. */
+size_t AprGatewayLink_HeldBytes(const AprGatewayLink_t *link);
 GHashTable *AprLinkCalls_NewTable(void);
 void AprLinkCalls_Start(AprGatewayLink_t *link, const AprCallHead_t *head,
                         const char *data, size_t size, bool end,
--- a/internal/http_message.h
+++ b/internal/http_message.h
@@ -54,6 +54,7 @@
 int AprHttpParser_OnConnectionEnd(AprHttpParser_t *parser);
 bool AprHttpParser_IsInMessage(const AprHttpParser_t *parser);
 bool AprHttpParser_IsInHead(const AprHttpParser_t *parser);
+size_t AprHttpParser_HeldBytes(const AprHttpParser_t *parser);
 void AprHttpParser_SetMaxHeadBytes(AprHttpParser_t *parser, size_t bytes);
 void AprHttpParser_SetBodyOmitted(AprHttpParser_t *parser, bool omitted);
 void AprHttpParser_SetPaused(AprHttpParser_t *parser, bool pause);
--- a/internal/stream.h
+++ b/internal/stream.h
@@ -6,6 +6,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "apricot/memory_budget.h"
+
 /* Growable byte buffer; the bytes from `start` up to `end` are in use. */
 typedef struct AprBuffer_t {
     char *data;
@@ -21,6 +23,8 @@
     __attribute__((format(printf, 2, 3)));
 void AprBuffer_Consume(AprBuffer_t *buffer, size_t size);
 void AprBuffer_Free(AprBuffer_t *buffer);
+char *AprBuffer_Release(AprBuffer_t *buffer);
+size_t AprBuffer_TotalCapacity(void);
 
 typedef struct AprStream_t AprStream_t;
 
@@ -45,6 +49,13 @@
        kernel yet. */
     size_t unsent_bytes;
     bool lagging; /* the process lags: received bytes may be outdated */
+    AprStream_t *streams;     /* that are not closed */
+    int open_count;           /* of `streams` */
+    int receive_buffer_bytes; /* of each socket; 0: chosen by the kernel */
+    /* Called before bytes are read, to make room for them; may close any
+       stream. NULL: none. */
+    void (*make_room)(void *context);
+    void *make_room_context;
 } AprStreamSet_t;
 
 void AprStreamSet_Init(AprStreamSet_t *set, struct ev_loop *loop);
@@ -56,6 +67,13 @@
 AprStream_t *AprStream_Connect(AprStreamSet_t *set, const char *address,
                                const AprStreamHandler_t *handler,
                                void *context);
+size_t AprStreamSet_CountUnread(const AprStreamSet_t *set);
+AprStream_t *AprStreamSet_FindDraining(AprStreamSet_t *set, int64_t now_ms,
+                                       double *score);
+size_t AprStream_HeldBytes(const AprStream_t *stream);
+size_t AprStream_UnsentBytes(const AprStream_t *stream);
+size_t AprStream_CountUnread(const AprStream_t *stream);
+uint64_t AprStream_SentBytes(const AprStream_t *stream);
 void AprStream_Write(AprStream_t *stream, const void *data, size_t size);
 bool AprStream_IsConnecting(const AprStream_t *stream);
 bool AprStream_HasReceivedBytes(const AprStream_t *stream);
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -857,6 +857,65 @@
     return backend->admission.running_count + backend->admission.queue_count;
 }
 
+/* Returns the memory of queued request bodies and of unsent bytes. */
+size_t
+AprBackend_HeldBytes(const AprBackend_t *backend)
+{
+    GHashTableIter calls;
+    gpointer value;
+    size_t sum = 0;
+
+    g_hash_table_iter_init(&calls, backend->calls);
+    while (g_hash_table_iter_next(&calls, NULL, &value)) {
+        sum += ((const AprBackendCall_t *)value)->body.capacity;
+    }
+    for (const AprBackendConn_t *conn = backend->conns; conn != NULL;
+         conn = conn->next) {
+        sum += conn->stream == NULL ? 0 : AprStream_HeldBytes(conn->stream);
+    }
+    return sum;
+}
+
+/* Returns the highest AprMemoryHolder_Score() of a queued request, and its id
+   in `*id`; 0 when none holds enough. */
+double
+AprBackend_FindLargestQueued(AprBackend_t *backend, int64_t now_ms,
+                             uint64_t *id)
+{
+    double highest = 0;
+
+    for (int i = 0; i < backend->admission.queue_count; i++) {
+        uint64_t queued_id = backend->admission.queue[i].id;
+        const AprBackendCall_t *call = find_call(backend, queued_id);
+        AprMemoryHolder_t holder = {0};
+        double score;
+
+        if (call == NULL) {
+            continue;
+        }
+        holder.held = call->body.capacity;
+        holder.mark_ms = call->submitted_ms;
+        score = AprMemoryHolder_Score(&holder, now_ms);
+        if (score > highest) {
+            highest = score;
+            *id = queued_id;
+        }
+    }
+    return highest;
+}
+
+/* Refuses a queued request as not run. */
+void
+AprBackend_RefuseQueued(AprBackend_t *backend, uint64_t id)
+{
+    AprBackendCall_t *call = find_call(backend, id);
+    AprCallFailure_t failure = {APR_CALL_FULL, true, 0};
+
+    if (call != NULL && AprAdmission_RemoveQueued(&backend->admission, id)) {
+        fail_call(call, &failure);
+    }
+}
+
 /* Returns the head of the running request with an attempt id, or NULL. `id`
    need not be terminated. The head is valid while the request runs. */
 const AprCallHead_t *
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -70,12 +70,23 @@
         (unsigned long long)head->config_version, reason);
 }
 
+static void
+stop_counting_as_pipelined(AprExchange_t *exchange)
+{
+    if (exchange->counts_as_pipelined) {
+        exchange->counts_as_pipelined = false;
+        exchange->gateway->memory_budget.pipelined_in_flight--;
+    }
+}
+
 /* Marks the response as complete. May free the exchange and the caller. */
 static void
 finish_exchange(AprExchange_t *exchange)
 {
     exchange->response_complete = true;
+    exchange->waiting_to_start = false;
     exchange->call_ref.call = NULL;
+    stop_counting_as_pipelined(exchange);
     ev_timer_stop(exchange->gateway->loop, &exchange->deadline_timer);
     ev_timer_stop(exchange->gateway->loop, &exchange->retry_timer);
     AprEntry_OnExchangeDone(exchange->caller);
@@ -329,6 +340,7 @@
 {
     AprExchange_t *exchange = context;
 
+    exchange->caller->consumed_body_bytes += size;
     exchange->unconsumed_body_bytes -= size < exchange->unconsumed_body_bytes
                                            ? size
                                            : exchange->unconsumed_body_bytes;
@@ -424,6 +436,9 @@
         exchange->call_ref.call = NULL;
         exchange->may_have_run = true;
     }
+    else if (exchange->waiting_to_start && exchange->body_complete) {
+        failure = (AprCallFailure_t){APR_CALL_FULL, true, 0};
+    }
     else if (!exchange->submitted) {
         exchange->close_after = true;
         send_gateway_response(exchange, 408, 0, "body incomplete");
@@ -440,12 +455,37 @@
     AprExchange_TimeOut(watcher->data);
 }
 
-static void
-start_first_attempt(AprExchange_t *exchange)
+/* Starts the first attempt. May complete the exchange, but does not free it
+   while AprCallerConn_t.parsing is set. */
+void
+AprExchange_Start(AprExchange_t *exchange)
 {
+    AprCallerConn_t *caller = exchange->caller;
+
+    exchange->waiting_to_start = false;
     exchange->submitted = true;
+    if (caller->first_exchange != exchange) {
+        exchange->counts_as_pipelined = true;
+        exchange->gateway->memory_budget.pipelined_in_flight++;
+    }
     AprRetryBudget_Deposit(AprGateway_GetRetryBudget(exchange->gateway));
     start_attempt(exchange);
+    if (!caller->closed && exchange->body_not_buffered) {
+        AprBuffer_Free(&exchange->body);
+    }
+}
+
+/* Starts the first attempt, or lets it wait until its caller has taken enough
+   of the responses to earlier requests. */
+static void
+start_or_wait(AprExchange_t *exchange)
+{
+    if (AprEntry_MayStart(exchange)) {
+        AprExchange_Start(exchange);
+    }
+    else {
+        exchange->waiting_to_start = true;
+    }
 }
 
 /* Buffers a part of the request body or passes it to the call in progress. */
@@ -462,11 +502,10 @@
         return;
     }
     AprBuffer_Append(&exchange->body, data, size);
-    if (!exchange->submitted &&
+    if (!exchange->submitted && !exchange->waiting_to_start &&
         AprBuffer_Size(&exchange->body) > MAX_BUFFERED_BODY_BYTES) {
         exchange->body_not_buffered = true;
-        start_first_attempt(exchange);
-        AprBuffer_Free(&exchange->body);
+        start_or_wait(exchange);
     }
 }
 
@@ -492,7 +531,7 @@
         }
         return;
     }
-    start_first_attempt(exchange);
+    start_or_wait(exchange);
 }
 
 /* Returns whether the gateway itself sets this header on requests. */
@@ -533,7 +572,7 @@
         }
     }
     AprBuffer_Append(&lines, "", 1);
-    return lines.data;
+    return AprBuffer_Release(&lines);
 }
 
 /* Starts the timer for the deadline, or starts it again. */
@@ -714,6 +753,20 @@
     start_deadline_timer(exchange);
 }
 
+/* Rejects a request of a connection that holds too much memory already. */
+static void
+apply_memory_limit(AprExchange_t *exchange)
+{
+    AprGateway_t *gateway = exchange->gateway;
+
+    AprResources_Update(gateway);
+    if (exchange->reject_status == 0 &&
+        !AprMemoryBudget_MayAccept(&gateway->memory_budget,
+                                   AprEntry_HeldBytes(exchange->caller))) {
+        reject_after_body(exchange, 503, "memory");
+    }
+}
+
 /* Creates the exchange of a request whose head was read. The connection owns
    it. Returns NULL when out of memory. */
 AprExchange_t *
@@ -755,6 +808,9 @@
     find_route(exchange, http);
     detect_nested_call(exchange);
     apply_stop_plan(exchange);
+    exchange->head_bytes = 2 * (strlen(head->headers) + strlen(head->target));
+    gateway->head_bytes += exchange->head_bytes;
+    apply_memory_limit(exchange);
     if (AprHttpHead_CopyValue(http, "Expect", expect, sizeof(expect)) ==
             APR_OK &&
         strcasecmp(expect, "100-continue") == 0) {
@@ -808,6 +864,8 @@
 {
     ev_timer_stop(exchange->gateway->loop, &exchange->deadline_timer);
     ev_timer_stop(exchange->gateway->loop, &exchange->retry_timer);
+    stop_counting_as_pipelined(exchange);
+    exchange->gateway->head_bytes -= exchange->head_bytes;
     AprCallHead_Clear(&exchange->head);
     AprBuffer_Free(&exchange->body);
     AprBuffer_Free(&exchange->buffered_response);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -190,6 +190,7 @@
     AprOwnership_Tick(gateway->ownership);
     AprBackend_Tick(gateway->backend);
     AprIngress_Tick(gateway->ingress);
+    AprResources_Tick(gateway);
 }
 
 static void
@@ -299,6 +300,7 @@
     gateway->config_key = options->config_key;
     gateway->parse_routes = options->parse_routes;
     AprRetryBudget_Init(&gateway->retry_budget);
+    AprResources_Init(gateway);
     gateway->time_limits =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     gateway->metrics = AprMetrics_New();
@@ -336,6 +338,7 @@
     }
     ev_timer_stop(gateway->loop, &gateway->tick_timer);
     ev_timer_stop(gateway->loop, &gateway->stop_timer);
+    AprResources_Free(gateway);
     AprIngress_Free(gateway->ingress);
     AprLinks_Free(gateway->links);
     AprBackend_Free(gateway->backend);
--- a/src/gateway/ingress.c
+++ b/src/gateway/ingress.c
@@ -17,6 +17,13 @@
 /* Time within which a caller sends the first request on a new connection. */
 #define FIRST_REQUEST_MS 1000
 
+/* At the limit of descriptors, connections are closed for new ones after at
+   least this time without a request, within a head, or without progress. Other
+   callers send a request within a round trip. */
+#define REPLACE_IDLE_MS 250
+#define REPLACE_HEAD_MS 1000
+#define REPLACE_STALLED_MS 2000
+
 /* Limits before the first configuration. */
 #define DEFAULT_MAX_HEAD_BYTES 16384
 #define DEFAULT_MAX_BODY_BYTES (64ull * 1024 * 1024)
@@ -29,6 +36,9 @@
     int exchange_count;
     int listen_fd;
     ev_io listener;
+    bool accept_paused;
+    bool visiting; /* closed callers are freed after the visit of the list */
+    AprCallerConn_t *closed_callers;
 };
 
 static const AprCallerLimits_t default_limits = {
@@ -71,6 +81,11 @@
 static void
 free_caller(AprCallerConn_t *caller)
 {
+    if (caller->ingress->visiting) {
+        caller->next_closed = caller->ingress->closed_callers;
+        caller->ingress->closed_callers = caller;
+        return;
+    }
     AprHttpParser_Free(caller->parser);
     free(caller);
 }
@@ -146,6 +161,79 @@
     return true;
 }
 
+/* Returns the memory that a connection holds in buffers, with request body
+   bytes that were passed on and not taken yet. */
+size_t
+AprEntry_HeldBytes(const AprCallerConn_t *caller)
+{
+    size_t sum = AprHttpParser_HeldBytes(caller->parser);
+
+    if (caller->stream != NULL) {
+        sum += AprStream_HeldBytes(caller->stream);
+    }
+    for (const AprExchange_t *exchange = caller->first_exchange;
+         exchange != NULL; exchange = exchange->next) {
+        sum += exchange->head_bytes + exchange->body.capacity +
+               exchange->buffered_response.capacity +
+               exchange->unconsumed_body_bytes;
+    }
+    return sum;
+}
+
+/* Returns whether the first attempt of a request may start: earlier requests
+   of the connection do not wait, and their responses leave room. */
+bool
+AprEntry_MayStart(const AprExchange_t *exchange)
+{
+    const AprCallerConn_t *caller = exchange->caller;
+    size_t unsent = AprStream_UnsentBytes(caller->stream);
+
+    for (const AprExchange_t *earlier = caller->first_exchange;
+         earlier != NULL && earlier != exchange; earlier = earlier->next) {
+        if (earlier->waiting_to_start) {
+            return false;
+        }
+        unsent += AprBuffer_Size(&earlier->buffered_response);
+    }
+    AprResources_Update(exchange->gateway);
+    return AprMemoryBudget_MayStart(&exchange->gateway->memory_budget, unsent,
+                                    caller->first_exchange == exchange);
+}
+
+/* Starts requests that wait until the caller has taken earlier responses. May
+   free the caller. */
+static void
+start_waiting_exchanges(AprCallerConn_t *caller)
+{
+    bool started = false;
+
+    if (caller->closed || caller->parsing) {
+        return;
+    }
+    caller->parsing = true;
+    for (AprExchange_t *exchange = caller->first_exchange; exchange != NULL;
+         exchange = exchange->next) {
+        if (!exchange->waiting_to_start) {
+            continue;
+        }
+        if (!AprEntry_MayStart(exchange)) {
+            break;
+        }
+        started = true;
+        AprExchange_Start(exchange);
+        if (caller->closed) {
+            break;
+        }
+    }
+    caller->parsing = false;
+    if (caller->closed) {
+        free_caller(caller);
+    }
+    else if (started) {
+        AprEntry_OnExchangeDone(caller);
+    }
+}
+
 /* Returns whether reading from a caller has to stop: too many of its requests
    wait, or too much of the body that it sends was not taken yet. A body that
    is complete no longer counts. */
@@ -156,7 +244,12 @@
     size_t limit = caller->read_paused ? APR_CALL_WINDOW_BYTES / 2
                                        : APR_CALL_WINDOW_BYTES;
 
-    if (caller->exchange_count >= MAX_PIPELINED_REQUESTS) {
+    if (caller->exchange_count >= MAX_PIPELINED_REQUESTS ||
+        (exchange != NULL && exchange->waiting_to_start)) {
+        return true;
+    }
+    if (!AprMemoryBudget_MayRead(&caller->ingress->gateway->memory_budget,
+                                 AprEntry_HeldBytes(caller))) {
         return true;
     }
     return exchange != NULL && exchange->call_ref.call != NULL &&
@@ -195,6 +288,7 @@
     }
     if (free_finished_exchanges(caller)) {
         AprEntry_UpdateReading(caller);
+        start_waiting_exchanges(caller);
     }
 }
 
@@ -216,6 +310,7 @@
         return 1;
     }
     caller->used = true;
+    caller->head_since_ms = 0;
     caller->ingress->exchange_count++;
     caller->exchange_count++;
     if (caller->last_exchange == NULL) {
@@ -313,6 +408,9 @@
     if (result != APR_OK && !reject_malformed(caller, result)) {
         return;
     }
+    if (caller->head_since_ms == 0 && AprHttpParser_IsInHead(caller->parser)) {
+        caller->head_since_ms = caller->last_read_ms;
+    }
     AprEntry_OnExchangeDone(caller);
 }
 
@@ -332,8 +430,15 @@
     AprCallerConn_t *caller = context;
 
     if (caller->first_exchange != NULL) {
+        caller->parsing = true;
         AprExchange_OnDrained(caller->first_exchange);
+        caller->parsing = false;
     }
+    if (caller->closed) {
+        free_caller(caller);
+        return;
+    }
+    start_waiting_exchanges(caller);
 }
 
 static const AprStreamHandler_t stream_handler = {on_data, on_close, on_drain};
@@ -365,14 +470,133 @@
     ingress->callers = caller;
 }
 
+/* Measures what a connection holds. */
+static void
+update_holder(AprCallerConn_t *caller, int64_t now_ms)
+{
+    uint64_t taken = caller->consumed_body_bytes;
+
+    if (caller->stream != NULL) {
+        taken += AprStream_SentBytes(caller->stream);
+    }
+    AprMemoryHolder_Update(&caller->holder, AprEntry_HeldBytes(caller), taken,
+                           now_ms);
+}
+
+/* Returns the highest AprMemoryHolder_Score() of a connection, and the
+   connection in `*found`. */
+double
+AprIngress_FindLargest(AprIngress_t *ingress, int64_t now_ms,
+                       AprCallerConn_t **found)
+{
+    double highest = 0;
+
+    *found = NULL;
+    for (AprCallerConn_t *caller = ingress->callers; caller != NULL;
+         caller = caller->next) {
+        double score;
+
+        update_holder(caller, now_ms);
+        score = AprMemoryHolder_Score(&caller->holder, now_ms);
+        if (score > highest) {
+            highest = score;
+            *found = caller;
+        }
+    }
+    return highest;
+}
+
+/* Closes a connection at once, without waiting until unsent bytes are taken.
+   Unless it is idle, it is reset, so that no response seems complete. */
+void
+AprIngress_Drop(AprCallerConn_t *caller)
+{
+    if (caller->stream != NULL && caller->first_exchange == NULL) {
+        AprStream_Close(caller->stream);
+        caller->stream = NULL;
+    }
+    close_caller(caller, true);
+}
+
+/* Returns for how long a connection has been of a kind that is closed for new
+   ones, beyond the least time of this kind; negative: not at all. Idle ones
+   are closed before the others. */
+static int64_t
+replaceable_ms(const AprCallerConn_t *caller, int64_t now_ms)
+{
+    /* Longer than a connection of another kind lasts. */
+    const int64_t idle_first_ms = 86400 * 1000;
+
+    if (caller->first_exchange != NULL) {
+        return AprMemoryHolder_StalledMs(&caller->holder, now_ms) -
+               REPLACE_STALLED_MS;
+    }
+    if (AprHttpParser_IsInMessage(caller->parser)) {
+        return now_ms - caller->head_since_ms - REPLACE_HEAD_MS;
+    }
+    if (now_ms - caller->idle_since_ms < REPLACE_IDLE_MS) {
+        return -1;
+    }
+    return now_ms - caller->idle_since_ms + idle_first_ms;
+}
+
+/* Returns whether a further connection may be accepted, and closes another one
+   for it if necessary. */
+static bool
+make_room_for_caller(AprIngress_t *ingress)
+{
+    AprGateway_t *gateway = ingress->gateway;
+    int64_t now_ms = AprGateway_NowMs(gateway);
+    AprCallerConn_t *found = NULL;
+    int64_t longest_ms = -1;
+
+    if (AprMemoryBudget_MayAcceptSocket(&gateway->memory_budget,
+                                        gateway->streams->open_count)) {
+        return true;
+    }
+    for (AprCallerConn_t *caller = ingress->callers; caller != NULL;
+         caller = caller->next) {
+        int64_t time_ms = replaceable_ms(caller, now_ms);
+
+        if (time_ms > longest_ms &&
+            (caller->first_exchange != NULL ||
+             !AprStream_HasReceivedBytes(caller->stream))) {
+            longest_ms = time_ms;
+            found = caller;
+        }
+    }
+    if (found == NULL) {
+        return false;
+    }
+    AprResources_CountClosed(gateway, "descriptors");
+    AprIngress_Drop(found);
+    return true;
+}
+
+/* Accepts connections until there is none. At the limit of descriptors,
+   accepting pauses until the next tick, as the listener would stay readable
+   and keep the event loop busy. */
 static void
 accept_callers(AprIngress_t *ingress)
 {
     int fd;
 
-    while ((fd = accept(ingress->listen_fd, NULL, NULL)) >= 0) {
-        add_caller(ingress, fd);
+    while (make_room_for_caller(ingress)) {
+        fd = accept(ingress->listen_fd, NULL, NULL);
+        if (fd >= 0) {
+            add_caller(ingress, fd);
+        }
+        else if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
+                 errno == ENOMEM) {
+            break;
+        }
+        else if (errno != EINTR && errno != ECONNABORTED) {
+            return;
+        }
     }
+    ingress->accept_paused = true;
+    ev_io_stop(ingress->gateway->loop, &ingress->listener);
+    AprGateway_IncrementCounter(ingress->gateway, "accept_pauses_total", "");
 }
 
 static void
@@ -476,6 +700,33 @@
     }
 }
 
+/* Measures the connections, and lets those go on that waited for memory. */
+static void
+update_callers(AprIngress_t *ingress, int64_t now_ms)
+{
+    AprMemoryBudget_t *budget = &ingress->gateway->memory_budget;
+    int holders = 0;
+    size_t held = 0;
+
+    for (AprCallerConn_t *caller = ingress->callers; caller != NULL;
+         caller = caller->next) {
+        if (caller->closed) {
+            continue;
+        }
+        update_holder(caller, now_ms);
+        holders += caller->holder.held > APR_MEMORY_MIN_SHARE_BYTES;
+        held += caller->holder.held;
+        AprEntry_UpdateReading(caller);
+        start_waiting_exchanges(caller);
+    }
+    budget->holder_count = holders;
+    budget->held_by_kind[APR_MEMORY_CALLERS] = held;
+    if (ingress->accept_paused && ingress->listen_fd >= 0) {
+        ingress->accept_paused = false;
+        ev_io_start(ingress->gateway->loop, &ingress->listener);
+    }
+}
+
 /* Closes connections that have been idle for too long or that have sent
    nothing for too long while a request head is incomplete. */
 void
@@ -485,10 +736,14 @@
     int64_t now_ms = AprGateway_NowMs(ingress->gateway);
     AprCallerConn_t *caller = ingress->callers;
 
+    ingress->visiting = true;
     while (caller != NULL) {
         AprCallerConn_t *next = caller->next;
 
-        if (is_idle(caller)) {
+        if (caller->closed) {
+            /* Closed by the end of an earlier one's call. */
+        }
+        else if (is_idle(caller)) {
             if (now_ms - caller->idle_since_ms > limits->idle_timeout_ms) {
                 close_caller(caller, false);
             }
@@ -500,6 +755,13 @@
         }
         caller = next;
     }
+    update_callers(ingress, now_ms);
+    ingress->visiting = false;
+    while (ingress->closed_callers != NULL) {
+        caller = ingress->closed_callers;
+        ingress->closed_callers = caller->next_closed;
+        free_caller(caller);
+    }
 }
 
 /* Returns whether callers have open connections. */
--- a/src/gateway/link_calls.c
+++ b/src/gateway/link_calls.c
@@ -161,6 +161,14 @@
     frame->call.deadline_ms -= delay_ms;
 }
 
+/* Returns the memory of received and unsent bytes of a link. */
+size_t
+AprGatewayLink_HeldBytes(const AprGatewayLink_t *link)
+{
+    return link->receive_buffer.capacity +
+           (link->stream == NULL ? 0 : AprStream_HeldBytes(link->stream));
+}
+
 /* Submits a received call to the local backend server. */
 static void
 handle_call(AprGatewayLink_t *link, AprLinkFrame_t *frame)
@@ -179,6 +187,15 @@
         send_failure(link, frame->stream, &failure);
         return;
     }
+    AprResources_Update(link->gateway);
+    if (!AprMemoryBudget_MayAcceptCall(&link->gateway->memory_budget,
+                                       AprGatewayLink_HeldBytes(link),
+                                       frame->last_part)) {
+        AprGateway_IncrementCounter(link->gateway, "calls_refused_total",
+                                    "reason=\"memory\"");
+        send_failure(link, frame->stream, &failure);
+        return;
+    }
     call = calloc(1, sizeof(*call));
     if (call != NULL) {
         call->link = link;
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -504,6 +504,12 @@
         failure->retry_after_ms = RECONNECT_DELAY_MS;
         return false;
     }
+    AprResources_Update(links->gateway);
+    if (!AprMemoryBudget_MayAcceptCall(&links->gateway->memory_budget,
+                                       AprGatewayLink_HeldBytes(link), true)) {
+        *failure = (AprCallFailure_t){APR_CALL_FULL, true, 0};
+        return false;
+    }
     if (g_hash_table_size(link->calls) == 0) {
         /* The timeout counts from the first call in flight. */
         link->last_received_ms = links_now_ms(links);
@@ -842,6 +848,23 @@
     }
 }
 
+/* Returns the memory of received and unsent bytes of all links. */
+size_t
+AprLinks_HeldBytes(const AprLinks_t *links)
+{
+    const AprGatewayLink_t *const lists[] = {links->inbound, links->outbound,
+                                             links->stalled};
+    size_t sum = 0;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(lists); i++) {
+        for (const AprGatewayLink_t *link = lists[i]; link != NULL;
+             link = link->next) {
+            sum += AprGatewayLink_HeldBytes(link);
+        }
+    }
+    return sum;
+}
+
 /* Returns the number of queued and running calls of other hosts. */
 int
 AprLinks_CountInboundCalls(const AprLinks_t *links)
--- /dev/null
+++ b/src/state/memory_budget.c
@@ -0,0 +1,218 @@
+#include "apricot/memory_budget.h"
+
+#include <glib.h>
+
+#include "internal/call.h"
+
+/* Memory of a process that holds nothing for others: 7 MB were measured with
+   a few hosts. The items of a large site take up to 5 MB more. */
+#define BASE_BYTES (12u * 1000 * 1000)
+
+/* Part of the remaining memory that buffers may hold. The rest covers the
+   allocator's overhead, parsers and connections, and what arrives before a
+   decision takes effect. */
+#define HELD_FRACTION 0.7
+
+/* Parts of the limit from which connections that hold more than their share
+   are no longer read, and from which their new requests are refused. What lies
+   above stays reserved for callers that hold little. */
+#define TIGHT_FRACTION 0.5
+#define REFUSE_FRACTION 0.7
+
+/* Part of the limit at which connections are closed. */
+#define SHED_FRACTION 0.9
+
+/* Part of the limit that one link may hold. */
+#define LINK_FRACTION 0.25
+
+/* A connection that holds less is not closed: it would free little. A parser
+   keeps 4 KiB between two requests. */
+#define MIN_SHED_BYTES 8192
+
+/* Peers make progress when they take this part of what is held for them. */
+#define PROGRESS_DIVISOR 8
+
+/* Descriptors that the platform sets aside for files. */
+#define FILE_DESCRIPTORS 200
+
+/* Part of the sockets that callers may not use: those of links, the store and
+   the backend server. Each other host has up to two links. */
+#define OTHER_SOCKETS_DIVISOR 8
+#define MIN_OTHER_SOCKETS 16
+
+/* Limits of a socket's receive buffer. The largest is about what a link of
+   200 Mbit/s needs at a round trip of 3 ms, with a margin. */
+#define MIN_RECEIVE_BUFFER_BYTES 32768
+#define MAX_RECEIVE_BUFFER_BYTES 131072
+#define RECEIVE_BUFFER_DIVISOR 1024
+
+/* Limits of a process whose settings do not name any, as in tests. */
+#define DEFAULT_MEMORY_MB 256
+#define DEFAULT_DESCRIPTORS 4096
+
+/* Derives the limits from the memory in MB (10^6 bytes) and the number of
+   descriptors that the process may use. 0 stands for the defaults. */
+void
+AprMemoryBudget_Init(AprMemoryBudget_t *budget, double memory_mb,
+                     double descriptors)
+{
+    double bytes = (memory_mb > 0 ? memory_mb : DEFAULT_MEMORY_MB) * 1e6;
+    int count = (int)(descriptors > 0 ? descriptors : DEFAULT_DESCRIPTORS);
+    int others;
+
+    *budget = (AprMemoryBudget_t){0};
+    /* At the smallest settings, which are for trials, some is left. */
+    budget->limit =
+        (size_t)(MAX(bytes - BASE_BYTES, bytes / 4) * HELD_FRACTION);
+    budget->socket_limit =
+        count >= 2 * FILE_DESCRIPTORS ? count - FILE_DESCRIPTORS : count / 2;
+    others =
+        MAX(budget->socket_limit / OTHER_SOCKETS_DIVISOR, MIN_OTHER_SOCKETS);
+    budget->caller_socket_limit =
+        MAX(budget->socket_limit - others, budget->socket_limit / 2);
+}
+
+/* Returns the bytes that are held for all peers together. */
+size_t
+AprMemoryBudget_Total(const AprMemoryBudget_t *budget)
+{
+    return budget->held + budget->unread;
+}
+
+static bool
+is_above(const AprMemoryBudget_t *budget, double fraction)
+{
+    return (double)AprMemoryBudget_Total(budget) >
+           fraction * (double)budget->limit;
+}
+
+/* Returns whether connections that hold more than their share are no longer
+   read. */
+bool
+AprMemoryBudget_IsTight(const AprMemoryBudget_t *budget)
+{
+    return is_above(budget, TIGHT_FRACTION);
+}
+
+/* Returns the bytes that each connection may hold when memory is tight. */
+size_t
+AprMemoryBudget_ShareOf(const AprMemoryBudget_t *budget)
+{
+    size_t share = (size_t)(TIGHT_FRACTION * (double)budget->limit) /
+                   (size_t)MAX(budget->holder_count, 1);
+
+    return CLAMP(share, APR_MEMORY_MIN_SHARE_BYTES, APR_CALL_WINDOW_BYTES);
+}
+
+/* Returns whether a request of a connection may be sent to a backend server.
+   `unsent_bytes` of earlier responses of the connection wait for its caller;
+   `first` tells that no other request of it is in progress before this one. A
+   further one may bring a whole window of response bytes that the caller
+   cannot take yet, so there is room for only so many of these. */
+bool
+AprMemoryBudget_MayStart(const AprMemoryBudget_t *budget, size_t unsent_bytes,
+                         bool first)
+{
+    double promised = ((double)budget->pipelined_in_flight + 1) *
+                      (double)APR_CALL_WINDOW_BYTES;
+
+    if (unsent_bytes > APR_CALL_WINDOW_BYTES) {
+        return false;
+    }
+    return first || (double)AprMemoryBudget_Total(budget) + promised <=
+                        TIGHT_FRACTION * (double)budget->limit;
+}
+
+/* Returns whether to read on from a caller whose connection holds so many
+   bytes. */
+bool
+AprMemoryBudget_MayRead(const AprMemoryBudget_t *budget, size_t held)
+{
+    return !AprMemoryBudget_IsTight(budget) ||
+           held <= AprMemoryBudget_ShareOf(budget);
+}
+
+/* Returns whether a new request of a connection that holds so many bytes is
+   accepted. */
+bool
+AprMemoryBudget_MayAccept(const AprMemoryBudget_t *budget, size_t held)
+{
+    return !is_above(budget, REFUSE_FRACTION) ||
+           held <= AprMemoryBudget_ShareOf(budget);
+}
+
+/* Returns whether a call of another host is accepted, for which a link holds
+   `link_held` bytes. A call with a body that has not arrived as a whole brings
+   up to a window of it, which cannot be refused later. */
+bool
+AprMemoryBudget_MayAcceptCall(const AprMemoryBudget_t *budget,
+                              size_t link_held, bool body_complete)
+{
+    if ((double)link_held > LINK_FRACTION * (double)budget->limit) {
+        return false;
+    }
+    if (!body_complete && AprMemoryBudget_IsTight(budget)) {
+        return false;
+    }
+    return AprMemoryBudget_MayAccept(budget, link_held);
+}
+
+/* Returns whether a connection has to be closed now. */
+bool
+AprMemoryBudget_MustShed(const AprMemoryBudget_t *budget)
+{
+    return is_above(budget, SHED_FRACTION);
+}
+
+/* Returns whether a further connection of a caller may be accepted while so
+   many sockets are open. */
+bool
+AprMemoryBudget_MayAcceptSocket(const AprMemoryBudget_t *budget,
+                                int open_sockets)
+{
+    return open_sockets < budget->caller_socket_limit;
+}
+
+/* Returns the size in bytes of the receive buffer of each socket. The kernel
+   would otherwise hold megabytes of a connection that is not read. */
+int
+AprMemoryBudget_ReceiveBufferBytes(const AprMemoryBudget_t *budget)
+{
+    return (int)CLAMP(budget->limit / RECEIVE_BUFFER_DIVISOR,
+                      MIN_RECEIVE_BUFFER_BYTES, MAX_RECEIVE_BUFFER_BYTES);
+}
+
+/* Records what a connection holds, and how many bytes its peer has taken since
+   it was opened. */
+void
+AprMemoryHolder_Update(AprMemoryHolder_t *holder, size_t held, uint64_t taken,
+                       int64_t now_ms)
+{
+    bool was_empty = holder->held < MIN_SHED_BYTES;
+
+    holder->held = held;
+    holder->taken = taken;
+    if (holder->mark_ms == 0 || was_empty ||
+        taken - holder->taken_at_mark >= held / PROGRESS_DIVISOR) {
+        holder->mark_ms = now_ms;
+        holder->taken_at_mark = taken;
+    }
+}
+
+/* Returns the time since the peer has last made progress. */
+int64_t
+AprMemoryHolder_StalledMs(const AprMemoryHolder_t *holder, int64_t now_ms)
+{
+    return holder->mark_ms == 0 ? 0 : now_ms - holder->mark_ms;
+}
+
+/* Returns how much there is to gain by closing a connection: the bytes that it
+   holds times the time without progress; 0 if it holds little. */
+double
+AprMemoryHolder_Score(const AprMemoryHolder_t *holder, int64_t now_ms)
+{
+    return holder->held < MIN_SHED_BYTES
+               ? 0
+               : (double)holder->held *
+                     (double)(AprMemoryHolder_StalledMs(holder, now_ms) + 1);
+}
--- a/src/transport/http_message.c
+++ b/src/transport/http_message.c
@@ -280,6 +280,13 @@
     return parser->in_head;
 }
 
+/* Returns the memory of the head of the present or the last message. */
+size_t
+AprHttpParser_HeldBytes(const AprHttpParser_t *parser)
+{
+    return parser->head.text.capacity;
+}
+
 /* Sets the maximum size in bytes of the request target, header names and
    header values of a message together. */
 void
--- a/src/transport/stream.c
+++ b/src/transport/stream.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -22,6 +23,10 @@
    that one long body does not raise the memory use of an idle connection. */
 #define BUFFER_MAX_IDLE_CAPACITY 4096
 
+/* A larger buffer grows by a quarter instead of to the double, so that its
+   capacity stays close to what it holds. */
+#define BUFFER_DOUBLING_MAX 65536
+
 /* A connection fails when sent bytes or keep-alive probes stay unacknowledged
    for this time; a network partition that heals sooner costs no request. */
 #define UNACKNOWLEDGED_TIMEOUT_MS 3000
@@ -50,10 +55,24 @@
     bool close_after_flush;
     bool read_paused;
     bool drop_abandoned; /* see AprStream_EnableDropAbandoned() */
+    uint64_t sent_bytes;
+    AprMemoryHolder_t holder; /* while close_after_flush */
     AprStream_t *next_to_flush;
     AprStream_t *next_closed;
+    AprStream_t *next_open;
+    AprStream_t *previous_open;
 };
 
+/* Capacity of all buffers of this thread. */
+static _Thread_local size_t total_capacity;
+
+/* Returns the memory of all buffers of the calling thread. */
+size_t
+AprBuffer_TotalCapacity(void)
+{
+    return total_capacity;
+}
+
 /* Returns the number of bytes in use. */
 size_t
 AprBuffer_Size(const AprBuffer_t *buffer)
@@ -85,13 +104,14 @@
         buffer->end = used;
     }
     while (capacity < used + size) {
-        capacity *= 2;
+        capacity += capacity < BUFFER_DOUBLING_MAX ? capacity : capacity / 4;
     }
     if (capacity > buffer->capacity) {
         data = realloc(buffer->data, capacity);
         if (data == NULL) {
             return APR_E_NOMEM;
         }
+        total_capacity += capacity - buffer->capacity;
         buffer->data = data;
         buffer->capacity = capacity;
     }
@@ -152,10 +172,23 @@
 void
 AprBuffer_Free(AprBuffer_t *buffer)
 {
+    total_capacity -= buffer->capacity;
     free(buffer->data);
     memset(buffer, 0, sizeof(*buffer));
 }
 
+/* Returns the bytes, which the caller frees with free(), or NULL; the buffer
+   is empty and usable afterwards. */
+char *
+AprBuffer_Release(AprBuffer_t *buffer)
+{
+    char *data = buffer->data;
+
+    total_capacity -= buffer->capacity;
+    memset(buffer, 0, sizeof(*buffer));
+    return data;
+}
+
 static void
 set_int_option(int fd, int level, int name, int value)
 {
@@ -163,8 +196,11 @@
 }
 
 static void
-set_socket_options(int fd)
+set_socket_options(const AprStreamSet_t *set, int fd)
 {
+    if (set->receive_buffer_bytes > 0) {
+        set_int_option(fd, SOL_SOCKET, SO_RCVBUF, set->receive_buffer_bytes);
+    }
     fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
     fcntl(fd, F_SETFD, FD_CLOEXEC);
     set_int_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
@@ -176,6 +212,36 @@
                    UNACKNOWLEDGED_TIMEOUT_MS);
 }
 
+static void
+add_to_open_streams(AprStream_t *stream)
+{
+    AprStreamSet_t *set = stream->set;
+
+    stream->next_open = set->streams;
+    if (set->streams != NULL) {
+        set->streams->previous_open = stream;
+    }
+    set->streams = stream;
+    set->open_count++;
+}
+
+static void
+remove_from_open_streams(AprStream_t *stream)
+{
+    AprStreamSet_t *set = stream->set;
+
+    if (stream->previous_open == NULL) {
+        set->streams = stream->next_open;
+    }
+    else {
+        stream->previous_open->next_open = stream->next_open;
+    }
+    if (stream->next_open != NULL) {
+        stream->next_open->previous_open = stream->previous_open;
+    }
+    set->open_count--;
+}
+
 /* Closes the socket. The stream is freed before the event loop polls again. */
 static void
 close_and_free_later(AprStream_t *stream)
@@ -187,6 +253,8 @@
     if (!stream->connecting) {
         stream->set->unsent_bytes -= AprBuffer_Size(&stream->unsent);
     }
+    AprBuffer_Free(&stream->unsent);
+    remove_from_open_streams(stream);
     ev_io_stop(stream->set->loop, &stream->reader);
     ev_io_stop(stream->set->loop, &stream->writer);
     ev_timer_stop(stream->set->loop, &stream->linger_timer);
@@ -244,6 +312,7 @@
         }
         AprBuffer_Consume(&stream->unsent, (size_t)sent);
         stream->set->unsent_bytes -= (size_t)sent;
+        stream->sent_bytes += (uint64_t)sent;
         size = AprBuffer_Size(&stream->unsent);
     }
     ev_io_stop(stream->set->loop, &stream->writer);
@@ -281,7 +350,6 @@
         AprStream_t *stream = set->closed_streams;
 
         set->closed_streams = stream->next_closed;
-        AprBuffer_Free(&stream->unsent);
         free(stream);
     }
 }
@@ -302,10 +370,17 @@
 {
     static char chunk[READ_CHUNK_SIZE];
     AprStream_t *stream = watcher->data;
-    ssize_t size = recv(stream->fd, chunk, sizeof(chunk), 0);
+    ssize_t size;
 
     (void)loop;
     (void)events;
+    if (stream->set->make_room != NULL) {
+        stream->set->make_room(stream->set->make_room_context);
+        if (stream->is_closed) {
+            return;
+        }
+    }
+    size = recv(stream->fd, chunk, sizeof(chunk), 0);
     if (size > 0 && should_drop_abandoned(stream)) {
         close_and_notify(stream, 0);
         return;
@@ -404,7 +479,7 @@
         close(fd);
         return NULL;
     }
-    set_socket_options(fd);
+    set_socket_options(set, fd);
     stream->set = set;
     stream->fd = fd;
     stream->handler = handler;
@@ -417,6 +492,7 @@
     stream->writer.data = stream;
     stream->linger_timer.data = stream;
     ev_io_start(set->loop, &stream->reader);
+    add_to_open_streams(stream);
     return stream;
 }
 
@@ -482,6 +558,82 @@
     return stream->connecting;
 }
 
+/* Returns the memory of bytes that are not sent yet. */
+size_t
+AprStream_HeldBytes(const AprStream_t *stream)
+{
+    return stream->unsent.capacity;
+}
+
+/* Returns the number of bytes that were written and not yet passed to the
+   kernel. */
+size_t
+AprStream_UnsentBytes(const AprStream_t *stream)
+{
+    return AprBuffer_Size(&stream->unsent);
+}
+
+/* Returns the number of bytes that were passed to the kernel. */
+uint64_t
+AprStream_SentBytes(const AprStream_t *stream)
+{
+    return stream->sent_bytes;
+}
+
+/* Returns the number of bytes that the kernel holds for a stream whose reading
+   is paused; 0 for others, as their bytes are read soon. */
+size_t
+AprStream_CountUnread(const AprStream_t *stream)
+{
+    int size = 0;
+
+    if (!stream->read_paused || stream->is_closed || stream->connecting ||
+        ioctl(stream->fd, FIONREAD, &size) != 0) {
+        return 0;
+    }
+    return (size_t)size;
+}
+
+/* Returns the sum of AprStream_CountUnread() of all streams. */
+size_t
+AprStreamSet_CountUnread(const AprStreamSet_t *set)
+{
+    size_t sum = 0;
+
+    for (const AprStream_t *stream = set->streams; stream != NULL;
+         stream = stream->next_open) {
+        sum += AprStream_CountUnread(stream);
+    }
+    return sum;
+}
+
+/* Returns the stream with the highest AprMemoryHolder_Score() among those that
+   close when their peer has taken all bytes, and sets `*score`; NULL when none
+   has a score. */
+AprStream_t *
+AprStreamSet_FindDraining(AprStreamSet_t *set, int64_t now_ms, double *score)
+{
+    AprStream_t *found = NULL;
+
+    *score = 0;
+    for (AprStream_t *stream = set->streams; stream != NULL;
+         stream = stream->next_open) {
+        double own;
+
+        if (!stream->close_after_flush) {
+            continue;
+        }
+        AprMemoryHolder_Update(&stream->holder, AprStream_HeldBytes(stream),
+                               stream->sent_bytes, now_ms);
+        own = AprMemoryHolder_Score(&stream->holder, now_ms);
+        if (own > *score) {
+            *score = own;
+            found = stream;
+        }
+    }
+    return found;
+}
+
 /* Returns whether bytes that were not read yet have arrived. */
 bool
 AprStream_HasReceivedBytes(const AprStream_t *stream)
