--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -190,6 +190,7 @@
     AprOwnership_Tick(gateway->ownership);
     AprBackend_Tick(gateway->backend);
     AprIngress_Tick(gateway->ingress);
+    AprResources_Tick(gateway);
 }
 
 static void
@@ -304,6 +305,7 @@
         &gateway->evacuation, gateway->settings.host,
         (int64_t)(gateway->settings.evacuation_deadline_s * 1000));
     AprRetryBudget_Init(&gateway->retry_budget);
+    AprResources_Init(gateway);
     gateway->time_limits =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     gateway->metrics = AprMetrics_New();
@@ -341,6 +343,7 @@
     }
     ev_timer_stop(gateway->loop, &gateway->tick_timer);
     ev_timer_stop(gateway->loop, &gateway->stop_timer);
+    AprResources_Free(gateway);
     AprIngress_Free(gateway->ingress);
     AprLinks_Free(gateway->links);
     AprBackend_Free(gateway->backend);
