--- a/include/apricot/hot_range_plan.h
+++ b/include/apricot/hot_range_plan.h
@@ -93,7 +93,7 @@
                               int slots, int64_t next_heartbeat_ms,
                               int64_t now_ms);
 bool AprHotRangePlanner_IsIdleCheckDue(AprHotRangePlanner_t *planner,
-                                       int64_t next_heartbeat_ms,
+                                       int64_t next_heartbeat_ms, int hosts,
                                        uint32_t seed, int64_t now_ms);
 int AprHotRangePlanner_Consolidate(AprHotRangePlanner_t *planner,
                                    const AprHotRangeInput_t *input);
--- a/src/gateway/key_moves.c
+++ b/src/gateway/key_moves.c
@@ -534,8 +534,10 @@
     AprBackend_GetLoad(ownership->gateway->backend, &load);
     due = AprHotRangePlanner_IsDue(planner, &entry->map, host, load.slots,
                                    heartbeat_ms, now_ms);
-    if (!due && !AprHotRangePlanner_IsIdleCheckDue(planner, heartbeat_ms,
-                                                   g_random_int(), now_ms)) {
+    if (!due && !AprHotRangePlanner_IsIdleCheckDue(
+                    planner, heartbeat_ms,
+                    AprMembers_Count(ownership->gateway->members),
+                    g_random_int(), now_ms)) {
         return false;
     }
     input.count = list_candidates(ownership, host, candidates, MAX_CANDIDATES);
--- a/src/state/hot_range_plan.c
+++ b/src/state/hot_range_plan.c
@@ -61,9 +61,11 @@
 #define CONSOLIDATE_HOST_RANGES 16
 
 /* Shortest interval at which a host that is not overloaded looks for hosts
-   without keys and for ranges to merge. A random time of at most the same is
-   added. */
+   without keys and for ranges to merge: the sum of both, the second one for
+   each host, as all of them write to the same map and each change goes to all.
+   A random time of at most the same is added. */
 #define IDLE_CHECK_INTERVAL_MS 1000
+#define IDLE_CHECK_HOST_MS 6
 
 /* Keys of a range that is given to the owner of its neighbour to be merged,
    at most, and requests for them within the window. */
@@ -975,16 +977,19 @@
    keys and for ranges to merge. Sets the time of the next look. */
 bool
 AprHotRangePlanner_IsIdleCheckDue(AprHotRangePlanner_t *planner,
-                                  int64_t next_heartbeat_ms, uint32_t seed,
-                                  int64_t now_ms)
+                                  int64_t next_heartbeat_ms, int hosts,
+                                  uint32_t seed, int64_t now_ms)
 {
+    int64_t interval_ms =
+        IDLE_CHECK_INTERVAL_MS + (int64_t)IDLE_CHECK_HOST_MS * hosts;
+
     if (now_ms < planner->next_idle_check_ms ||
         now_ms < planner->next_plan_ms ||
         now_ms < next_heartbeat_ms - WRITE_LEAD_MS) {
         return false;
     }
-    planner->next_idle_check_ms = now_ms + IDLE_CHECK_INTERVAL_MS +
-                                  (int64_t)(seed % IDLE_CHECK_INTERVAL_MS);
+    planner->next_idle_check_ms =
+        now_ms + interval_ms + (int64_t)seed % interval_ms;
     return true;
 }
 
