--- a/tests/test_hot_range_plan.c
+++ b/tests/test_hot_range_plan.c
@@ -283,7 +283,8 @@
 
             if (owner != 0 && !counted[owner]) {
                 counted[owner] = true;
-                most = MAX(most, ++chosen[owner]);
+                chosen[owner]++;
+                most = MAX(most, chosen[owner]);
             }
         }
         AprKeyMap_Free(&planning.map);
