Count responses that end a connection, and clamp the receive window

Cause: a connection whose last response is unread has no request any more, so that no limit applied to it: 600 of them took all descriptors. A kept connection with unsent bytes counted as idle and could be closed without a reset. With SO_RCVBUF alone the kernel drops segments that fit the window but not the buffer: a response stood still for 5.6 s.

Change: streams that close after their last byte record their progress and are closed with a reset at the limits, after callers' connections. A connection with unsent bytes is replaced only after 2 s without progress. The receive window is set with TCP_WINDOW_CLAMP, with a receive buffer of four times its size. A sixth of the sockets, at least 96 or a third, stays for links, the store and the backend server, as a backend server with 64 slots took 50 of 37. Connections beyond the limit of sockets are closed at the next tick.

--- a/include/apricot/memory_budget.h
+++ b/include/apricot/memory_budget.h
@@ -26,6 +26,7 @@
 /* What one connection holds, and when it last made progress. */
 typedef struct AprMemoryHolder_t {
     size_t held;            /* bytes */
+    bool busy;              /* some of them wait to be taken by its peer */
     uint64_t taken;         /* bytes that its peer has taken so far */
     uint64_t taken_at_mark; /* `taken` at mark_ms */
     int64_t mark_ms;        /* last progress; 0: not measured yet */
@@ -56,9 +57,9 @@
 bool AprMemoryBudget_MustShed(const AprMemoryBudget_t *budget);
 bool AprMemoryBudget_MayAcceptSocket(const AprMemoryBudget_t *budget,
                                      int open_sockets);
-int AprMemoryBudget_ReceiveBufferBytes(const AprMemoryBudget_t *budget);
+int AprMemoryBudget_ReceiveWindowBytes(const AprMemoryBudget_t *budget);
 
-void AprMemoryHolder_Update(AprMemoryHolder_t *holder, size_t held,
+void AprMemoryHolder_Update(AprMemoryHolder_t *holder, size_t held, bool idle,
                             uint64_t taken, int64_t now_ms);
 int64_t AprMemoryHolder_StalledMs(const AprMemoryHolder_t *holder,
                                   int64_t now_ms);
--- a/internal/stream.h
+++ b/internal/stream.h
@@ -51,7 +51,7 @@
     bool lagging; /* the process lags: received bytes may be outdated */
     AprStream_t *streams;     /* that are not closed */
     int open_count;           /* of `streams` */
-    int receive_buffer_bytes; /* of each socket; 0: chosen by the kernel */
+    int receive_window_bytes; /* of each socket; 0: chosen by the kernel */
     /* Called before bytes are read, to make room for them; may close any
        stream. NULL: none. */
     void (*make_room)(void *context);
@@ -67,7 +67,9 @@
 AprStream_t *AprStream_Connect(AprStreamSet_t *set, const char *address,
                                const AprStreamHandler_t *handler,
                                void *context);
-size_t AprStreamSet_CountUnread(const AprStreamSet_t *set);
+size_t AprStreamSet_Measure(AprStreamSet_t *set, int64_t now_ms);
+bool AprStreamSet_AbortStalled(AprStreamSet_t *set, int64_t now_ms,
+                               int64_t min_ms);
 AprStream_t *AprStreamSet_FindDraining(AprStreamSet_t *set, int64_t now_ms,
                                        double *score);
 size_t AprStream_HeldBytes(const AprStream_t *stream);
--- a/src/gateway/ingress.c
+++ b/src/gateway/ingress.c
@@ -474,13 +474,15 @@
 static void
 update_holder(AprCallerConn_t *caller, int64_t now_ms)
 {
+    size_t held = AprEntry_HeldBytes(caller);
     uint64_t taken = caller->consumed_body_bytes;
 
     if (caller->stream != NULL) {
         taken += AprStream_SentBytes(caller->stream);
     }
-    AprMemoryHolder_Update(&caller->holder, AprEntry_HeldBytes(caller), taken,
-                           now_ms);
+    AprMemoryHolder_Update(&caller->holder, held,
+                           held == AprHttpParser_HeldBytes(caller->parser),
+                           taken, now_ms);
 }
 
 /* Returns the highest AprMemoryHolder_Score() of a connection, and the
@@ -506,12 +508,21 @@
     return highest;
 }
 
+/* Returns whether a connection has a request in progress, or response bytes
+   that were not sent yet. */
+static bool
+has_unfinished_response(const AprCallerConn_t *caller)
+{
+    return caller->first_exchange != NULL ||
+           AprStream_UnsentBytes(caller->stream) > 0;
+}
+
 /* Closes a connection at once, without waiting until unsent bytes are taken.
-   Unless it is idle, it is reset, so that no response seems complete. */
+   Unless all responses were sent, it is reset, so that none seems complete. */
 void
 AprIngress_Drop(AprCallerConn_t *caller)
 {
-    if (caller->stream != NULL && caller->first_exchange == NULL) {
+    if (caller->stream != NULL && !has_unfinished_response(caller)) {
         AprStream_Close(caller->stream);
         caller->stream = NULL;
     }
@@ -527,7 +538,7 @@
     /* Longer than a connection of another kind lasts. */
     const int64_t idle_first_ms = 86400 * 1000;
 
-    if (caller->first_exchange != NULL) {
+    if (has_unfinished_response(caller)) {
         return AprMemoryHolder_StalledMs(&caller->holder, now_ms) -
                REPLACE_STALLED_MS;
     }
@@ -540,37 +551,50 @@
     return now_ms - caller->idle_since_ms + idle_first_ms;
 }
 
-/* Returns whether a further connection may be accepted, and closes another one
-   for it if necessary. */
+/* Closes the connection that is replaced first. Returns whether there is one.
+ */
 static bool
-make_room_for_caller(AprIngress_t *ingress)
+close_replaceable(AprIngress_t *ingress)
 {
     AprGateway_t *gateway = ingress->gateway;
     int64_t now_ms = AprGateway_NowMs(gateway);
     AprCallerConn_t *found = NULL;
     int64_t longest_ms = -1;
 
-    if (AprMemoryBudget_MayAcceptSocket(&gateway->memory_budget,
-                                        gateway->streams->open_count)) {
-        return true;
-    }
     for (AprCallerConn_t *caller = ingress->callers; caller != NULL;
          caller = caller->next) {
         int64_t time_ms = replaceable_ms(caller, now_ms);
 
         if (time_ms > longest_ms &&
-            (caller->first_exchange != NULL ||
+            (has_unfinished_response(caller) ||
              !AprStream_HasReceivedBytes(caller->stream))) {
             longest_ms = time_ms;
             found = caller;
         }
     }
-    if (found == NULL) {
-        return false;
+    if (found != NULL) {
+        AprResources_CountClosed(gateway, "descriptors");
+        AprIngress_Drop(found);
+        return true;
     }
-    AprResources_CountClosed(gateway, "descriptors");
-    AprIngress_Drop(found);
-    return true;
+    if (AprStreamSet_AbortStalled(gateway->streams, now_ms,
+                                  REPLACE_STALLED_MS)) {
+        AprResources_CountClosed(gateway, "descriptors");
+        return true;
+    }
+    return false;
+}
+
+/* Returns whether a further connection may be accepted, and closes another one
+   for it if necessary. */
+static bool
+make_room_for_caller(AprIngress_t *ingress)
+{
+    AprGateway_t *gateway = ingress->gateway;
+
+    return AprMemoryBudget_MayAcceptSocket(&gateway->memory_budget,
+                                           gateway->streams->open_count) ||
+           close_replaceable(ingress);
 }
 
 /* Accepts connections until there is none. At the limit of descriptors,
@@ -721,6 +745,9 @@
     }
     budget->holder_count = holders;
     budget->held_by_kind[APR_MEMORY_CALLERS] = held;
+    while (ingress->gateway->streams->open_count > budget->socket_limit &&
+           close_replaceable(ingress)) {
+    }
     if (ingress->accept_paused && ingress->listen_fd >= 0) {
         ingress->accept_paused = false;
         ev_io_start(ingress->gateway->loop, &ingress->listener);
--- a/src/gateway/resource_limits.c
+++ b/src/gateway/resource_limits.c
@@ -32,8 +32,8 @@
     }
     AprMemoryBudget_Init(&gateway->memory_budget, gateway->settings.memory_mb,
                          descriptors);
-    streams->receive_buffer_bytes =
-        AprMemoryBudget_ReceiveBufferBytes(&gateway->memory_budget);
+    streams->receive_window_bytes =
+        AprMemoryBudget_ReceiveWindowBytes(&gateway->memory_budget);
     streams->make_room = make_room;
     streams->make_room_context = gateway;
 }
@@ -213,7 +213,8 @@
 {
     int64_t now_ms = AprGateway_NowMs(gateway);
 
-    gateway->memory_budget.unread = AprStreamSet_CountUnread(gateway->streams);
+    gateway->memory_budget.unread =
+        AprStreamSet_Measure(gateway->streams, now_ms);
     make_room(gateway);
     if (now_ms - gateway->last_limit_log_ms >= LOG_INTERVAL_MS) {
         gateway->last_limit_log_ms = now_ms;
--- a/src/state/memory_budget.c
+++ b/src/state/memory_budget.c
@@ -26,7 +26,7 @@
 #define LINK_FRACTION 0.25
 
 /* A connection that holds less is not closed: it would free little. A parser
-   keeps 4 KiB between two requests. */
+   keeps up to 4 KiB between two requests. */
 #define MIN_SHED_BYTES 8192
 
 /* Peers make progress when they take this part of what is held for them. */
@@ -37,14 +37,14 @@
 
 /* Part of the sockets that callers may not use: those of links, the store and
    the backend server. Each other host has up to two links. */
-#define OTHER_SOCKETS_DIVISOR 8
-#define MIN_OTHER_SOCKETS 16
+#define OTHER_SOCKETS_DIVISOR 6
+#define MIN_OTHER_SOCKETS 96
 
-/* Limits of a socket's receive buffer. The largest is about what a link of
+/* Limits of a socket's receive window. The largest is about what a link of
    200 Mbit/s needs at a round trip of 3 ms, with a margin. */
-#define MIN_RECEIVE_BUFFER_BYTES 32768
-#define MAX_RECEIVE_BUFFER_BYTES 131072
-#define RECEIVE_BUFFER_DIVISOR 1024
+#define MIN_RECEIVE_WINDOW_BYTES 32768
+#define MAX_RECEIVE_WINDOW_BYTES 131072
+#define RECEIVE_WINDOW_DIVISOR 1024
 
 /* Limits of a process whose settings do not name any, as in tests. */
 #define DEFAULT_MEMORY_MB 256
@@ -66,10 +66,9 @@
         (size_t)(MAX(bytes - BASE_BYTES, bytes / 4) * HELD_FRACTION);
     budget->socket_limit =
         count >= 2 * FILE_DESCRIPTORS ? count - FILE_DESCRIPTORS : count / 2;
-    others =
-        MAX(budget->socket_limit / OTHER_SOCKETS_DIVISOR, MIN_OTHER_SOCKETS);
-    budget->caller_socket_limit =
-        MAX(budget->socket_limit - others, budget->socket_limit / 2);
+    others = MAX(budget->socket_limit / OTHER_SOCKETS_DIVISOR,
+                 MIN(MIN_OTHER_SOCKETS, budget->socket_limit / 3));
+    budget->caller_socket_limit = budget->socket_limit - others;
 }
 
 /* Returns the bytes that are held for all peers together. */
@@ -173,30 +172,30 @@
     return open_sockets < budget->caller_socket_limit;
 }
 
-/* Returns the size in bytes of the receive buffer of each socket. The kernel
+/* Returns the size in bytes of the receive window of each socket. The kernel
    would otherwise hold megabytes of a connection that is not read. */
 int
-AprMemoryBudget_ReceiveBufferBytes(const AprMemoryBudget_t *budget)
+AprMemoryBudget_ReceiveWindowBytes(const AprMemoryBudget_t *budget)
 {
-    return (int)CLAMP(budget->limit / RECEIVE_BUFFER_DIVISOR,
-                      MIN_RECEIVE_BUFFER_BYTES, MAX_RECEIVE_BUFFER_BYTES);
+    return (int)CLAMP(budget->limit / RECEIVE_WINDOW_DIVISOR,
+                      MIN_RECEIVE_WINDOW_BYTES, MAX_RECEIVE_WINDOW_BYTES);
 }
 
 /* Records what a connection holds, and how many bytes its peer has taken since
-   it was opened. */
+   it was opened. `idle` tells that none of the held bytes wait for the peer.
+   The time without progress starts when some do. */
 void
-AprMemoryHolder_Update(AprMemoryHolder_t *holder, size_t held, uint64_t taken,
-                       int64_t now_ms)
+AprMemoryHolder_Update(AprMemoryHolder_t *holder, size_t held, bool idle,
+                       uint64_t taken, int64_t now_ms)
 {
-    bool was_empty = holder->held < MIN_SHED_BYTES;
-
-    holder->held = held;
-    holder->taken = taken;
-    if (holder->mark_ms == 0 || was_empty ||
+    if (holder->mark_ms == 0 || idle || !holder->busy ||
         taken - holder->taken_at_mark >= held / PROGRESS_DIVISOR) {
         holder->mark_ms = now_ms;
         holder->taken_at_mark = taken;
     }
+    holder->held = held;
+    holder->busy = !idle;
+    holder->taken = taken;
 }
 
 /* Returns the time since the peer has last made progress. */
--- a/src/transport/stream.c
+++ b/src/transport/stream.c
@@ -36,6 +36,10 @@
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES 2
 
+/* A receive buffer of fixed size drops segments within the window when their
+   overhead does not fit, and the sender repeats them after 0.2 s and more. */
+#define RECEIVE_BUFFER_FACTOR 4
+
 /* Time for which a closing connection still reads, so that unread bytes do
    not reset it before the peer has received the response. */
 #define CLOSE_LINGER_S 1.0
@@ -198,8 +202,11 @@
 static void
 set_socket_options(const AprStreamSet_t *set, int fd)
 {
-    if (set->receive_buffer_bytes > 0) {
-        set_int_option(fd, SOL_SOCKET, SO_RCVBUF, set->receive_buffer_bytes);
+    if (set->receive_window_bytes > 0) {
+        set_int_option(fd, SOL_SOCKET, SO_RCVBUF,
+                       RECEIVE_BUFFER_FACTOR * set->receive_window_bytes);
+        set_int_option(fd, IPPROTO_TCP, TCP_WINDOW_CLAMP,
+                       set->receive_window_bytes);
     }
     fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
     fcntl(fd, F_SETFD, FD_CLOEXEC);
@@ -594,15 +601,21 @@
     return (size_t)size;
 }
 
-/* Returns the sum of AprStream_CountUnread() of all streams. */
+/* Records the progress of the streams that close when their peer has taken all
+   bytes, and returns the sum of AprStream_CountUnread() of all streams. */
 size_t
-AprStreamSet_CountUnread(const AprStreamSet_t *set)
+AprStreamSet_Measure(AprStreamSet_t *set, int64_t now_ms)
 {
     size_t sum = 0;
 
-    for (const AprStream_t *stream = set->streams; stream != NULL;
+    for (AprStream_t *stream = set->streams; stream != NULL;
          stream = stream->next_open) {
         sum += AprStream_CountUnread(stream);
+        if (stream->close_after_flush) {
+            AprMemoryHolder_Update(&stream->holder,
+                                   AprStream_HeldBytes(stream), false,
+                                   stream->sent_bytes, now_ms);
+        }
     }
     return sum;
 }
@@ -618,15 +631,9 @@
     *score = 0;
     for (AprStream_t *stream = set->streams; stream != NULL;
          stream = stream->next_open) {
-        double own;
+        double own = AprMemoryHolder_Score(&stream->holder, now_ms);
 
-        if (!stream->close_after_flush) {
-            continue;
-        }
-        AprMemoryHolder_Update(&stream->holder, AprStream_HeldBytes(stream),
-                               stream->sent_bytes, now_ms);
-        own = AprMemoryHolder_Score(&stream->holder, now_ms);
-        if (own > *score) {
+        if (stream->close_after_flush && own > *score) {
             *score = own;
             found = stream;
         }
@@ -634,6 +641,31 @@
     return found;
 }
 
+/* Closes with a reset the stream that waits for the longest time, and for at
+   least `min_ms`, for its peer to take its last bytes. Returns whether there
+   is one. */
+bool
+AprStreamSet_AbortStalled(AprStreamSet_t *set, int64_t now_ms, int64_t min_ms)
+{
+    AprStream_t *found = NULL;
+    int64_t longest_ms = min_ms - 1;
+
+    for (AprStream_t *stream = set->streams; stream != NULL;
+         stream = stream->next_open) {
+        int64_t time_ms = AprMemoryHolder_StalledMs(&stream->holder, now_ms);
+
+        if (stream->close_after_flush && time_ms > longest_ms) {
+            longest_ms = time_ms;
+            found = stream;
+        }
+    }
+    if (found == NULL) {
+        return false;
+    }
+    AprStream_Abort(found);
+    return true;
+}
+
 /* Returns whether bytes that were not read yet have arrived. */
 bool
 AprStream_HasReceivedBytes(const AprStream_t *stream)
--- a/tests/test_memory_budget.c
+++ b/tests/test_memory_budget.c
@@ -120,7 +120,7 @@
     budget.unread = budget.limit / 2;
     assert_true(AprMemoryBudget_MustShed(&budget));
     /* Without a limit the kernel holds up to 6 MB of each connection. */
-    assert_in_range(AprMemoryBudget_ReceiveBufferBytes(&budget), 32 * KB,
+    assert_in_range(AprMemoryBudget_ReceiveWindowBytes(&budget), 32 * KB,
                     128 * KB);
 }
 
@@ -156,11 +156,12 @@
     for (now_ms = 1000; now_ms < 6000; now_ms += 50) {
         uint64_t elapsed_ms = (uint64_t)(now_ms - 1000);
 
-        AprMemoryHolder_Update(&trickle, 240000, elapsed_ms, now_ms);
-        AprMemoryHolder_Update(&steady, 250000, elapsed_ms * 200, now_ms);
-        AprMemoryHolder_Update(&ordinary, 4 * KB, 0, now_ms);
+        AprMemoryHolder_Update(&trickle, 240000, false, elapsed_ms, now_ms);
+        AprMemoryHolder_Update(&steady, 250000, false, elapsed_ms * 200,
+                               now_ms);
+        AprMemoryHolder_Update(&ordinary, 4 * KB, true, 0, now_ms);
     }
-    AprMemoryHolder_Update(&fresh, 256 * KB, 0, now_ms);
+    AprMemoryHolder_Update(&fresh, 256 * KB, false, 0, now_ms);
     assert_true(AprMemoryHolder_StalledMs(&trickle, now_ms) > 4000);
     assert_true(AprMemoryHolder_StalledMs(&steady, now_ms) < 1000);
     assert_true(AprMemoryHolder_Score(&trickle, now_ms) >
@@ -178,10 +179,10 @@
     AprMemoryHolder_t holder = {0};
 
     (void)state;
-    AprMemoryHolder_Update(&holder, 0, 0, 1000);
-    AprMemoryHolder_Update(&holder, 200000, 0, 60000);
+    AprMemoryHolder_Update(&holder, 4 * KB, true, 0, 1000);
+    AprMemoryHolder_Update(&holder, 200000, false, 0, 60000);
     assert_int_equal(AprMemoryHolder_StalledMs(&holder, 60000), 0);
-    AprMemoryHolder_Update(&holder, 200000, 0, 61000);
+    AprMemoryHolder_Update(&holder, 200000, false, 0, 61000);
     assert_int_equal(AprMemoryHolder_StalledMs(&holder, 61000), 1000);
 }
 
