Refuse nested calls that may miss their deadline, use free slots for late work

It is refused below a probability of 0.75, and its entry gateway tries another host. In overload a late request still gets a slot that is free. Ranges are merged half as often.

--- a/src/state/adaptive_admission.c
+++ b/src/state/adaptive_admission.c
@@ -17,6 +17,10 @@
    times the capacity; with 0.8, 3 % fewer of rank 0 at 1.2 times. */
 #define MIN_QUEUE_PROBABILITY 0.65
 
+/* Least probability with which a nested call is answered by its deadline, or
+   else it is refused, so that its entry gateway tries another host. */
+#define MIN_NESTED_PROBABILITY 0.75
+
 /* Time constant of the demand by rank. */
 #define DEMAND_MS 1000.0
 
@@ -262,8 +266,9 @@
 }
 
 /* Whether a request should be refused that starts after `wait_ms`. A nested
-   call is refused only if it cannot be answered by its deadline. Others are
-   refused when they would be late, unless there is room for late answers. An
+   call is refused only if it may not be answered by its deadline. Others are
+   refused when they would be late, unless there is room for late answers: a
+   free slot, or a demand below the capacity. An
    idle backend server refuses nothing that has time left, as in
    admission.c. */
 bool
@@ -281,14 +286,17 @@
         return now_ms >= request->deadline_ms;
     }
     if (request->nested) {
-        return end_ms > (double)request->deadline_ms;
+        return AprCostModel_ProbabilityWithin(
+                   admission->costs, request->log_mean, request->log_deviation,
+                   (double)(request->deadline_ms - now_ms), wait_ms,
+                   now_ms) < MIN_NESTED_PROBABILITY;
     }
     if (timely_probability(admission, request, now_ms, wait_ms) >=
         MIN_QUEUE_PROBABILITY) {
         return false;
     }
-    if (relative_demand(admission, APR_ADMISSION_MAX_RANKS + 1, now_ms) >
-        OVERLOAD_DEMAND) {
+    if (wait_ms > 0 && relative_demand(admission, APR_ADMISSION_MAX_RANKS + 1,
+                                       now_ms) > OVERLOAD_DEMAND) {
         return true;
     }
     return end_ms >
--- a/src/state/hot_range_plan.c
+++ b/src/state/hot_range_plan.c
@@ -68,7 +68,7 @@
    and in one that has as many as it may have. Each merge is a write to the
    store, conflicts with other changes of the same part, and is sent to all
    hosts: 34 merges a second doubled the store calls of a deployment. */
-#define MERGE_INTERVAL_MS 250.0
+#define MERGE_INTERVAL_MS 500.0
 #define FULL_MAP_MERGE_INTERVAL_MS 25.0
 
 /* Shortest interval at which a host that is not overloaded looks for hosts
