--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -273,7 +273,6 @@
     int64_t lease_id;          /* id of the entry's lease */
     int64_t entry_revision;    /* store revision of the entry */
     AprHostLoad_t load_report; /* the latest */
-    AprUsualLoad_t usual_load;
     int64_t load_report_ms;    /* receipt of load_report; 0: not valid */
     int64_t unreachable_ms;    /* last failure to reach it; 0: none */
     int sent_count; /* unkeyed requests sent to it since load_report */
--- a/internal/host_choice.h
+++ b/internal/host_choice.h
@@ -4,13 +4,6 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Usual load of a host, or of all hosts, as far as it was reported: what an
-   old report is worth. */
-typedef struct AprUsualLoad_t {
-    double work_per_slot_ms; /* 0: not known */
-    double cost_ms;          /* work of one request; 0: not known */
-} AprUsualLoad_t;
-
 /* State of a host that could be chosen for a request. */
 typedef struct AprHostCandidate_t {
     int64_t wait_ms;   /* reported waiting time of a new request */
@@ -27,9 +20,15 @@
     double pace;        /* 1: usual */
     int sent_count;     /* requests of this process since the report */
     double failures_ms; /* AprRecentFailures_PenaltyMs() */
-    AprUsualLoad_t usual;
 } AprHostCandidate_t;
 
+/* Usual load of the hosts of a service, as far as they reported it: what an
+   old report is worth. */
+typedef struct AprUsualLoad_t {
+    double work_per_slot_ms; /* 0: not known */
+    double cost_ms;          /* work of one request; 0: not known */
+} AprUsualLoad_t;
+
 /* Failures of a host in the last second, decaying. */
 typedef struct AprRecentFailures_t {
     double outcomes;
@@ -61,9 +60,8 @@
                            const AprUsualLoad_t *usual);
 double AprHostCandidate_ScoreMs(const AprHostCandidate_t *candidate,
                                 const AprUsualLoad_t *usual);
-void AprUsualLoad_Add(AprUsualLoad_t *host, AprUsualLoad_t *all,
-                      double work_ms, double pace, int request_count,
-                      int slots);
+void AprUsualLoad_Add(AprUsualLoad_t *usual, double work_ms, double pace,
+                      int request_count, int slots);
 void AprRecentFailures_Add(AprRecentFailures_t *failures, double lost_ms,
                            int64_t now_ms);
 double AprRecentFailures_PenaltyMs(const AprRecentFailures_t *failures,
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -283,9 +283,9 @@
         member->unreachable_ms = 0;
         member->sent_count = 0;
         if (load->has_work) {
-            AprUsualLoad_Add(&member->usual_load, &members->usual_load,
-                             (double)load->work_ms, load->pace / 100.0,
-                             load->running + load->queued, load->slots);
+            AprUsualLoad_Add(&members->usual_load, (double)load->work_ms,
+                             load->pace / 100.0, load->running + load->queued,
+                             load->slots);
         }
     }
 }
@@ -415,7 +415,6 @@
     candidate->sent_count = member->is_self ? 0 : member->sent_count;
     candidate->failures_ms =
         AprRecentFailures_PenaltyMs(&member->failures, now_ms);
-    candidate->usual = member->usual_load;
     if (member->load_report_ms == 0) {
         candidate->age_ms = INT32_MAX; /* the usual load is assumed */
         return;
--- a/src/state/host_choice.c
+++ b/src/state/host_choice.c
@@ -70,10 +70,8 @@
    enough others. With five domains, one in a hundred samples has none. */
 #define MAX_STEPS 24
 
-/* Weight of a new report in the usual load of all hosts, and in that of the
-   host itself, which reports less often. */
+/* Weight of a new report in the usual load. */
 #define USUAL_LOAD_WEIGHT 0.02
-#define HOST_LOAD_WEIGHT 0.1
 
 /* Work of a request while none was reported. */
 #define DEFAULT_COST_MS 50.0
@@ -153,13 +151,8 @@
 AprHostCandidate_ScoreMs(const AprHostCandidate_t *candidate,
                          const AprUsualLoad_t *usual)
 {
-    const AprUsualLoad_t *own =
-        candidate->usual.cost_ms > 0 ? &candidate->usual : usual;
-    double cost_ms = own->cost_ms > 0 ? own->cost_ms : DEFAULT_COST_MS;
+    double cost_ms = usual->cost_ms > 0 ? usual->cost_ms : DEFAULT_COST_MS;
     int slots = candidate->slots > 0 ? candidate->slots : 1;
-    /* An old report does not make a host look less loaded than the others: one
-       that fails at once has no work. */
-    double usual_ms = fmax(own->work_per_slot_ms, usual->work_per_slot_ms);
     double weight = 1 - (double)candidate->age_ms / REPORT_VALIDITY_MS;
     double reported_ms = candidate->has_work
                              ? candidate->work_ms
@@ -169,7 +162,8 @@
     double wait_ms;
 
     weight = weight > 0 ? weight : 0;
-    work_ms = weight * reported_ms + (1 - weight) * usual_ms * slots +
+    work_ms = weight * reported_ms +
+              (1 - weight) * usual->work_per_slot_ms * slots +
               candidate->sent_count * cost_ms;
     if (work_ms < candidate->in_flight * cost_ms / 2) {
         work_ms = candidate->in_flight * cost_ms / 2;
@@ -209,9 +203,10 @@
     return best < 0 ? -1 : sample->indexes[best];
 }
 
-static void
-add_to_usual_load(AprUsualLoad_t *usual, double weight, double work_ms,
-                  double pace, int request_count, int slots)
+/* Adds a report of remaining work to the usual load. */
+void
+AprUsualLoad_Add(AprUsualLoad_t *usual, double work_ms, double pace,
+                 int request_count, int slots)
 {
     double per_slot_ms = work_ms * pace / (slots > 0 ? slots : 1);
 
@@ -219,31 +214,17 @@
         usual->work_per_slot_ms = per_slot_ms;
     }
     usual->work_per_slot_ms +=
-        weight * (per_slot_ms - usual->work_per_slot_ms);
+        USUAL_LOAD_WEIGHT * (per_slot_ms - usual->work_per_slot_ms);
     if (request_count > 0) {
         double cost_ms = work_ms / request_count;
 
         if (usual->cost_ms <= 0) {
             usual->cost_ms = cost_ms;
         }
-        usual->cost_ms += weight * (cost_ms - usual->cost_ms);
+        usual->cost_ms += USUAL_LOAD_WEIGHT * (cost_ms - usual->cost_ms);
     }
 }
 
-/* Adds a report of remaining work to the usual load of its host and of all
-   hosts. A slow backend server needs more time for the same requests, and its
-   queue is longer as a rule: without its own usual load, an old report made it
-   look like the others. */
-void
-AprUsualLoad_Add(AprUsualLoad_t *host, AprUsualLoad_t *all, double work_ms,
-                 double pace, int request_count, int slots)
-{
-    add_to_usual_load(host, HOST_LOAD_WEIGHT, work_ms, pace, request_count,
-                      slots);
-    add_to_usual_load(all, USUAL_LOAD_WEIGHT, work_ms, pace, request_count,
-                      slots);
-}
-
 /* Adds an outcome: 0 for an answer, or the time that a failure came too early
    to be one, which is the time left until the objective. */
 void
--- a/tests/choice_replay.h
+++ b/tests/choice_replay.h
@@ -54,7 +54,6 @@
 
 /* What an entry gateway knows about a host. */
 typedef struct ReplayView_t {
-    AprUsualLoad_t usual;
     int64_t report_ms; /* 0: none */
     int64_t wait_ms;
     int request_count;
@@ -144,8 +143,8 @@
             AprAdmission_RemainingWorkMs(&host->admission, now_ms) +
             host->slots * AprRecentFailures_PenaltyMs(&host->failures, now_ms);
         view->pace = AprCostModel_Pace(&host->costs, now_ms);
-        AprUsualLoad_Add(&view->usual, &replay->usual[entry], view->work_ms,
-                         view->pace, view->request_count, host->slots);
+        AprUsualLoad_Add(&replay->usual[entry], view->work_ms, view->pace,
+                         view->request_count, host->slots);
     }
 }
 
@@ -173,7 +172,6 @@
         candidate->sent_count = host == entry ? 0 : view->sent_count;
         candidate->failures_ms =
             AprRecentFailures_PenaltyMs(&view->failures, now_ms);
-        candidate->usual = view->usual;
     }
 }
 
