--- a/src/state/adaptive_admission.c
+++ b/src/state/adaptive_admission.c
@@ -19,10 +19,6 @@
    at 1.2 times (0.348 instead of 0.357). */
 #define MIN_QUEUE_PROBABILITY 0.65
 
-/* Least probability with which a nested call is answered by its deadline, or
-   else it is refused, so that its entry gateway tries another host. */
-#define MIN_NESTED_PROBABILITY 0.75
-
 /* Time constant of the demand by rank. */
 #define DEMAND_MS 1000.0
 
@@ -291,10 +287,7 @@
         return now_ms >= request->deadline_ms;
     }
     if (request->nested) {
-        return AprCostModel_ProbabilityWithin(
-                   admission->costs, request->log_mean, request->log_deviation,
-                   (double)(request->deadline_ms - now_ms), wait_ms,
-                   now_ms) < MIN_NESTED_PROBABILITY;
+        return end_ms > (double)request->deadline_ms;
     }
     if (timely_probability(admission, request, now_ms, wait_ms) >=
         MIN_QUEUE_PROBABILITY) {
