--- a/src/state/adaptive_admission.c
+++ b/src/state/adaptive_admission.c
@@ -293,9 +293,8 @@
         MIN_QUEUE_PROBABILITY) {
         return false;
     }
-    if (wait_ms > 0 &&
-        relative_demand(admission, demand_class(request) + 1, now_ms) >
-            OVERLOAD_DEMAND) {
+    if (wait_ms > 0 && relative_demand(admission, demand_class(request) + 1,
+                                       now_ms) > OVERLOAD_DEMAND) {
         return true;
     }
     return end_ms >
--- a/tests/test_backend_leaving.c
+++ b/tests/test_backend_leaving.c
@@ -111,7 +111,8 @@
 static void
 test_leaving_response_of_an_earlier_incarnation(void **state)
 {
-    AprBackendNotice_t notice = {APR_NO_REQUEST_LIMIT, true};
+    AprBackendNotice_t notice = {.request_limit = APR_NO_REQUEST_LIMIT,
+                                 .leaving = true};
     AprBackendIncarnation_t earlier;
     AprBackend_t *backend;
 
