--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -115,6 +115,7 @@
 
     if (backend != NULL) {
         backend->gateway = gateway;
+        backend->last_response_ms = AprGateway_NowMs(gateway);
         AprAdmission_Init(&backend->admission, DEFAULT_SLOTS);
         AprBackendCold_Init(&backend->cold, gateway, &backend->admission);
         AprCostModel_Init(&backend->costs, AprGateway_NowMs(gateway));
@@ -371,6 +372,16 @@
     }
 }
 
+/* Returns whether the head of the response to a running call has arrived. Its
+   end may take long only because the caller reads slowly. */
+static bool
+has_response(AprBackend_t *backend, uint64_t id)
+{
+    const AprBackendCall_t *call = find_call(backend, id);
+
+    return call != NULL && call->conn != NULL && call->conn->response_started;
+}
+
 /* Marks the backend server as unresponsive when several running calls are
    overdue and no response arrived meanwhile. */
 static void
@@ -389,7 +400,8 @@
             limit_ms = UNRESPONSIVE_MIN_MS;
         }
         overdue_calls += now_ms - running->started_ms > limit_ms &&
-                         now_ms - since_ms > limit_ms;
+                         now_ms - since_ms > limit_ms &&
+                         !has_response(backend, running->id);
     }
     if (!backend->unresponsive && overdue_calls >= UNRESPONSIVE_MIN_CALLS) {
         backend->unresponsive = true;
