--- a/src/gateway/ownership.c
+++ b/src/gateway/ownership.c
@@ -521,6 +521,16 @@
                                entry, AprOwnership_OwnHost(ownership));
 }
 
+/* Limits released keys to a range. Returns whether any are left. */
+static bool
+clip_release(AprGrant_t *released, const AprKeyRange_t *range)
+{
+    released->first = MAX(released->first, range->first);
+    released->last = MIN(released->last, range->last);
+    released->fence = range->fence;
+    return released->first <= released->last;
+}
+
 /* Sends the handover tokens of released keys to the hosts that now own the
    keys. */
 static void
@@ -535,30 +545,16 @@
             AprGrant_t grant = released[i];
 
             if (strcmp(range->releasing_host,
-                       AprOwnership_OwnHost(ownership)) != 0 ||
-                range->last < grant.first || range->first > grant.last) {
-                continue;
+                       AprOwnership_OwnHost(ownership)) == 0 &&
+                clip_release(&grant, range)) {
+                AprLinks_SendHandoverToken(ownership->gateway->links,
+                                           range->host, entry->service,
+                                           &grant);
             }
-            grant.first =
-                range->first > grant.first ? range->first : grant.first;
-            grant.last = range->last < grant.last ? range->last : grant.last;
-            grant.fence = range->fence;
-            AprLinks_SendHandoverToken(ownership->gateway->links, range->host,
-                                       entry->service, &grant);
         }
     }
 }
 
-/* Limits released keys to a range. Returns whether any are left. */
-static bool
-clip_release(AprGrant_t *released, const AprKeyRange_t *range)
-{
-    released->first = MAX(released->first, range->first);
-    released->last = MIN(released->last, range->last);
-    released->fence = range->fence;
-    return released->first <= released->last;
-}
-
 /* Keeps the handover tokens of keys that the backend server releases while a
    change of the key map is open, for the keys that this host owns as far as it
    knows. They may belong to another host by the change. The fencing tokens
--- a/src/state/hot_range_plan.c
+++ b/src/state/hot_range_plan.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "apricot/error.h"
+#include "internal/hot_range.h"
 
 /* Window of the demand of a key. */
 #define DEMAND_WINDOW_MS 1000
@@ -60,17 +61,6 @@
    moves to a third and raises the served share from 0.885 to 0.910. */
 #define WRITE_LEAD_MS 200
 
-/* Ranges of the map, or of the host, from which ranges are merged. */
-#define CONSOLIDATE_MAP_RANGES 512
-#define CONSOLIDATE_HOST_RANGES 16
-
-/* Mean time between two merges by all hosts together, in a map with few ranges
-   and in one that has as many as it may have. Each merge is a write to the
-   store, conflicts with other changes of the same part, and is sent to all
-   hosts: 34 merges a second doubled the store calls of a deployment. */
-#define MERGE_INTERVAL_MS 500.0
-#define FULL_MAP_MERGE_INTERVAL_MS 25.0
-
 /* Shortest interval at which a host that is not overloaded looks for hosts
    without keys and for ranges to merge: the sum of both, the second one for
    each host, as all of them write to the same map and each change goes to all.
@@ -78,14 +68,6 @@
 #define IDLE_CHECK_INTERVAL_MS 1000
 #define IDLE_CHECK_HOST_MS 6
 
-/* Keys of a range that is given to the owner of its neighbour to be merged,
-   at most, and requests for them within the window. */
-#define CONSOLIDATE_KEYS 32
-#define CONSOLIDATE_REQUESTS 1
-
-/* Ranges that one merge changes at most. */
-#define CONSOLIDATE_CHANGES 16
-
 /* Ranges that plans create in a map at most: so many, and so many more for
    each host. */
 #define MIN_MAP_RANGES 256
@@ -193,8 +175,9 @@
     }
 }
 
-static const AprKeyRequest_t *
-request_at(const AprHotRangePlanner_t *planner, int index)
+/* Returns a kept request; index 0 is the oldest one. */
+const AprKeyRequest_t *
+AprHotRangePlanner_RequestAt(const AprHotRangePlanner_t *planner, int index)
 {
     return &planner
                 ->requests[(planner->oldest + index) % APR_HOT_RANGE_REQUESTS];
@@ -204,7 +187,8 @@
 drop_old_requests(AprHotRangePlanner_t *planner, int64_t now_ms)
 {
     while (planner->request_count > 0 &&
-           request_at(planner, 0)->at_ms <= now_ms - DEMAND_WINDOW_MS) {
+           AprHotRangePlanner_RequestAt(planner, 0)->at_ms <=
+               now_ms - DEMAND_WINDOW_MS) {
         planner->oldest = (planner->oldest + 1) % APR_HOT_RANGE_REQUESTS;
         planner->request_count--;
     }
@@ -220,7 +204,7 @@
     if (planner->request_count < APR_HOT_RANGE_REQUESTS) {
         return window_ms;
     }
-    covered_ms = now_ms - request_at(planner, 0)->at_ms + 1;
+    covered_ms = now_ms - AprHotRangePlanner_RequestAt(planner, 0)->at_ms + 1;
     return covered_ms < window_ms ? covered_ms : window_ms;
 }
 
@@ -243,7 +227,8 @@
 
     window_ms = covered_window_ms(planner, window_ms, now_ms);
     for (int i = planner->request_count - 1; i >= 0; i--) {
-        const AprKeyRequest_t *request = request_at(planner, i);
+        const AprKeyRequest_t *request =
+            AprHotRangePlanner_RequestAt(planner, i);
 
         if (request->at_ms <= now_ms - window_ms) {
             break;
@@ -311,7 +296,8 @@
 
     window_ms = covered_window_ms(planner, window_ms, now_ms);
     for (int i = planner->request_count - 1; i >= 0; i--) {
-        const AprKeyRequest_t *request = request_at(planner, i);
+        const AprKeyRequest_t *request =
+            AprHotRangePlanner_RequestAt(planner, i);
 
         if (request->at_ms <= now_ms - window_ms) {
             break;
@@ -551,8 +537,8 @@
 
 /* Returns the most ranges of a map that plans with hot keys create. Each host
    stores all of them, and a changed part is sent to each host. */
-static int
-max_map_ranges(const AprHotRangeInput_t *input)
+int
+AprHotRangePlanner_MaxMapRanges(const AprHotRangeInput_t *input)
 {
     return MIN(APR_HOT_RANGE_MAX_MAP_RANGES,
                MIN_MAP_RANGES + RANGES_PER_HOST * (input->count + 1));
@@ -563,7 +549,8 @@
 {
     return plan->at < plan->receiver_count &&
            plan->planner->allowance >= 1.0 &&
-           plan->input->map->count + 2 <= max_map_ranges(plan->input) &&
+           plan->input->map->count + 2 <=
+               AprHotRangePlanner_MaxMapRanges(plan->input) &&
            plan->planner->transfer_count < APR_HOT_RANGE_TRANSFERS;
 }
 
@@ -870,138 +857,6 @@
     return plan.moves;
 }
 
-static int
-count_requests(const AprHotRangePlanner_t *planner, int first, int last)
-{
-    int count = 0;
-
-    for (int i = 0; i < planner->request_count; i++) {
-        int key = request_at(planner, i)->key;
-
-        count += first <= key && key <= last;
-    }
-    return count;
-}
-
-/* Returns whether a host is a candidate with room for another range. */
-static bool
-takes_range(const AprHotRangeInput_t *input, const char *host)
-{
-    int ranges = 0;
-
-    for (int i = 0; i < input->map->count; i++) {
-        ranges += strcmp(input->map->ranges[i].host, host) == 0;
-    }
-    if (ranges >= APR_HOT_RANGE_MAX_HOST_RANGES) {
-        return false;
-    }
-    for (int i = 0; i < input->count; i++) {
-        if (strcmp(input->candidates[i].host, host) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
-static int
-count_keys(const AprKeyRange_t *range)
-{
-    return range->last - range->first + 1;
-}
-
-/* Returns the longer one of the neighbours of a short range, if another host
-   owns it and it is longer than the range; otherwise NULL. */
-static const AprKeyRange_t *
-find_longer_neighbour(const AprHotRangeInput_t *input, int index)
-{
-    const AprKeyRange_t *range = &input->map->ranges[index];
-    const AprKeyRange_t *best = NULL;
-
-    for (int step = -1; step <= 1; step += 2) {
-        const AprKeyRange_t *next = range + step;
-
-        if (index + step >= 0 && index + step < input->map->count &&
-            next->first / APR_KEYS_PER_PART ==
-                range->first / APR_KEYS_PER_PART &&
-            count_keys(next) > count_keys(range) &&
-            (best == NULL || count_keys(next) > count_keys(best))) {
-            best = next;
-        }
-    }
-    return best != NULL && strcmp(best->host, input->host) != 0 ? best : NULL;
-}
-
-static bool
-is_movable_in_part(const AprHotRangeInput_t *input, int index, int part)
-{
-    const AprKeyRange_t *range = &input->map->ranges[index];
-
-    return range->first / APR_KEYS_PER_PART == part &&
-           range->last / APR_KEYS_PER_PART == part &&
-           strcmp(range->host, input->host) == 0 &&
-           input->is_movable(input->context, range);
-}
-
-/* Gives short ranges without much demand in a part to the owners of their
-   neighbours. Returns the number of changes. */
-static int
-give_short_ranges(const AprHotRangePlanner_t *planner,
-                  const AprHotRangeInput_t *input, int part)
-{
-    int changes = 0;
-
-    for (int i = 0; i < input->map->count && changes < CONSOLIDATE_CHANGES;
-         i++) {
-        AprKeyRange_t range = input->map->ranges[i];
-        const AprKeyRange_t *next;
-        char host[APR_NAME_SIZE];
-
-        if (!is_movable_in_part(input, i, part) ||
-            count_keys(&range) > CONSOLIDATE_KEYS ||
-            count_requests(planner, range.first, range.last) >
-                CONSOLIDATE_REQUESTS) {
-            continue;
-        }
-        next = find_longer_neighbour(input, i);
-        if (next == NULL || !takes_range(input, next->host)) {
-            continue;
-        }
-        g_strlcpy(host, next->host, sizeof(host));
-        changes += AprKeyMap_Assign(input->map, range.first, range.last, host,
-                                    input->host) == APR_OK;
-    }
-    return changes;
-}
-
-/* Merges adjacent ranges of the host in a part under a new fencing token. The
-   backend server holds their keys before and after it. Returns the number of
-   changes. */
-static int
-merge_own_ranges(const AprHotRangeInput_t *input, int part)
-{
-    int changes = 0;
-
-    for (int i = 0; i < input->map->count && changes < CONSOLIDATE_CHANGES;
-         i++) {
-        int end = i;
-
-        while (end < input->map->count &&
-               is_movable_in_part(input, end, part)) {
-            end++;
-        }
-        if (end - i >= 2) {
-            changes +=
-                AprKeyMap_Assign(input->map, input->map->ranges[i].first,
-                                 input->map->ranges[end - 1].last, input->host,
-                                 NULL) == APR_OK;
-        }
-        else if (end > i) {
-            i = end - 1;
-        }
-    }
-    return changes;
-}
-
 /* Returns whether a host that is not overloaded is to look for hosts without
    keys and for ranges to merge. Sets the time of the next look. */
 bool
@@ -1022,55 +877,6 @@
     return true;
 }
 
-/* Returns whether ranges may be merged now, and sets the time of the next
-   merge: the fuller the map is, the sooner. */
-bool
-AprHotRangePlanner_IsMergeDue(AprHotRangePlanner_t *planner,
-                              const AprHotRangeInput_t *input)
-{
-    double room =
-        MAX(0.0, 1.0 - (double)input->map->count / max_map_ranges(input));
-    double interval_ms = input->count * (FULL_MAP_MERGE_INTERVAL_MS +
-                                         MERGE_INTERVAL_MS * room * room);
-
-    if (input->now_ms < planner->next_merge_ms) {
-        return false;
-    }
-    planner->next_merge_ms =
-        input->now_ms +
-        (int64_t)(interval_ms / 2 + interval_ms * (input->seed % 1024) / 1024);
-    return true;
-}
-
-/* Merges ranges in one part of the map, if moves have left many: own ones with
-   each other, and short ones that are no longer hot with those of their
-   neighbours. Only keys that the planner calls movable change. Returns the
-   number of changes in the map. */
-int
-AprHotRangePlanner_Consolidate(AprHotRangePlanner_t *planner,
-                               const AprHotRangeInput_t *input)
-{
-    int own = 0;
-
-    for (int i = 0; i < input->map->count; i++) {
-        own += strcmp(input->map->ranges[i].host, input->host) == 0;
-    }
-    if (own <= CONSOLIDATE_HOST_RANGES &&
-        input->map->count <= CONSOLIDATE_MAP_RANGES) {
-        return 0;
-    }
-    for (int i = 0; i < APR_KEY_PARTS; i++) {
-        int part = (int)((input->seed + (uint32_t)i) % APR_KEY_PARTS);
-        int changes = merge_own_ranges(input, part) +
-                      give_short_ranges(planner, input, part);
-
-        if (changes > 0) {
-            return changes;
-        }
-    }
-    return 0;
-}
-
 /* Handles the result of a change of the map. Planned moves that are not in
    force are planned again soon, with other receivers. */
 void
