Let other hosts close their links before a planned stop ends

A process that exits resets a link on which acknowledgements arrive, and the end of a long response that the other side has not read yet is lost. A stopping process now ends its sending direction when all is sent, and waits up to 500 ms for the other hosts to close.

--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -123,6 +123,7 @@
     GHashTable *time_limits; /* route name -> AprTimeLimits_t, owned */
     AprStopStep_t stop_step;
     AprStopPlan_t stop_plan; /* valid while stopping */
+    int64_t links_ended_ms;  /* call of AprLinks_EndInbound(); 0: none */
     int64_t last_tick_ms;
     int64_t last_late_tick_ms; /* 0: none */
     ev_timer tick_timer;
@@ -239,6 +240,8 @@
 /* Tells the other hosts which of their calls this host has read. Later ones
    are ignored. */
 void AprLinks_SendGoaway(AprLinks_t *links);
+void AprLinks_EndInbound(AprLinks_t *links);
+bool AprLinks_HasInbound(const AprLinks_t *links);
 /* Returns the milliseconds since a host last sent bytes; -1: never. */
 int64_t AprLinks_LastReceivedAgeMs(const AprLinks_t *links, const char *host);
 bool AprLinks_IsHostAlive(const AprLinks_t *links, const char *host);
--- a/internal/stream.h
+++ b/internal/stream.h
@@ -81,6 +81,7 @@
 bool AprStream_HasReceivedBytes(const AprStream_t *stream);
 void AprStream_SetReadPaused(AprStream_t *stream, bool pause);
 void AprStream_EnableDropAbandoned(AprStream_t *stream);
+void AprStream_EndWriting(AprStream_t *stream);
 void AprStream_Close(AprStream_t *stream);
 void AprStream_Abort(AprStream_t *stream);
 void AprStream_CloseAfterFlush(AprStream_t *stream);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -25,6 +25,10 @@
    are in flight. The time left is longer than requests usually take. */
 #define STOP_PEERS_FRACTION 0.8
 
+/* Longest time for which a stopping process waits for the other hosts to close
+   their links. */
+#define LINK_CLOSE_WAIT_MS 500
+
 /* Returns the time of the monotonic clock in milliseconds. */
 int64_t
 AprGateway_NowMs(const AprGateway_t *gateway)
@@ -218,6 +222,21 @@
     }
 }
 
+/* Ends the links from other hosts. Returns whether they have closed them, or
+   had the time to. The exit of the process would reset a link on which
+   acknowledgements arrive, and with it the end of a long response that its
+   receiver has not read yet. */
+static bool
+are_links_ended(AprGateway_t *gateway, int64_t now_ms)
+{
+    if (gateway->links_ended_ms == 0) {
+        gateway->links_ended_ms = now_ms;
+        AprLinks_EndInbound(gateway->links);
+    }
+    return !AprLinks_HasInbound(gateway->links) ||
+           now_ms - gateway->links_ended_ms >= LINK_CLOSE_WAIT_MS;
+}
+
 /* Advances the planned stop and leaves the event loop once nothing is in
    flight. Calls that the local backend server makes on behalf of other hosts'
    requests arrive as callers' requests, so the listener stays open until those
@@ -267,7 +286,8 @@
            which it does not do after the exit. */
         AprStreamSet_Flush(gateway->streams);
         if ((!AprIngress_HasConnections(gateway->ingress) &&
-             gateway->streams->unsent_bytes == 0) ||
+             gateway->streams->unsent_bytes == 0 &&
+             are_links_ended(gateway, now_ms)) ||
             age_ms >= limit_ms) {
             AprLog_Write(APR_LOG_INFO, "stop", "in_flight=%d took_ms=%lld",
                          caller_requests + peer_calls, (long long)age_ms);
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -635,6 +635,26 @@
     return heard_ms < 0 ? -1 : links_now_ms(links) - heard_ms;
 }
 
+/* Ends the sending direction of the links that other hosts opened, so that
+   they close them when they have read all responses. */
+void
+AprLinks_EndInbound(AprLinks_t *links)
+{
+    for (AprGatewayLink_t *link = links->inbound; link != NULL;
+         link = link->next) {
+        if (link->stream != NULL) {
+            AprStream_EndWriting(link->stream);
+        }
+    }
+}
+
+/* Returns whether links that other hosts opened are still open. */
+bool
+AprLinks_HasInbound(const AprLinks_t *links)
+{
+    return links->inbound != NULL;
+}
+
 /* Tells each host that opened a link which of its calls were read; this
    process ends and ignores later ones. */
 void
--- a/src/transport/stream.c
+++ b/src/transport/stream.c
@@ -54,6 +54,7 @@
     bool is_closed;    /* in the list AprStreamSet_t.closed_streams */
     bool close_after_flush;
     bool read_paused;
+    bool write_ended;    /* see AprStream_EndWriting() */
     bool drop_abandoned; /* see AprStream_EnableDropAbandoned() */
     uint64_t sent_bytes;
     AprMemoryHolder_t holder; /* while close_after_flush */
@@ -534,7 +535,7 @@
 void
 AprStream_Write(AprStream_t *stream, const void *data, size_t size)
 {
-    if (stream->is_closed) {
+    if (stream->is_closed || stream->write_ended) {
         return;
     }
     if (AprBuffer_Append(&stream->unsent, data, size) != APR_OK) {
@@ -695,6 +696,19 @@
     stream->drop_abandoned = true;
 }
 
+/* Ends the sending direction if all written bytes were sent. The peer reads
+   them and then the end; received bytes are still delivered, and what is
+   written later is dropped. */
+void
+AprStream_EndWriting(AprStream_t *stream)
+{
+    if (!stream->is_closed && !stream->connecting &&
+        AprBuffer_Size(&stream->unsent) == 0) {
+        stream->write_ended = true;
+        shutdown(stream->fd, SHUT_WR);
+    }
+}
+
 /* Closes at once and discards unsent bytes; no callback follows. */
 void
 AprStream_Close(AprStream_t *stream)
