--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -24,8 +24,8 @@
 /* Delay of the next attempt for a key whose owner is about to change. */
 #define OWNER_CHANGE_RETRY_MS 40
 
-/* Time within which a change of the key map reaches this host at the latest,
-   usually; measured: 60 to 200 ms. */
+/* Longest wait for the new owner of a key. A change of the key map usually
+   reaches all hosts within 200 ms. */
 #define OWNER_CHANGE_MAX_MS 300
 
 /* Retry-After of failures whose end is not known. */
