Let the receiving host grant large request bodies, and report its network delay

Change: bodies of more than 8 KiB are sent as the receiving host grants their bytes, at most 60 ms of its link at a time, and are refused on arrival when those before them take longer than the time left; the call is submitted when its body is complete. Loads tell the network delay and the wait for bodies; the choice of hosts counts both, and pings without an answer; failures count with the time that they took. Only with adaptive balancing; other frames stay as they are.

--- a/internal/exchange.h
+++ b/internal/exchange.h
@@ -56,6 +56,7 @@
     size_t head_bytes;        /* of `head`, here and in its call */
     bool may_have_run;        /* an attempt failed with unknown outcome */
     int attempt_count;
+    int64_t attempt_started_ms;    /* the last one */
     AprCallFailure_t last_failure; /* of the last attempt */
     char tried_hosts[APR_MAX_ATTEMPTS][APR_NAME_SIZE];
     AprCallRef_t call_ref;         /* current attempt */
--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -12,7 +12,9 @@
 #include "apricot/grant_table.h"
 #include "apricot/key_plan.h"
 #include "apricot/kv.h"
+#include "apricot/body_pacing.h"
 #include "apricot/memory_budget.h"
+#include "apricot/network_delay.h"
 #include "apricot/metrics.h"
 #include "apricot/retry_budget.h"
 #include "apricot/route_table.h"
@@ -116,6 +118,8 @@
     AprMetric_t *duration_buckets[APR_DURATION_BUCKETS];
     AprRetryBudget_t retry_budget;
     AprMemoryBudget_t memory_budget;
+    AprBodyPacing_t body_pacing;     /* of calls from other hosts */
+    AprNetworkDelay_t network_delay; /* of requests from other hosts */
     size_t head_bytes;         /* memory of the heads of callers' requests */
     int64_t closed_for_memory; /* connections, since the last log line */
     int64_t closed_for_descriptors;
@@ -227,6 +231,7 @@
                      void *context, AprCallRef_t *ref,
                      AprCallFailure_t *failure);
 int AprLinks_CountOutboundCalls(const AprLinks_t *links, const char *host);
+int64_t AprLinks_UnansweredPingMs(const AprLinks_t *links, const char *host);
 void AprLinks_SendHandoverToken(AprLinks_t *links, const char *host,
                                 const char *service, const AprGrant_t *grant);
 bool AprLinks_RequestLeaseRenewal(AprLinks_t *links, const char *host,
@@ -308,7 +313,8 @@
 void AprMembers_RecordOutcome(AprMembers_t *members, const char *host,
                               double lost_ms);
 AprHost_t *AprMembers_ChooseHost(AprMembers_t *members, const char *service,
-                                 char tried[][APR_NAME_SIZE], int tried_count);
+                                 bool large_body, char tried[][APR_NAME_SIZE],
+                                 int tried_count);
 
 /* Whether the local backend server may receive a request for a key. */
 typedef enum AprKeyStatus_t {
--- a/internal/gateway_link.h
+++ b/internal/gateway_link.h
@@ -35,6 +35,7 @@
     int64_t stalled_ms;     /* see stall_link(); 0: not stalled */
     gint next_stream;       /* outbound: id of the last call sent */
     uint32_t last_stream;   /* inbound: id of the last call read */
+    bool peer_paces_bodies; /* outbound: AprHostLoad_t.paces_bodies */
     bool going_away;        /* GOAWAY was sent (inbound) or received */
     bool has_clock_offset;
     /* Smallest receive time minus send time of a call: the offset of the two
@@ -53,7 +54,11 @@
 
 /* Implemented in link_calls.c. */
 size_t AprGatewayLink_HeldBytes(const AprGatewayLink_t *link);
-GHashTable *AprLinkCalls_NewTable(void);
+GHashTable *AprLinkCalls_NewTable(bool inbound);
+void AprLinkCalls_UpdatePeerLoad(AprGatewayLink_t *link,
+                                 const AprHostLoad_t *load);
+void AprLinkCalls_GrantBodies(AprGateway_t *gateway);
+void AprLinkCalls_RefuseHeld(AprGatewayLink_t *link);
 void AprLinkCalls_Start(AprGatewayLink_t *link, const AprCallHead_t *head,
                         const char *data, size_t size, bool end,
                         const AprCallHandlers_t *handlers, void *context,
--- a/internal/host_choice.h
+++ b/internal/host_choice.h
@@ -20,6 +20,9 @@
     double pace;        /* 1: usual */
     int sent_count;     /* requests of this process since the report */
     double failures_ms; /* AprRecentFailures_PenaltyMs() */
+    int64_t network_delay_ms; /* reported, at the time of the report */
+    int64_t body_wait_ms; /* reported; 0 for a request without large body */
+    int64_t silent_ms;    /* a ping has been without answer for this time */
 } AprHostCandidate_t;
 
 /* Usual load of the hosts of a service, as far as they reported it: what an
--- a/internal/link_frame.h
+++ b/internal/link_frame.h
@@ -31,7 +31,8 @@
     APR_LINK_RENEWAL_RESULT,
     APR_LINK_REACHABILITY_QUERY,
     APR_LINK_REACHABILITY_REPLY,
-    APR_LINK_GOAWAY
+    APR_LINK_GOAWAY,
+    APR_LINK_CREDIT
 } AprLinkType_t;
 
 /* Load of a gateway and how far its copy of the store goes; part of pings and
@@ -51,6 +52,11 @@
     bool has_work;
     int64_t work_ms; /* service time at the usual pace, over all slots */
     int pace; /* 100: work takes as long as usual, 300: three times as long */
+    int64_t network_delay_ms; /* queueing delay of requests to this host */
+    /* Request bodies are sent to this host as it grants them, which takes
+       body_wait_ms. */
+    bool paces_bodies;
+    int64_t body_wait_ms;
 } AprHostLoad_t;
 
 /* An item of the store that one gateway forwards to another, or the end of a
@@ -89,10 +95,12 @@
     /* Part of a body in APR_LINK_CALL, APR_LINK_RESPONSE and APR_LINK_DATA. */
     const char *data;
     size_t data_size;
-    bool last_part;            /* `data` ends the body */
-    AprCallFailure_t failure;  /* APR_LINK_FAIL */
-    size_t acknowledged_bytes; /* APR_LINK_ACK: body bytes that the receiver
-                                  consumed */
+    bool last_part; /* `data` ends the body */
+    bool paced;     /* APR_LINK_CALL: the rest of the body waits for grants */
+    AprCallFailure_t failure; /* APR_LINK_FAIL */
+    /* APR_LINK_ACK: body bytes that the receiver consumed. APR_LINK_CREDIT:
+       body bytes that may be sent in addition. */
+    size_t acknowledged_bytes;
     /* APR_LINK_PING and APR_LINK_PONG: value that the reply repeats.
        APR_LINK_SUBSCRIBE: store revision after which changes are requested.
        APR_LINK_RENEW_LEASE and APR_LINK_RENEWAL_RESULT: lease id.
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -105,7 +105,7 @@
 static bool
 should_close(const AprExchange_t *exchange)
 {
-    return !exchange->keep_alive ||
+    return !exchange->keep_alive || !exchange->body_complete ||
            exchange->gateway->stop_step != APR_STOP_NONE;
 }
 
@@ -257,17 +257,21 @@
 }
 
 /* Tells the table of hosts how the current attempt of an unkeyed request
-   ended. A failure counts with the time left until the objective. */
+   ended. A failure counts with the time left until the objective, or with the
+   time that the attempt took if that is longer: a host whose requests fail at
+   their deadline must not look like one that answers. */
 static void
 record_outcome(const AprExchange_t *exchange, bool answered)
 {
+    int64_t now_ms = exchange_now_ms(exchange);
+    int64_t left_ms = exchange->head.objective_ms - now_ms;
+    int64_t took_ms = now_ms - exchange->attempt_started_ms;
+
     if (!exchange->keyed && exchange->attempt_count > 0) {
         AprMembers_RecordOutcome(
             exchange->gateway->members,
             exchange->tried_hosts[exchange->attempt_count - 1],
-            answered ? 0
-                     : (double)(exchange->head.objective_ms -
-                                exchange_now_ms(exchange)));
+            answered ? 0 : (double)(left_ms > took_ms ? left_ms : took_ms));
     }
 }
 
@@ -397,6 +401,16 @@
     on_response_head, on_response_data, on_response_end, on_call_failed,
     on_request_consumed};
 
+/* Returns whether other hosts grant the bytes of the request body. */
+static bool
+has_large_body(const AprExchange_t *exchange)
+{
+    return exchange->body_complete
+               ? AprBuffer_Size(&exchange->body) > APR_BODY_UNPACED_BYTES
+               : !exchange->head.has_length ||
+                     exchange->head.length > APR_BODY_UNPACED_BYTES;
+}
+
 /* Copies the name of the host for the next attempt to `host`, which holds
    APR_NAME_SIZE bytes. Returns false when there is none. */
 static bool
@@ -421,9 +435,9 @@
         g_strlcpy(host, owner, APR_NAME_SIZE);
         return true;
     }
-    member =
-        AprMembers_ChooseHost(gateway->members, exchange->head.service,
-                              exchange->tried_hosts, exchange->attempt_count);
+    member = AprMembers_ChooseHost(
+        gateway->members, exchange->head.service, has_large_body(exchange),
+        exchange->tried_hosts, exchange->attempt_count);
     if (member == NULL) {
         return false;
     }
@@ -449,6 +463,7 @@
         return;
     }
     exchange->attempt_count++;
+    exchange->attempt_started_ms = exchange_now_ms(exchange);
     exchange->unconsumed_body_bytes = size;
     if (strcmp(host, gateway->settings.host) == 0) {
         sent = AprBackend_Submit(gateway->backend, &exchange->head, data, size,
@@ -519,6 +534,7 @@
         return;
     }
     if (exchange->call_ref.call != NULL) {
+        record_outcome(exchange, false);
         exchange->call_ref.ops->cancel(exchange->call_ref.call);
         exchange->call_ref.call = NULL;
         exchange->may_have_run = true;
@@ -937,6 +953,11 @@
 {
     if (!exchange->response_complete) {
         exchange->status = 0;
+        /* A caller that leaves early says nothing about the host. */
+        if (exchange->call_ref.call != NULL && !exchange->response_started &&
+            exchange_now_ms(exchange) >= exchange->head.objective_ms) {
+            record_outcome(exchange, false);
+        }
         log_exchange(exchange, "caller closed the connection");
     }
     if (exchange->call_ref.call != NULL) {
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -146,6 +146,11 @@
     load->stopping = gateway->stop_step != APR_STOP_NONE;
     load->store_lost = !AprStoreCache_IsStoreReachable(gateway->store_cache);
     load->known_revision = AprStoreCache_Revision(gateway->store_cache);
+    load->network_delay_ms = AprNetworkDelay_Get(&gateway->network_delay,
+                                                 AprGateway_NowMs(gateway));
+    load->paces_bodies =
+        load->has_work && AprBodyPacing_IsActive(&gateway->body_pacing);
+    load->body_wait_ms = AprBodyPacing_WaitMs(&gateway->body_pacing);
 }
 
 int64_t
--- a/src/gateway/link_calls.c
+++ b/src/gateway/link_calls.c
@@ -12,6 +12,11 @@
     bool idempotent;
     AprCallHandlers_t handlers;
     void *context;
+    /* The other host grants the bytes of the body. */
+    bool paced;
+    size_t credit; /* bytes that may be sent */
+    AprBuffer_t unsent;
+    bool unsent_end; /* `unsent` ends the body */
 } OutboundCall_t;
 
 /* A call of another host to the local backend server. */
@@ -19,13 +24,61 @@
     AprGatewayLink_t *link;
     gint stream;
     AprCallRef_t ref;
+    bool paced; /* in AprGateway_t.body_pacing until the body has arrived */
+    bool held;  /* not yet submitted to the backend server */
+    AprCallHead_t head; /* while held */
+    AprBuffer_t body;   /* while held */
 } InboundCall_t;
 
+/* A paced call is submitted when its body is complete, so that it occupies no
+   slot while it is received, or with this many bytes: the sender stops at
+   APR_CALL_WINDOW_BYTES. */
+#define HELD_BODY_BYTES (APR_CALL_WINDOW_BYTES * 3 / 4)
+
+static uint64_t
+pacing_id(const InboundCall_t *call)
+{
+    return (uint64_t)(uintptr_t)call;
+}
+
+static void
+destroy_inbound_call(gpointer value)
+{
+    InboundCall_t *call = value;
+
+    if (call->paced) {
+        AprBodyPacing_Remove(&call->link->gateway->body_pacing,
+                             pacing_id(call));
+    }
+    AprCallHead_Clear(&call->head);
+    AprBuffer_Free(&call->body);
+    free(call);
+}
+
+static void
+destroy_outbound_call(gpointer value)
+{
+    OutboundCall_t *call = value;
+
+    AprBuffer_Free(&call->unsent);
+    free(call);
+}
+
 /* Creates an empty call table, which owns its calls. */
 GHashTable *
-AprLinkCalls_NewTable(void)
+AprLinkCalls_NewTable(bool inbound)
 {
-    return g_hash_table_new_full(g_int_hash, g_int_equal, NULL, free);
+    return g_hash_table_new_full(g_int_hash, g_int_equal, NULL,
+                                 inbound ? destroy_inbound_call
+                                         : destroy_outbound_call);
+}
+
+/* Records the load that the other host of a link reported. */
+void
+AprLinkCalls_UpdatePeerLoad(AprGatewayLink_t *link, const AprHostLoad_t *load)
+{
+    AprMembers_UpdateLoad(link->gateway->members, link->host, load);
+    link->peer_paces_bodies = load->paces_bodies;
 }
 
 static void
@@ -156,6 +209,8 @@
         link->min_clock_offset_ms = clock_offset_ms;
     }
     delay_ms = clock_offset_ms - link->min_clock_offset_ms;
+    AprNetworkDelay_Add(&link->gateway->network_delay, delay_ms,
+                        AprGateway_NowMs(link->gateway));
     frame->call.arrived_ms -= delay_ms;
     frame->call.objective_ms -= delay_ms;
     frame->call.deadline_ms -= delay_ms;
@@ -169,6 +224,116 @@
            (link->stream == NULL ? 0 : AprStream_HeldBytes(link->stream));
 }
 
+/* Sends the grants that are due for request bodies. */
+void
+AprLinkCalls_GrantBodies(AprGateway_t *gateway)
+{
+    uint64_t id;
+    size_t size;
+
+    while ((size = AprBodyPacing_NextGrant(&gateway->body_pacing, &id,
+                                           AprGateway_NowMs(gateway))) > 0) {
+        InboundCall_t *call = (InboundCall_t *)(uintptr_t)id;
+        AprLinkFrame_t frame = {0};
+
+        frame.type = APR_LINK_CREDIT;
+        frame.stream = (uint32_t)call->stream;
+        frame.acknowledged_bytes = size;
+        AprGatewayLink_Send(call->link, &frame);
+    }
+}
+
+/* Holds a call until its body has been received. Returns false if the link of
+   this host does not carry the body in time. */
+static bool
+hold_call(InboundCall_t *call, const AprLinkFrame_t *frame)
+{
+    AprGateway_t *gateway = call->link->gateway;
+    const AprCallHead_t *head = &frame->call;
+    int64_t now_ms = AprGateway_NowMs(gateway);
+    int64_t end_ms =
+        head->objective_ms > now_ms ? head->objective_ms : head->deadline_ms;
+    uint64_t left =
+        head->length > frame->data_size ? head->length - frame->data_size : 0;
+
+    call->paced =
+        AprBodyPacing_Offer(&gateway->body_pacing, pacing_id(call),
+                            head->has_length, left, end_ms - now_ms, now_ms);
+    AprGateway_IncrementCounter(gateway, "paced_bodies_total",
+                                call->paced ? "result=\"accepted\""
+                                            : "result=\"refused\"");
+    call->held =
+        call->paced && AprCallHead_Copy(&call->head, head) == APR_OK &&
+        AprBuffer_Append(&call->body, frame->data, frame->data_size) == APR_OK;
+    return call->held;
+}
+
+/* Submits a held call to the local backend server. */
+static void
+submit_held_call(InboundCall_t *call, bool end)
+{
+    AprGatewayLink_t *link = call->link;
+    AprCallFailure_t failure = {APR_CALL_FULL, true, 0};
+    AprCallHead_t head = call->head;
+    AprBuffer_t body = call->body;
+
+    /* The call may be freed while it is submitted. */
+    memset(&call->head, 0, sizeof(call->head));
+    memset(&call->body, 0, sizeof(call->body));
+    call->held = false;
+    if (!AprBackend_Submit(link->gateway->backend, &head,
+                           AprBuffer_Data(&body), AprBuffer_Size(&body), end,
+                           &inbound_handlers, call, &call->ref, &failure)) {
+        inbound_call_failed(call, &failure);
+    }
+    AprCallHead_Clear(&head);
+    AprBuffer_Free(&body);
+}
+
+/* Counts received data of a paced call. Returns false if the data was taken
+   for a held call. */
+static bool
+receive_paced_data(InboundCall_t *call, const AprLinkFrame_t *frame)
+{
+    AprGateway_t *gateway = call->link->gateway;
+    bool held = call->held;
+
+    AprBodyPacing_Receive(&gateway->body_pacing, pacing_id(call),
+                          frame->data_size, AprGateway_NowMs(gateway));
+    if (frame->last_part) {
+        AprBodyPacing_Remove(&gateway->body_pacing, pacing_id(call));
+        call->paced = false;
+    }
+    if (held) {
+        AprBuffer_Append(&call->body, frame->data, frame->data_size);
+        if (frame->last_part ||
+            AprBuffer_Size(&call->body) >= HELD_BODY_BYTES) {
+            submit_held_call(call, frame->last_part);
+        }
+    }
+    return !held;
+}
+
+/* Refuses the held calls of an inbound link: this host is stopping. */
+void
+AprLinkCalls_RefuseHeld(AprGatewayLink_t *link)
+{
+    AprCallFailure_t failure = {APR_CALL_LEAVING, true,
+                                APR_RESTART_RETRY_AFTER_MS};
+    GHashTableIter calls;
+    gpointer value;
+
+    g_hash_table_iter_init(&calls, link->calls);
+    while (g_hash_table_iter_next(&calls, NULL, &value)) {
+        InboundCall_t *call = value;
+
+        if (call->held) {
+            send_failure(link, (uint32_t)call->stream, &failure);
+            g_hash_table_iter_remove(&calls);
+        }
+    }
+}
+
 /* Submits a received call to the local backend server. */
 static void
 handle_call(AprGatewayLink_t *link, AprLinkFrame_t *frame)
@@ -201,9 +366,16 @@
         call->link = link;
         call->stream = (gint)frame->stream;
         g_hash_table_replace(link->calls, &call->stream, call);
-        if (AprBackend_Submit(link->gateway->backend, &frame->call,
-                              frame->data, frame->data_size, frame->last_part,
-                              &inbound_handlers, call, &call->ref, &failure)) {
+        if (frame->paced && !frame->last_part) {
+            if (hold_call(call, frame)) {
+                AprLinkCalls_GrantBodies(link->gateway);
+                return;
+            }
+        }
+        else if (AprBackend_Submit(link->gateway->backend, &frame->call,
+                                   frame->data, frame->data_size,
+                                   frame->last_part, &inbound_handlers, call,
+                                   &call->ref, &failure)) {
             return;
         }
         free_inbound_call(call);
@@ -225,7 +397,9 @@
         /* The freed slot may start or end other calls on this link, which
            invalidates the iterator. */
         g_hash_table_iter_remove(&calls);
-        ref.ops->cancel(ref.call);
+        if (ref.call != NULL) {
+            ref.ops->cancel(ref.call);
+        }
         g_hash_table_iter_init(&calls, link->calls);
     }
 }
@@ -262,11 +436,34 @@
     handlers.on_failure(context, failure);
 }
 
+/* Sends as much of the body of a paced call as was granted. */
+static void
+send_granted_data(OutboundCall_t *call)
+{
+    size_t size = AprBuffer_Size(&call->unsent);
+    size_t part = size < call->credit ? size : call->credit;
+    bool end = call->unsent_end && part == size;
+
+    if (part > 0 || end) {
+        call->credit -= part;
+        send_data(call->link, (uint32_t)call->stream,
+                  AprBuffer_Data(&call->unsent), part, end);
+        AprBuffer_Consume(&call->unsent, part);
+        call->unsent_end = call->unsent_end && !end;
+    }
+}
+
 static void
 write_outbound_body(void *context, const char *data, size_t size, bool end)
 {
     OutboundCall_t *call = context;
 
+    if (call->paced) {
+        AprBuffer_Append(&call->unsent, data, size);
+        call->unsent_end = end;
+        send_granted_data(call);
+        return;
+    }
     send_data(call->link, (uint32_t)call->stream, data, size, end);
 }
 
@@ -298,7 +495,7 @@
 {
     OutboundCall_t *call = find_outbound_call(link, frame->stream);
 
-    AprMembers_UpdateLoad(link->gateway->members, link->host, &frame->load);
+    AprLinkCalls_UpdatePeerLoad(link, &frame->load);
     if (call == NULL) {
         return;
     }
@@ -313,10 +510,12 @@
     if (link->inbound) {
         InboundCall_t *call = find_inbound_call(link, frame->stream);
 
-        if (call != NULL) {
+        if (call != NULL &&
+            (!call->paced || receive_paced_data(call, frame))) {
             call->ref.ops->write_body(call->ref.call, frame->data,
                                       frame->data_size, frame->last_part);
         }
+        AprLinkCalls_GrantBodies(link->gateway);
         return;
     }
     OutboundCall_t *call = find_outbound_call(link, frame->stream);
@@ -355,15 +554,30 @@
     }
 }
 
+static void
+handle_credit(AprGatewayLink_t *link, const AprLinkFrame_t *frame)
+{
+    OutboundCall_t *call = find_outbound_call(link, frame->stream);
+
+    if (call != NULL && call->paced) {
+        call->credit += frame->acknowledged_bytes;
+        send_granted_data(call);
+    }
+}
+
 static void
 handle_cancel(AprGatewayLink_t *link, const AprLinkFrame_t *frame)
 {
     InboundCall_t *call = find_inbound_call(link, frame->stream);
 
-    if (call != NULL) {
+    if (call == NULL) {
+        return;
+    }
+    if (call->ref.call != NULL) {
         call->ref.ops->cancel(call->ref.call);
-        free_inbound_call(call);
     }
+    free_inbound_call(call);
+    AprLinkCalls_GrantBodies(link->gateway);
 }
 
 static void
@@ -371,7 +585,7 @@
 {
     OutboundCall_t *call = find_outbound_call(link, frame->stream);
 
-    AprMembers_UpdateLoad(link->gateway->members, link->host, &frame->load);
+    AprLinkCalls_UpdatePeerLoad(link, &frame->load);
     if (call != NULL) {
         fail_outbound_call(call, &frame->failure);
     }
@@ -445,9 +659,15 @@
 {
     OutboundCall_t *call = g_new0(OutboundCall_t, 1);
     AprLinkFrame_t frame = {0};
-    size_t first =
-        size < APR_LINK_MAX_DATA_BYTES ? size : APR_LINK_MAX_DATA_BYTES;
-
+    bool small =
+        end ? size <= APR_BODY_UNPACED_BYTES
+            : head->has_length && head->length <= APR_BODY_UNPACED_BYTES;
+    bool paced = !small && link->peer_paces_bodies &&
+                 AprGateway_IsBalancingAdaptive(link->gateway);
+    size_t limit = paced ? APR_BODY_UNPACED_BYTES : APR_LINK_MAX_DATA_BYTES;
+    size_t first = size < limit ? size : limit;
+
+    call->paced = paced;
     call->link = link;
     call->stream = ++link->next_stream;
     call->idempotent = head->idempotent;
@@ -460,8 +680,13 @@
     frame.data = data;
     frame.data_size = first;
     frame.last_part = end && first == size;
+    frame.paced = paced;
     AprGatewayLink_Send(link, &frame);
-    if (first < size) {
+    if (paced) {
+        AprBuffer_Append(&call->unsent, data + first, size - first);
+        call->unsent_end = end && !frame.last_part;
+    }
+    else if (first < size) {
         send_data(link, (uint32_t)call->stream, data + first, size - first,
                   end);
     }
@@ -492,6 +717,9 @@
     case APR_LINK_ACK:
         handle_acknowledgement(link, frame);
         break;
+    case APR_LINK_CREDIT:
+        handle_credit(link, frame);
+        break;
     default:
         break;
     }
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -85,6 +85,7 @@
     }
     links->gateway = gateway;
     links->listen_fd = -1;
+    AprBodyPacing_Init(&gateway->body_pacing, gateway->settings.link_mbps);
     links->outbound_by_host = g_hash_table_new(g_str_hash, g_str_equal);
     links->inbound_hosts =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
@@ -245,6 +246,7 @@
     case APR_LINK_CANCEL:
     case APR_LINK_FAIL:
     case APR_LINK_ACK:
+    case APR_LINK_CREDIT:
         AprLinkCalls_HandleFrame(link, frame);
         break;
     case APR_LINK_PING:
@@ -252,7 +254,7 @@
         send_load(link, APR_LINK_PONG, frame->sequence);
         break;
     case APR_LINK_PONG:
-        AprMembers_UpdateLoad(gateway->members, link->host, &frame->load);
+        AprLinkCalls_UpdatePeerLoad(link, &frame->load);
         break;
     case APR_LINK_HANDOVER_TOKEN:
         AprOwnership_AddHandoverToken(gateway->ownership, frame->service,
@@ -459,7 +461,7 @@
         }
         link->links = links;
         link->gateway = links->gateway;
-        link->calls = AprLinkCalls_NewTable();
+        link->calls = AprLinkCalls_NewTable(false);
         g_strlcpy(link->host, host, sizeof(link->host));
         link->next = links->outbound;
         links->outbound = link;
@@ -528,6 +530,19 @@
     return link == NULL ? 0 : (int)g_hash_table_size(link->calls);
 }
 
+/* Returns the milliseconds for which a ping on the outbound link to a host has
+   been without any answer; 0 when there is none. */
+int64_t
+AprLinks_UnansweredPingMs(const AprLinks_t *links, const char *host)
+{
+    const AprGatewayLink_t *link = find_outbound_link(links, host);
+
+    return link == NULL || link->stream == NULL ||
+                   link->last_ping_ms <= link->last_received_ms
+               ? 0
+               : links_now_ms(links) - link->last_ping_ms;
+}
+
 static void
 send_release(AprLinks_t *links, const ReleaseNotice_t *release)
 {
@@ -844,6 +859,52 @@
     }
 }
 
+/* Tells the hosts that opened links of a high network delay. */
+static void
+advertise_delay(AprLinks_t *links, int64_t now_ms)
+{
+    if (!AprGateway_IsBalancingAdaptive(links->gateway) ||
+        !AprNetworkDelay_MustAdvertise(&links->gateway->network_delay,
+                                       now_ms)) {
+        return;
+    }
+    for (AprGatewayLink_t *link = links->inbound; link != NULL;
+         link = link->next) {
+        if (link->host[0] != '\0') {
+            send_load(link, APR_LINK_PONG, 0);
+        }
+    }
+    AprGateway_IncrementCounter(links->gateway, "network_delay_reports_total",
+                                "");
+}
+
+static void
+set_gauge(const AprLinks_t *links, const char *name, const char *help,
+          int64_t value)
+{
+    AprMetric_t *gauge =
+        AprMetrics_RegisterGauge(links->gateway->metrics, name, "", help);
+
+    if (gauge != NULL) {
+        AprMetric_Set(gauge, value);
+    }
+}
+
+static void
+update_network_metrics(const AprLinks_t *links, int64_t now_ms)
+{
+    AprGateway_t *gateway = links->gateway;
+
+    if (AprGateway_IsBalancingAdaptive(gateway)) {
+        set_gauge(links, "network_delay_ms",
+                  "queueing delay of requests from other hosts",
+                  AprNetworkDelay_Get(&gateway->network_delay, now_ms));
+        set_gauge(links, "body_wait_ms",
+                  "time that the link needs for the bodies taken",
+                  AprBodyPacing_WaitMs(&gateway->body_pacing));
+    }
+}
+
 /* Pings outbound links without traffic, closes those that timed out, frees
    closed inbound links and resends release notices. Called several times a
    second. */
@@ -862,6 +923,15 @@
         link = next;
     }
     check_stalled_links(links, now_ms);
+    advertise_delay(links, now_ms);
+    update_network_metrics(links, now_ms);
+    if (links->gateway->stop_step >= APR_STOP_REFUSE_PEERS) {
+        for (AprGatewayLink_t *link = links->inbound; link != NULL;
+             link = link->next) {
+            AprLinkCalls_RefuseHeld(link);
+        }
+    }
+    AprLinkCalls_GrantBodies(links->gateway);
     if (now_ms - links->last_release_send_ms >= BUSY_PING_INTERVAL_MS) {
         links->last_release_send_ms = now_ms;
         resend_releases(links);
@@ -916,7 +986,7 @@
         link->links = links;
         link->gateway = links->gateway;
         link->inbound = true;
-        link->calls = AprLinkCalls_NewTable();
+        link->calls = AprLinkCalls_NewTable(true);
         link->last_received_ms = links_now_ms(links);
         link->stream =
             AprStream_Open(links->gateway->streams, fd, &stream_handler, link);
@@ -992,5 +1062,6 @@
     msgpack_zone_destroy(&links->zone);
     g_hash_table_destroy(links->outbound_by_host);
     g_hash_table_destroy(links->inbound_hosts);
+    AprBodyPacing_Free(&links->gateway->body_pacing);
     free(links);
 }
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -407,14 +407,18 @@
 /* Fills in what only the choice by remaining work uses. A cold host reports
    fewer slots than its entry in the store names. */
 static void
-fill_remaining_work(const AprHost_t *member, AprHostCandidate_t *candidate,
-                    int64_t now_ms)
+fill_remaining_work(const AprMembers_t *members, const AprHost_t *member,
+                    AprHostCandidate_t *candidate, int64_t now_ms)
 {
     const AprHostLoad_t *load = &member->load_report;
 
     candidate->sent_count = member->is_self ? 0 : member->sent_count;
     candidate->failures_ms =
         AprRecentFailures_PenaltyMs(&member->failures, now_ms);
+    candidate->silent_ms =
+        member->is_self
+            ? 0
+            : AprLinks_UnansweredPingMs(members->gateway->links, member->host);
     if (member->load_report_ms == 0) {
         candidate->age_ms = INT32_MAX; /* the usual load is assumed */
         return;
@@ -422,6 +426,7 @@
     candidate->has_work = load->has_work;
     candidate->work_ms = (double)load->work_ms;
     candidate->pace = load->pace / 100.0;
+    candidate->network_delay_ms = load->network_delay_ms;
     if (load->slots > 0) {
         candidate->slots = load->slots;
     }
@@ -451,7 +456,7 @@
         member->unreachable_ms != 0 &&
         now_ms - member->unreachable_ms < FAILED_HOST_AVOID_MS;
     if (AprGateway_IsBalancingAdaptive(gateway)) {
-        fill_remaining_work(member, candidate, now_ms);
+        fill_remaining_work(members, member, candidate, now_ms);
     }
 }
 
@@ -536,11 +541,13 @@
 }
 
 /* Chooses the host for a request that any backend server of a service can
-   handle. Hosts in `tried` are excluded. Returns NULL when no host is left.
+   handle. `large_body`: AprHostLoad_t.body_wait_ms applies to it. Hosts in
+   `tried` are excluded. Returns NULL when no host is left.
    The pointer is valid until the next AprMembers_ApplyEntry(). */
 AprHost_t *
 AprMembers_ChooseHost(AprMembers_t *members, const char *service,
-                      char tried[][APR_NAME_SIZE], int tried_count)
+                      bool large_body, char tried[][APR_NAME_SIZE],
+                      int tried_count)
 {
     int64_t now_ms = AprGateway_NowMs(members->gateway);
     GQuark service_id = g_quark_try_string(service);
@@ -580,6 +587,8 @@
             continue;
         }
         fill_host_candidate(members, member, &candidate, now_ms);
+        candidate.body_wait_ms =
+            large_body ? member->load_report.body_wait_ms : 0;
         if (adaptive) {
             if (AprHostSample_Add(&sample, index, &candidate, i)) {
                 break;
--- a/src/protocol/link_frame.c
+++ b/src/protocol/link_frame.c
@@ -38,13 +38,21 @@
    number of elements whether the remaining work follows, and one that does not
    know of it ignores it. */
 #define LOAD_FIELD_COUNT 9
-#define WORK_FIELD_COUNT 2
+#define WORK_FIELD_COUNT 3
+#define PACING_FIELD_COUNT 1
+
+/* Elements of the remaining work that earlier versions send: without the
+   network delay. */
+#define MIN_WORK_FIELD_COUNT 2
 
 /* Returns the number of elements that pack_load() writes. */
 static uint32_t
 load_field_count(const AprHostLoad_t *load)
 {
-    return LOAD_FIELD_COUNT + (load->has_work ? WORK_FIELD_COUNT : 0);
+    return LOAD_FIELD_COUNT +
+           (load->has_work ? WORK_FIELD_COUNT +
+                                 (load->paces_bodies ? PACING_FIELD_COUNT : 0)
+                           : 0);
 }
 
 static void
@@ -62,6 +70,10 @@
     if (load->has_work) {
         msgpack_pack_int64(packer, load->work_ms);
         msgpack_pack_int(packer, load->pace);
+        msgpack_pack_int64(packer, load->network_delay_ms);
+        if (load->paces_bodies) {
+            msgpack_pack_int64(packer, load->body_wait_ms);
+        }
     }
 }
 
@@ -106,13 +118,16 @@
         pack_text(packer, frame->expected_host);
         break;
     case APR_LINK_CALL:
-        msgpack_pack_array(packer, 2 + CALL_FIELD_COUNT);
+        msgpack_pack_array(packer, 2 + CALL_FIELD_COUNT + frame->paced);
         msgpack_pack_int(packer, frame->type);
         msgpack_pack_uint32(packer, frame->stream);
         msgpack_pack_int64(packer, now_ms);
         pack_call(packer, &frame->call, now_ms);
         pack_bytes(packer, frame->data, frame->data_size);
         pack_bool(packer, frame->last_part);
+        if (frame->paced) {
+            pack_bool(packer, true);
+        }
         break;
     case APR_LINK_RESPONSE:
         msgpack_pack_array(packer, 8 + load_field_count(&frame->load));
@@ -148,6 +163,7 @@
         pack_load(packer, &frame->load);
         break;
     case APR_LINK_ACK:
+    case APR_LINK_CREDIT:
         msgpack_pack_array(packer, 3);
         msgpack_pack_int(packer, frame->type);
         msgpack_pack_uint32(packer, frame->stream);
@@ -355,11 +371,15 @@
     load->stopping = read_bool(reader);
     load->store_lost = read_bool(reader);
     load->known_revision = read_int(reader);
-    if (reader->remaining >= WORK_FIELD_COUNT) {
+    if (reader->remaining >= MIN_WORK_FIELD_COUNT) {
         load->has_work = true;
         load->work_ms = read_int(reader);
         load->pace = (int)read_int(reader);
-        if (load->work_ms < 0 || load->pace < 1) {
+        load->network_delay_ms = reader->remaining > 0 ? read_int(reader) : 0;
+        load->paces_bodies = reader->remaining > 0;
+        load->body_wait_ms = load->paces_bodies ? read_int(reader) : 0;
+        if (load->work_ms < 0 || load->pace < 1 ||
+            load->network_delay_ms < 0 || load->body_wait_ms < 0) {
             reader->failed = true;
         }
     }
@@ -422,6 +442,7 @@
         read_call(reader, zone, &frame->call, now_ms);
         read_bytes(reader, &frame->data, &frame->data_size);
         frame->last_part = read_bool(reader);
+        frame->paced = reader->remaining > 0 && read_bool(reader);
         break;
     case APR_LINK_RESPONSE:
         frame->stream = (uint32_t)read_int(reader);
@@ -456,6 +477,7 @@
         break;
     }
     case APR_LINK_ACK:
+    case APR_LINK_CREDIT:
         frame->stream = (uint32_t)read_int(reader);
         frame->acknowledged_bytes = (size_t)read_int(reader);
         break;
--- a/src/state/host_choice.c
+++ b/src/state/host_choice.c
@@ -143,6 +143,19 @@
            (sample->has_domain || step >= MAX_STEPS);
 }
 
+/* Returns the expected queueing delay in milliseconds of a request on its way
+   to a host. A reported queue is emptied no faster than time passes, however
+   old the report is. */
+static double
+network_delay_ms(const AprHostCandidate_t *candidate)
+{
+    int64_t left_ms = candidate->network_delay_ms + candidate->body_wait_ms -
+                      candidate->age_ms;
+
+    return (double)(left_ms > candidate->silent_ms ? left_ms
+                                                   : candidate->silent_ms);
+}
+
 /* Returns the expected time in milliseconds from now to the end of a usual
    request on a host, plus the delay that it adds to those behind it. What a
    report says about the queue loses its weight with its age, towards the usual
@@ -173,7 +186,7 @@
     return wait_ms + cost_ms * pace +
            /* Those behind it wait for its share of the slots. */
            cost_ms * pace / slots * fmin(work_ms / (slots * cost_ms), 2) +
-           candidate->failures_ms +
+           candidate->failures_ms + network_delay_ms(candidate) +
            (candidate->same_domain ? 0 : CROSS_DOMAIN_PENALTY_MS);
 }
 
--- a/tests/test_gateway_bodies.c
+++ b/tests/test_gateway_bodies.c
@@ -1,7 +1,7 @@
 /* Property of kept connections: after bodies of any size, by length or
    chunked, slow readers and callers that leave, each later request is
-   answered. The seeds are fixed; APR_BODIES_SEED and APR_BODIES_REQUESTS
-   replace them. */
+   answered. The seeds are fixed; APR_BODIES_SEED, APR_BODIES_REQUESTS and
+   APR_BODIES_ADAPTIVE replace them. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -398,8 +398,19 @@
     }
 }
 
+/* With adaptive balancing, hosts grant the bytes of the bodies that they
+   receive from each other. */
 static void
-check_kept_connections(unsigned seed, int requests)
+use_adaptive_balancing(void)
+{
+    for (int i = 0; i < CLUSTER_HOSTS; i++) {
+        cluster.hosts[i].settings.balancing_mode = APR_BALANCING_ON;
+        cluster.hosts[i].gateway->settings.balancing_mode = APR_BALANCING_ON;
+    }
+}
+
+static void
+check_kept_connections(unsigned seed, int requests, bool adaptive)
 {
     Caller_t callers[CALLERS] = {0};
     ev_io listener;
@@ -412,6 +423,9 @@
     assert_true(cluster_wait_until_held(&cluster, START_TIMEOUT_S) <
                 START_TIMEOUT_S);
     allow_long_requests();
+    if (adaptive) {
+        use_adaptive_balancing();
+    }
     replace_backend(&listener);
     cluster_limit_send_buffers(&cluster.hosts[1], 8192);
     for (int i = 0; i < CALLERS; i++) {
@@ -464,12 +478,14 @@
 
     (void)state;
     if (seed != NULL) {
-        check_kept_connections((unsigned)strtoul(seed, NULL, 10), count);
+        check_kept_connections((unsigned)strtoul(seed, NULL, 10), count,
+                               getenv("APR_BODIES_ADAPTIVE") != NULL);
         return;
     }
     for (unsigned i = 1; i <= 2; i++) {
-        check_kept_connections(i, count);
+        check_kept_connections(i, count, false);
     }
+    check_kept_connections(3, count, true);
 }
 
 int
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -177,6 +177,59 @@
     }
 }
 
+/* Guards against a paced call, a grant or the wait for bodies that is lost,
+   and against loads of earlier versions that are not read. */
+static void
+test_frames_of_paced_bodies(void **state)
+{
+    AprLinkFrame_t frames[] = {
+        {.type = APR_LINK_CALL,
+         .call = {.target = "/", .headers = "", .key = APR_NO_KEY},
+         .data = "ab",
+         .data_size = 2,
+         .paced = true},
+        {.type = APR_LINK_CREDIT, .stream = 3, .acknowledged_bytes = 16384},
+        {.type = APR_LINK_PONG,
+         .load = {.has_work = true,
+                  .pace = 100,
+                  .network_delay_ms = 40,
+                  .paces_bodies = true,
+                  .body_wait_ms = 250}}};
+    /* A pong whose load ends with remaining work and pace. */
+    static const unsigned char earlier[] = {
+        0x9d, APR_LINK_PONG, 7, 5, 1, 2, 6, 0, 0xc3, 0xc2, 0xc2, 9, 50, 100};
+    AprLinkFrame_t decoded;
+    msgpack_zone zone;
+
+    (void)state;
+    msgpack_zone_init(&zone, 4096);
+    for (size_t i = 0; i < sizeof(frames) / sizeof(frames[0]); i++) {
+        msgpack_sbuffer buffer;
+
+        msgpack_sbuffer_init(&buffer);
+        AprLinkFrame_Encode(&buffer, &frames[i], 0);
+        assert_int_equal(
+            AprLinkFrame_Decode(&zone, buffer.data, buffer.size, &decoded, 0),
+            APR_OK);
+        assert_int_equal(decoded.paced, frames[i].paced);
+        assert_int_equal(decoded.acknowledged_bytes,
+                         frames[i].acknowledged_bytes);
+        assert_int_equal(decoded.load.network_delay_ms,
+                         frames[i].load.network_delay_ms);
+        assert_int_equal(decoded.load.paces_bodies,
+                         frames[i].load.paces_bodies);
+        assert_int_equal(decoded.load.body_wait_ms,
+                         frames[i].load.body_wait_ms);
+        msgpack_sbuffer_destroy(&buffer);
+    }
+    assert_int_equal(AprLinkFrame_Decode(&zone, (const char *)earlier,
+                                         sizeof(earlier), &decoded, 0),
+                     APR_OK);
+    assert_true(decoded.load.has_work && !decoded.load.paces_bodies);
+    assert_int_equal(decoded.load.work_ms, 50);
+    msgpack_zone_destroy(&zone);
+}
+
 typedef struct ParseCounts_t {
     int heads;
     int completes;
@@ -325,6 +378,7 @@
         cmocka_unit_test(test_host_choice),
         cmocka_unit_test(test_load_without_remaining_work),
         cmocka_unit_test(test_load_with_remaining_work),
+        cmocka_unit_test(test_frames_of_paced_bodies),
         cmocka_unit_test(test_rejects_request_smuggling),
         cmocka_unit_test(test_parses_data_in_any_pieces),
         cmocka_unit_test(test_detects_truncated_responses),
--- a/tests/test_gateway_restart.c
+++ b/tests/test_gateway_restart.c
@@ -199,8 +199,8 @@
             strcpy(tried[count++], cluster.hosts[i].settings.host);
         }
     }
-    return AprMembers_ChooseHost(at->gateway->members, CLUSTER_SERVICE, tried,
-                                 count) != NULL;
+    return AprMembers_ChooseHost(at->gateway->members, CLUSTER_SERVICE, false,
+                                 tried, count) != NULL;
 }
 
 /* Restarts a gateway whose backend server then deregisters before its first
