--- a/include/apricot/route_table.h
+++ b/include/apricot/route_table.h
@@ -9,6 +9,10 @@
 #define APR_HEALTH_PATH_SIZE 128
 #define APR_MAX_ROUTE_SERVICES 8
 
+/* Buffer size for host name, path and terminator; longer requests match no
+   route. */
+#define APR_ROUTE_KEY_SIZE 4096
+
 /* A service that receives a weighted share of a route's requests. */
 typedef struct AprWeightedService_t {
     int service; /* index into AprRouteTable_t.services */
@@ -71,6 +75,7 @@
                                size_t host_size, const char *path,
                                size_t path_size);
 int AprRouteTable_FindService(const AprRouteTable_t *table, const char *name);
+char *AprRoute_FormatKey(const AprRoute_t *route);
 int AprRoute_NextService(AprRoute_t *route);
 
 #endif
--- a/src/state/route_table.c
+++ b/src/state/route_table.c
@@ -6,10 +6,6 @@
 
 #include "apricot/error.h"
 
-/* Buffer size for host name, path and terminator; longer requests match no
-   route. */
-#define LOOKUP_KEY_SIZE 4096
-
 /* Creates a table with zeroed routes and services and without an index; NULL
    when memory runs out. */
 AprRouteTable_t *
@@ -51,9 +47,20 @@
     free(table);
 }
 
-/* Builds the index for AprRouteTable_Find once all routes are set. Host names
-   are indexed in lower case. Returns APR_E_INVALID when two routes have the
-   same host name and prefix. */
+/* Returns the key of a route in the index: the host name in lower case and the
+   prefix. The caller frees it with g_free(). */
+char *
+AprRoute_FormatKey(const AprRoute_t *route)
+{
+    char *lower = g_ascii_strdown(route->host, -1);
+    char *key = g_strconcat(lower, route->prefix, NULL);
+
+    g_free(lower);
+    return key;
+}
+
+/* Builds the index for AprRouteTable_Find once all routes are set.
+   Returns APR_E_INVALID when two routes have the same key. */
 int
 AprRouteTable_BuildIndex(AprRouteTable_t *table)
 {
@@ -61,11 +68,9 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     for (int i = 0; i < table->route_count; i++) {
         AprRoute_t *route = &table->routes[i];
-        char *lower = g_ascii_strdown(route->host, -1);
-        char *key = g_strconcat(lower, route->prefix, NULL);
 
-        g_free(lower);
-        if (!g_hash_table_insert(table->index, key, route)) {
+        if (!g_hash_table_insert(table->index, AprRoute_FormatKey(route),
+                                 route)) {
             return APR_E_INVALID;
         }
     }
@@ -79,7 +84,7 @@
 AprRouteTable_Find(const AprRouteTable_t *table, const char *host,
                    size_t host_size, const char *path, size_t path_size)
 {
-    char key[LOOKUP_KEY_SIZE];
+    char key[APR_ROUTE_KEY_SIZE];
     const char *colon = memchr(host, ':', host_size);
     const char *query = memchr(path, '?', path_size);
 
