--- a/internal/field_table.h
+++ b/internal/field_table.h
@@ -74,5 +74,6 @@
 /* Returns the known name with the smallest edit distance. */
 const char *AprName_FindNearest(const char *name, const char *const *known,
                                 int count);
+int AprName_Distance(const char *left, const char *right);
 
 #endif
--- a/src/state/field_check.c
+++ b/src/state/field_check.c
@@ -151,8 +151,8 @@
 }
 
 /* The Levenshtein distance of two names. */
-static int
-edit_distance(const char *left, const char *right)
+int
+AprName_Distance(const char *left, const char *right)
 {
     int row[COMPARED_NAME_LENGTH + 1];
     int columns = (int)strnlen(right, COMPARED_NAME_LENGTH);
@@ -185,7 +185,7 @@
     int smallest = 0;
 
     for (int i = 0; i < count; i++) {
-        int distance = edit_distance(name, known[i]);
+        int distance = AprName_Distance(name, known[i]);
 
         if (nearest == NULL || distance < smallest) {
             nearest = known[i];
