Check a configuration before it is sent

Whatever the gateway would reject is an error, as the check calls the same reader.

They are in platform/, which becomes a library, and the main program passes them to AprCtl_Run().

test_config_check fails when any one report of a rule is taken out, except three: a missing service, which the reader of the gateway reports as well, and two that need memory to run out or cannot occur.

--- a/src/ctl/admin_client.c
+++ b/src/ctl/admin_client.c
@@ -52,14 +52,13 @@
     return headers;
 }
 
-/* Sends one GET, or one POST with an empty body. Environment variables for
-   proxies are ignored. */
+/* Sends one GET, or one POST with an empty body, and frees the headers.
+   Environment variables for proxies are ignored. */
 static CURLcode
-perform_request(const AprCtl_t *ctl, const char *url, bool is_post,
+perform_request(struct curl_slist *headers, const char *url, bool is_post,
                 GString *body, long *status)
 {
     CURL *curl = curl_easy_init();
-    struct curl_slist *headers = make_request_headers(ctl);
     CURLcode code;
 
     if (curl == NULL) {
@@ -85,6 +84,16 @@
     return code;
 }
 
+/* Sends a GET to a URL without the token, which other servers must not see.
+   Returns NULL if there was a response, else the reason. */
+const char *
+AprCtl_FetchUrl(const char *url, GString *body, long *status)
+{
+    CURLcode code = perform_request(NULL, url, false, body, status);
+
+    return code == CURLE_OK ? NULL : curl_easy_strerror(code);
+}
+
 /* A POST that failed after the connection was made may have been executed, so
    its message does not call it failed. */
 static int
@@ -158,7 +167,8 @@
     char *url = g_strdup_printf("http://%s%s", address, path);
     GString *body = g_string_new(NULL);
     long status = 0;
-    CURLcode code = perform_request(ctl, url, is_post, body, &status);
+    CURLcode code = perform_request(make_request_headers(ctl), url, is_post,
+                                    body, &status);
     int result;
 
     *response = NULL;
--- a/src/ctl/config_verbs.c
+++ b/src/ctl/config_verbs.c
@@ -251,7 +251,7 @@
     return APR_CTL_OK;
 }
 
-/* Runs `config show` or `config history`. */
+/* Runs `config show`, `config history` or `config check`. */
 int
 AprCtl_RunConfig(AprCtl_t *ctl)
 {
@@ -259,12 +259,19 @@
     AprStore_t store;
     int result;
 
+    if (strcmp(ctl->arguments[0], "check") == 0) {
+        return AprCtl_RunConfigCheck(ctl);
+    }
     if (!is_show && strcmp(ctl->arguments[0], "history") != 0) {
         return AprCtl_Fail(ctl, APR_CTL_INVALID,
-                           "config takes show or history, not \"%s\"; see "
-                           "apricotctl config --help",
+                           "config takes show, history or check, not \"%s\"; "
+                           "see apricotctl config --help",
                            ctl->arguments[0]);
     }
+    if (ctl->against != NULL) {
+        return AprCtl_Fail(ctl, APR_CTL_INVALID,
+                           "--against is an option of config check only");
+    }
     result = AprCtl_OpenStore(ctl, &store);
     if (result != APR_CTL_OK) {
         return result;
--- a/src/ctl/ctl.c
+++ b/src/ctl/ctl.c
@@ -9,7 +9,8 @@
     VERB_USES_ADMIN = 1,
     VERB_USES_STORE = 2,
     VERB_TAKES_BASED_ON = 4,
-    VERB_TAKES_CONFIRM_DEAD = 8
+    VERB_TAKES_CONFIRM_DEAD = 8,
+    VERB_TAKES_AGAINST = 16
 } VerbOptionFlags_t;
 
 typedef struct Verb_t {
@@ -33,10 +34,13 @@
      "Nothing is published if any file has an error.",
      1, MAX_DIRECTORY_ARGUMENTS, VERB_USES_STORE | VERB_TAKES_BASED_ON,
      AprCtl_RunPublish},
-    {"config", "show|history [SERVICE]",
+    {"config", "show|history [SERVICE] | check FILE",
      "Prints the published configuration (show), or who published what and "
-     "when (history).",
-     1, 2, VERB_USES_STORE, AprCtl_RunConfig},
+     "when (history). check reads a configuration of apricot-gateway and "
+     "prints what is wrong with it; its exit codes are 0 without findings, 1 "
+     "with findings, and 2 if a file or the store cannot be read or the usage "
+     "is wrong.",
+     1, 2, VERB_USES_STORE | VERB_TAKES_AGAINST, AprCtl_RunConfig},
     {"status", "", "Prints the hosts and services of the cell.", 0, 0,
      VERB_USES_ADMIN, AprCtl_RunStatus},
     {"where", "SERVICE KEY", "Prints the owner of a key.", 2, 2,
@@ -115,6 +119,12 @@
          "Fails with exit code 3 if a service changed after this generation",
          "GENERATION"},
         {0}};
+    GOptionEntry against[] = {
+        {"against", 0, 0, G_OPTION_ARG_FILENAME, &ctl->against,
+         "With check: also prints the differences from a file, or from the "
+         "configuration in force (store)",
+         "FILE|store"},
+        {0}};
     GOptionEntry confirm[] = {
         {"confirm-dead", 0, 0, G_OPTION_ARG_NONE, &ctl->confirm_dead,
          "Confirms that the process on the host has ended", NULL},
@@ -126,6 +136,9 @@
     if (verb->option_flags & VERB_TAKES_BASED_ON) {
         g_option_context_add_main_entries(context, based_on, NULL);
     }
+    if (verb->option_flags & VERB_TAKES_AGAINST) {
+        g_option_context_add_main_entries(context, against, NULL);
+    }
     if (verb->option_flags & VERB_TAKES_CONFIRM_DEAD) {
         g_option_context_add_main_entries(context, confirm, NULL);
     }
@@ -191,7 +204,8 @@
 find_verb_index(int argc, char **argv)
 {
     static const char *const options_with_value[] = {
-        "--admin", "--token", "--store", "--prefix", "--based-on", NULL};
+        "--admin",    "--token",   "--store", "--prefix",
+        "--based-on", "--against", NULL};
     int index = 1;
 
     while (index < argc && argv[index][0] == '-') {
@@ -271,12 +285,13 @@
     return APR_CTL_INVALID;
 }
 
-/* Runs one command line. Options may come before or after the verb. Returns
-   the exit code. */
+/* Runs one command line. Options may come before or after the verb. Without a
+   platform, `config check` is not available. Returns the exit code. */
 int
-AprCtl_Run(int argc, char **argv, FILE *out, FILE *err)
+AprCtl_Run(int argc, char **argv, FILE *out, FILE *err,
+           const AprCtlPlatform_t *platform)
 {
-    AprCtl_t ctl = {.out = out, .err = err};
+    AprCtl_t ctl = {.out = out, .err = err, .platform = platform};
     int index = find_verb_index(argc, argv);
     const Verb_t *verb;
     char **remaining_arguments;
@@ -298,5 +313,6 @@
     g_free(ctl.admin_token);
     g_free(ctl.store_urls);
     g_free(ctl.key_prefix);
+    g_free(ctl.against);
     return result;
 }
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -157,7 +157,8 @@
     FILE *out = open_memstream(&result.out, &out_size);
     FILE *err = open_memstream(&result.err, &err_size);
 
-    result.exit_code = AprCtl_Run((int)g_strv_length(argv), argv, out, err);
+    result.exit_code =
+        AprCtl_Run((int)g_strv_length(argv), argv, out, err, NULL);
     fclose(out);
     fclose(err);
     g_strfreev(argv);
