--- a/src/ctl/config_check.c
+++ b/src/ctl/config_check.c
@@ -1,3 +1,4 @@
+#include <stdlib.h>
 #include <string.h>
 
 #include "internal/ctl.h"
@@ -117,6 +118,16 @@
     }
 }
 
+/* Prints the name of a member, which can be any text, with escapes. */
+static void
+print_member_name(const AprCtl_t *ctl, const json_t *name)
+{
+    char *text = json_dumps(name, VALUE_FLAGS | JSON_ENSURE_ASCII);
+
+    fprintf(ctl->out, " %.*s: ", (int)strlen(text) - 2, text + 1);
+    free(text);
+}
+
 /* Prints a difference on one line, for instance
    `route changed "desk" sloS: 0.5 -> 0.4`. */
 static void
@@ -137,7 +148,7 @@
         print_value(ctl, json_is_null(old_value) ? new_value : old_value);
     }
     else {
-        fprintf(ctl->out, " %s: ", AprCtl_GetText(difference, "field"));
+        print_member_name(ctl, json_object_get(difference, "field"));
         print_value(ctl, old_value);
         fputs(" -> ", ctl->out);
         print_value(ctl, new_value);
