Make the write of a host's entry conditional on the stored one

Cause: the write of the own entry had no condition. A write of the process before a restart that the store carried out late replaced a newer entry of the same lease, and stood until the content changed.

Change: the condition of each write is the revision of the entry as known from the answers to own writes and from the local copy. After a refusal or an unknown outcome the entry is read before it is written again. An entry that appears in the copy and is not the present one is replaced. The removal of an entry that is older than the last own write no longer starts another registration. A heartbeat during a write no longer causes a second write of the same entry. A write on the usual way needs no additional call.

--- a/internal/store_cache_state.h
+++ b/internal/store_cache_state.h
@@ -53,6 +53,7 @@
     APR_LEASE_NONE, /* a lease must be requested */
     APR_LEASE_REQUESTED,
     APR_LEASE_GRANTED, /* the entry must be written, and the fence removed */
+    APR_LEASE_READING_ENTRY,
     APR_LEASE_WRITING_ENTRY,
     APR_LEASE_REGISTERED /* the entry is stored; the lease must be renewed */
 } AprLeaseStep_t;
@@ -72,7 +73,14 @@
     int64_t last_renewal_sent_ms; /* of the last success; 0: none */
     int next_renewal_peer;        /* counts up; modulo the member count */
     bool entry_changed;           /* the stored entry is out of date */
-    char *stored_entry;
+    /* Revision of the stored entry, a condition of the next write. 0: none */
+    int64_t entry_revision;
+    int64_t
+        entry_known_revision; /* store revision up to which that is known */
+    /* A write was refused or its outcome is unknown: the entry must be read
+       before it is written again. */
+    bool entry_uncertain;
+    char *stored_entry;      /* NULL: none */
     char *pending_entry;     /* being written */
     bool writing_generation; /* the pending write stores a generation */
 } AprRegistration_t;
@@ -133,8 +141,7 @@
 /* Entry and lease of this host (registration.c). */
 int64_t AprRegistration_RenewIntervalMs(const AprStoreCache_t *cache);
 void AprRegistration_Advance(AprStoreCache_t *cache);
-void AprRegistration_OnOwnEntryRemoved(AprStoreCache_t *cache,
-                                       int64_t revision);
+void AprRegistration_OnOwnEntry(AprStoreCache_t *cache);
 void AprRegistration_ExtendAuthorityInOutage(AprStoreCache_t *cache);
 void AprRegistration_Clear(AprStoreCache_t *cache);
 
--- a/src/gateway/registration.c
+++ b/src/gateway/registration.c
@@ -55,52 +55,261 @@
     AprStoreCache_RecordStoreResult(cache, code);
 }
 
+/* Writes the store key of this host's item in a folder to `key`, which has
+   APR_CACHE_KEY_SIZE. */
+static void
+format_own_key(const AprStoreCache_t *cache, const char *folder, char *key)
+{
+    const AprGatewaySettings_t *settings = &cache->gateway->settings;
+
+    snprintf(key, APR_CACHE_KEY_SIZE, "%s%s%s", settings->store_prefix, folder,
+             settings->host);
+}
+
+/* Records the state of the own entry at a store revision. `entry` is copied;
+   NULL: there is none. */
+static void
+set_stored_entry(AprRegistration_t *registration, const char *entry,
+                 int64_t revision)
+{
+    free(registration->stored_entry);
+    registration->stored_entry = entry == NULL ? NULL : strdup(entry);
+    registration->entry_revision = entry == NULL ? 0 : revision;
+    registration->entry_known_revision = revision;
+}
+
+/* Takes over the own entry from the local copy of the store, unless an answer
+   to a write was about a later state. Returns its item, or NULL when the entry
+   does not exist as far as is known. */
+static const AprItem_t *
+update_stored_entry(AprStoreCache_t *cache)
+{
+    AprRegistration_t *registration = &cache->registration;
+    const AprItem_t *item;
+    char key[APR_CACHE_KEY_SIZE];
+
+    format_own_key(cache, APR_MEMBER_KEY_PREFIX, key);
+    item = AprStoreCache_FindItem(cache, key);
+    if (item != NULL && item->revision > registration->entry_known_revision) {
+        set_stored_entry(registration, item->removed ? NULL : item->value,
+                         item->revision);
+    }
+    return item == NULL || item->removed ? NULL : item;
+}
+
+/* Returns whether the entry that this host should have is not the stored one.
+ */
+static bool
+is_entry_changed(const AprStoreCache_t *cache)
+{
+    const char *stored = cache->registration.stored_entry;
+    char *entry = AprMembers_FormatOwnEntry(cache->gateway);
+    bool changed =
+        entry != NULL && (stored == NULL || strcmp(entry, stored) != 0);
+
+    free(entry);
+    return changed;
+}
+
+static bool
+has_heartbeat(const AprStoreCache_t *cache)
+{
+    return AprBackend_GetIncarnation(cache->gateway->backend)->id[0] != '\0';
+}
+
+/* Handles a change of the own entry in the local copy of the store: registers
+   again after its removal, and replaces an entry that is not the present one,
+   as it appears when a write of an earlier process is carried out late. Own
+   writes are not looked at before their answer. */
+void
+AprRegistration_OnOwnEntry(AprStoreCache_t *cache)
+{
+    AprRegistration_t *registration = &cache->registration;
+    int64_t known_revision = registration->entry_known_revision;
+    const AprItem_t *item;
+
+    if (registration->step == APR_LEASE_WRITING_ENTRY ||
+        registration->step == APR_LEASE_READING_ENTRY) {
+        return;
+    }
+    item = update_stored_entry(cache);
+    if (registration->step != APR_LEASE_REGISTERED ||
+        registration->entry_known_revision == known_revision) {
+        return;
+    }
+    if (item == NULL) {
+        registration->step = APR_LEASE_NONE;
+        AprLog_Write(APR_LOG_WARN, "own_entry_removed", "revision=%lld",
+                     (long long)registration->entry_known_revision);
+        return;
+    }
+    AprLog_Write(APR_LOG_WARN, "own_entry_replaced",
+                 "lease=%lld revision=%lld", (long long)item->lease,
+                 (long long)item->revision);
+    if (item->lease != registration->lease_id) {
+        /* It ends with a lease that this process does not renew. */
+        registration->step = APR_LEASE_GRANTED;
+        registration->next_lease_call_ms = 0;
+    }
+    else if (!registration->resumed || has_heartbeat(cache)) {
+        AprStoreCache_PublishOwnEntry(cache);
+    }
+}
+
+/* Forgets the entry that was stored under a lease which has ended. If there is
+   another one, the store refuses the next write. */
+static void
+forget_stored_entry(AprRegistration_t *registration)
+{
+    set_stored_entry(registration, NULL, registration->entry_known_revision);
+}
+
+static void
+enter_registered(AprStoreCache_t *cache, int64_t next_call_ms)
+{
+    AprRegistration_t *registration = &cache->registration;
+
+    registration->step = APR_LEASE_REGISTERED;
+    registration->resumed = false;
+    registration->lease_failures = 0;
+    registration->next_lease_call_ms = next_call_ms;
+}
+
+/* Handles the answer to a read of the own entry. If the last write was carried
+   out, the renewal of the lease shows whether it still exists. */
+static void
+on_entry_read(void *context, const AprKvResult_t *result)
+{
+    AprStoreCache_t *cache = context;
+    AprRegistration_t *registration = &cache->registration;
+    AprKvItem_t entry = {.value = "", .removed = true};
+    const AprItem_t *item;
+    char key[APR_CACHE_KEY_SIZE];
+
+    registration->step = APR_LEASE_GRANTED;
+    if (result->code != APR_OK) {
+        back_off_lease(cache, result->code);
+        return;
+    }
+    AprStoreCache_RecordStoreResult(cache, APR_OK);
+    format_own_key(cache, APR_MEMBER_KEY_PREFIX, key);
+    entry.key = key;
+    entry.revision = result->revision;
+    for (int i = 0; i < result->item_count; i++) {
+        if (strcmp(result->items[i].key, key) == 0) {
+            entry = result->items[i];
+        }
+    }
+    AprStoreCache_ApplyItem(cache, &entry);
+    registration->entry_uncertain = false;
+    registration->entry_known_revision = 0;
+    item = update_stored_entry(cache);
+    if (item != NULL && item->lease == registration->lease_id) {
+        enter_registered(cache, 0);
+        AprStoreCache_PublishOwnEntry(cache);
+    }
+}
+
+/* Reads the entry of this host from the store itself. */
+static void
+read_entry(AprStoreCache_t *cache)
+{
+    const AprKvStore_t *kv = cache->gateway->kv;
+    char key[APR_CACHE_KEY_SIZE];
+
+    cache->registration.step = APR_LEASE_READING_ENTRY;
+    format_own_key(cache, APR_MEMBER_KEY_PREFIX, key);
+    /* Of the keys that start with it, the key itself is the first one. */
+    kv->range(kv->self, key, "", false, on_entry_read, cache);
+}
+
+/* Goes on after a write of the entry that was not carried out, as far as is
+   known. */
+static void
+handle_failed_write(AprStoreCache_t *cache, const AprKvResult_t *result)
+{
+    AprRegistration_t *registration = &cache->registration;
+
+    switch (result->code) {
+    case APR_E_NOT_FOUND:
+        registration->step = APR_LEASE_NONE;
+        forget_stored_entry(registration);
+        break;
+    case APR_E_CONFLICT:
+    case APR_E_UNKNOWN_OUTCOME:
+    case APR_E_PARSE:
+        registration->entry_uncertain = true;
+        registration->step = APR_LEASE_GRANTED;
+        break;
+    default:
+        registration->step = APR_LEASE_GRANTED;
+        break;
+    }
+    back_off_lease(cache, result->code);
+}
+
 static void
 on_entry_written(void *context, const AprKvResult_t *result)
 {
     AprStoreCache_t *cache = context;
     AprRegistration_t *registration = &cache->registration;
+    char *entry = registration->pending_entry;
 
+    registration->pending_entry = NULL;
     if (registration->writing_generation) {
         registration->writing_generation = false;
         AprOwnership_OnGenerationStored(cache->gateway->ownership, result);
     }
     if (result->code == APR_OK) {
         AprStoreCache_RecordStoreResult(cache, APR_OK);
-        registration->step = APR_LEASE_REGISTERED;
-        registration->resumed = false;
-        registration->lease_failures = 0;
-        registration->next_lease_call_ms =
-            AprStoreCache_NowMs(cache) +
-            AprRegistration_RenewIntervalMs(cache);
-        free(registration->stored_entry);
-        registration->stored_entry = registration->pending_entry;
-        registration->pending_entry = NULL;
+        enter_registered(cache, AprStoreCache_NowMs(cache) +
+                                    AprRegistration_RenewIntervalMs(cache));
+        set_stored_entry(registration, entry, result->revision);
+        /* Heartbeats during the write compared with the previous entry. */
+        registration->entry_changed = is_entry_changed(cache);
         extend_authority(cache, registration->lease_call_sent_ms);
         AprLog_Write(APR_LOG_INFO, "registered", "lease=%lld revision=%lld",
                      (long long)registration->lease_id,
                      (long long)result->revision);
-        return;
+        /* A later change may have been seen before this answer. */
+        AprRegistration_OnOwnEntry(cache);
     }
-    free(registration->pending_entry);
-    registration->pending_entry = NULL;
-    registration->step =
-        result->code == APR_E_NOT_FOUND ? APR_LEASE_NONE : APR_LEASE_GRANTED;
-    back_off_lease(cache, result->code);
+    else {
+        handle_failed_write(cache, result);
+    }
+    free(entry);
+}
+
+/* Adds the writes and the removal of a registration under a new lease: the
+   lease is also stored outside the entry, so that a process which did not see
+   the entry can end it. `keys` holds the fence's and the lease's key; they and
+   `lease_id` must outlive the transaction. */
+static void
+add_registration_writes(const AprStoreCache_t *cache,
+                        AprKvTransaction_t *transaction,
+                        char keys[][APR_CACHE_KEY_SIZE], const char *lease_id)
+{
+    AprKvWrite_t *write = &transaction->writes[transaction->write_count++];
+
+    format_own_key(cache, APR_FENCE_KEY_PREFIX, keys[0]);
+    format_own_key(cache, APR_LEASE_KEY_PREFIX, keys[1]);
+    transaction->removals[transaction->removal_count++] = keys[0];
+    write->key = keys[1];
+    write->value = lease_id;
+    write->value_size = strlen(lease_id);
 }
 
 /* Writes the entry of this host, and a new generation of its backend server if
-   there is one. A new lease is also stored outside the entry, so that a
-   process which did not see the entry can end it. */
+   there is one, on condition that the stored entry is the known one. Without
+   it, an older write that is carried out late, as one of the process before a
+   restart, would replace a newer entry. */
 static void
 write_entry(AprStoreCache_t *cache)
 {
     AprRegistration_t *registration = &cache->registration;
     const AprKvStore_t *kv = cache->gateway->kv;
-    const AprGatewaySettings_t *settings = &cache->gateway->settings;
     char member[APR_CACHE_KEY_SIZE];
-    char fence[APR_CACHE_KEY_SIZE];
-    char lease[APR_CACHE_KEY_SIZE];
+    char keys[2][APR_CACHE_KEY_SIZE];
     char lease_id[32];
     char generation[APR_CACHE_KEY_SIZE];
     char *generation_text;
@@ -111,30 +320,25 @@
         back_off_lease(cache, APR_E_NOMEM);
         return;
     }
-    snprintf(member, sizeof(member), "%s" APR_MEMBER_KEY_PREFIX "%s",
-             settings->store_prefix, settings->host);
-    snprintf(fence, sizeof(fence), "%s" APR_FENCE_KEY_PREFIX "%s",
-             settings->store_prefix, settings->host);
-    snprintf(lease, sizeof(lease), "%s" APR_LEASE_KEY_PREFIX "%s",
-             settings->store_prefix, settings->host);
-    snprintf(lease_id, sizeof(lease_id), "%lld",
-             (long long)registration->lease_id);
+    format_own_key(cache, APR_MEMBER_KEY_PREFIX, member);
     transaction.write_count = 1;
     transaction.writes[0].key = member;
     transaction.writes[0].value = registration->pending_entry;
     transaction.writes[0].value_size = strlen(registration->pending_entry);
     transaction.writes[0].lease = registration->lease_id;
     if (registration->step == APR_LEASE_GRANTED) {
-        transaction.removal_count = 1;
-        transaction.removals[0] = fence;
-        transaction.writes[1].key = lease;
-        transaction.writes[1].value = lease_id;
-        transaction.writes[1].value_size = strlen(lease_id);
-        transaction.write_count = 2;
+        snprintf(lease_id, sizeof(lease_id), "%lld",
+                 (long long)registration->lease_id);
+        add_registration_writes(cache, &transaction, keys, lease_id);
     }
+    /* The condition of the generation comes first: a conflict shows the items
+       near the key of the first one, and the entry is read anyway. */
     registration->writing_generation = AprOwnership_AddGenerationWrite(
         cache->gateway->ownership, &transaction, generation,
         sizeof(generation), &generation_text);
+    transaction.conditions[transaction.condition_count].key = member;
+    transaction.conditions[transaction.condition_count++].revision =
+        registration->entry_revision;
     registration->step = APR_LEASE_WRITING_ENTRY;
     registration->entry_changed = false;
     registration->lease_call_sent_ms = AprStoreCache_NowMs(cache);
@@ -180,6 +384,7 @@
         AprLog_Write(APR_LOG_WARN, "lease_ended", "lease=%lld",
                      (long long)registration->lease_id);
         registration->step = APR_LEASE_NONE;
+        forget_stored_entry(registration);
         return;
     }
     back_off_lease(cache, result->code);
@@ -210,12 +415,6 @@
     }
 }
 
-static bool
-has_heartbeat(const AprStoreCache_t *cache)
-{
-    return AprBackend_GetIncarnation(cache->gateway->backend)->id[0] != '\0';
-}
-
 /* Goes on with the entry of an earlier process of this host, if that still
    exists: its lease only has to be renewed. Any change of the key map without
    the consent of this host is conditional on the absence of the entry. */
@@ -227,14 +426,11 @@
     const AprHost_t *self =
         AprMembers_Find(gateway->members, gateway->settings.host);
     const AprItem_t *item;
-    char key[APR_CACHE_KEY_SIZE];
 
     registration->started = true;
     registration->started_ms = AprStoreCache_NowMs(cache);
-    snprintf(key, sizeof(key), "%s" APR_MEMBER_KEY_PREFIX "%s",
-             gateway->settings.store_prefix, gateway->settings.host);
-    item = AprStoreCache_FindItem(cache, key);
-    if (item == NULL || item->removed || item->lease == 0 || self == NULL) {
+    item = update_stored_entry(cache);
+    if (item == NULL || item->lease == 0 || self == NULL) {
         return;
     }
     if (self->leaving) {
@@ -243,7 +439,6 @@
     registration->resumed = true;
     registration->lease_id = item->lease;
     registration->step = APR_LEASE_REGISTERED;
-    registration->stored_entry = strdup(item->value);
     AprLog_Write(APR_LOG_INFO, "registration_resumed",
                  "lease=%lld revision=%lld backend=%s leaving=%d",
                  (long long)item->lease, (long long)item->revision,
@@ -270,7 +465,12 @@
         kv->create_lease(kv->self, APR_LEASE_TTL_MS, on_lease_granted, cache);
         break;
     case APR_LEASE_GRANTED:
-        write_entry(cache);
+        if (registration->entry_uncertain) {
+            read_entry(cache);
+        }
+        else {
+            write_entry(cache);
+        }
         break;
     case APR_LEASE_REGISTERED:
         if (registration->renewal_pending) {
@@ -354,17 +554,13 @@
 AprStoreCache_PublishOwnEntry(AprStoreCache_t *cache)
 {
     AprRegistration_t *registration = &cache->registration;
-    char *entry = AprMembers_FormatOwnEntry(cache->gateway);
 
-    if (entry != NULL && (registration->stored_entry == NULL ||
-                          strcmp(entry, registration->stored_entry) != 0)) {
-        registration->entry_changed = true;
-        if (registration->step == APR_LEASE_REGISTERED &&
-            !registration->renewal_pending) {
-            registration->next_lease_call_ms = 0;
-        }
+    registration->entry_changed = is_entry_changed(cache);
+    if (registration->entry_changed &&
+        registration->step == APR_LEASE_REGISTERED &&
+        !registration->renewal_pending) {
+        registration->next_lease_call_ms = 0;
     }
-    free(entry);
     advance_lease(cache);
 }
 
@@ -387,17 +583,6 @@
     advance_lease(cache);
 }
 
-/* Registers again after the entry of this host was removed from the store. */
-void
-AprRegistration_OnOwnEntryRemoved(AprStoreCache_t *cache, int64_t revision)
-{
-    if (cache->registration.step == APR_LEASE_REGISTERED) {
-        cache->registration.step = APR_LEASE_NONE;
-        AprLog_Write(APR_LOG_WARN, "own_entry_removed", "revision=%lld",
-                     (long long)revision);
-    }
-}
-
 /* Returns whether the entry of this host is stored, as far as it knows. */
 bool
 AprStoreCache_IsRegistered(const AprStoreCache_t *cache)
--- a/src/gateway/store_cache.c
+++ b/src/gateway/store_cache.c
@@ -175,8 +175,8 @@
     else if ((name = key_suffix(cache, item->key, APR_MEMBER_KEY_PREFIX)) !=
              NULL) {
         AprMembers_ApplyEntry(gateway->members, name, item);
-        if (strcmp(name, gateway->settings.host) == 0 && item->removed) {
-            AprRegistration_OnOwnEntryRemoved(cache, item->revision);
+        if (strcmp(name, gateway->settings.host) == 0) {
+            AprRegistration_OnOwnEntry(cache);
         }
     }
     else if ((name = key_suffix(cache, item->key, APR_KEY_MAP_KEY_PREFIX)) !=
--- a/tests/test_gateway_late_changes.c
+++ b/tests/test_gateway_late_changes.c
@@ -188,6 +188,87 @@
     cluster_stop(&cluster);
 }
 
+/* Starts the cluster and loses the write of a new number of slots to the entry
+   of h1. */
+static ClusterHost_t *
+lose_write_of_entry(int slots)
+{
+    ClusterHost_t *host = &cluster.hosts[1];
+
+    start_with_all_keys_held();
+    cluster.store.lost_prefix = "apricot/hosts/h1";
+    host->slots = slots;
+    cluster_run_for(&cluster, 2 * CLUSTER_HEARTBEAT_S);
+    assert_true(cluster.store.has_late_change);
+    return host;
+}
+
+static void
+assert_entry_names_slots(int slots)
+{
+    const StoreItem_t *item =
+        store_find_item(&cluster.store, "apricot/hosts/h1");
+    char text[32];
+
+    snprintf(text, sizeof(text), "\"slots\":%d,", slots);
+    assert_false(item->removed);
+    assert_non_null(strstr(item->value, text));
+}
+
+/* Guards against an entry that is replaced by an older one, which an earlier
+   process wrote: once the later process has written its own, and before. */
+static void
+test_late_entry_does_not_replace_newer_one(void **state)
+{
+    ClusterHost_t *host = lose_write_of_entry(5);
+
+    (void)state;
+    host_kill_gateway(host);
+    host->slots = 6;
+    host_start_gateway(host);
+    cluster_run_for(&cluster, 1.0);
+    assert_entry_names_slots(6);
+    assert_false(store_apply_late_change(&cluster.store));
+    cluster_run_for(&cluster, 1.0);
+    assert_entry_names_slots(6);
+    cluster_stop(&cluster);
+
+    host = lose_write_of_entry(5);
+    host_kill_gateway(host);
+    host->slots = 4;
+    host_start_gateway(host);
+    cluster_run_for(&cluster, 1.0);
+    assert_true(store_apply_late_change(&cluster.store));
+    cluster_run_for(&cluster, 1.0);
+    assert_entry_names_slots(4);
+    cluster_stop(&cluster);
+}
+
+/* Guards against an entry that is written twice, and against a host that does
+   not go on, when the response to the write is lost. The entry is read first:
+   the write has been carried out here. */
+static void
+test_entry_is_read_after_a_lost_response(void **state)
+{
+    ClusterHost_t *host = lose_write_of_entry(5);
+    int64_t revision;
+
+    (void)state;
+    assert_true(store_apply_late_change(&cluster.store));
+    revision = store_find_item(&cluster.store, "apricot/hosts/h1")->revision;
+    cluster_run_for(&cluster, CLUSTER_STORE_TIMEOUT_S + 1.0);
+    assert_int_equal(
+        store_find_item(&cluster.store, "apricot/hosts/h1")->revision,
+        revision);
+    assert_true(AprStoreCache_IsRegistered(host->gateway->store_cache));
+    host->slots = 6;
+    cluster_run_for(&cluster, 1.0);
+    assert_entry_names_slots(6);
+    assert_int_equal(cluster_count_unheld_keys(&cluster), 0);
+    assert_int_equal(cluster.overlaps, 0);
+    cluster_stop(&cluster);
+}
+
 int
 main(void)
 {
@@ -197,6 +278,8 @@
         cmocka_unit_test(test_refused_repetition_keeps_change_open),
         cmocka_unit_test(test_restarted_server_keeps_keys_of_open_change),
         cmocka_unit_test(test_settled_change_frees_the_keys),
+        cmocka_unit_test(test_late_entry_does_not_replace_newer_one),
+        cmocka_unit_test(test_entry_is_read_after_a_lost_response),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
