Ignore answers to renewals of a lease that was replaced

Cause: an answer to a renewal was taken for one about the present lease. A 404 to the renewal of a lease that had been replaced, or that was being replaced, started another registration with another lease and write.

Change: each renewal carries its lease and the time of its sending. An answer has an effect only for the present lease and while the host is registered under it. A new lease does not wait for the answer to the renewal of the former one.

--- a/internal/store_cache_state.h
+++ b/internal/store_cache_state.h
@@ -67,8 +67,8 @@
     int64_t lease_id;
     int lease_failures; /* in a row */
     int64_t next_lease_call_ms;
-    bool renewal_pending;
-    int64_t lease_call_sent_ms;   /* last renewal or write of the entry */
+    bool renewal_pending;         /* of the present lease */
+    int64_t entry_sent_ms;        /* last write of the entry */
     int64_t peer_renewal_sent_ms; /* last renewal through another host */
     int64_t last_renewal_sent_ms; /* of the last success; 0: none */
     int next_renewal_peer;        /* counts up; modulo the member count */
--- a/src/gateway/registration.c
+++ b/src/gateway/registration.c
@@ -267,7 +267,7 @@
         set_stored_entry(registration, entry, result->revision);
         /* Heartbeats during the write compared with the previous entry. */
         registration->entry_changed = is_entry_changed(cache);
-        extend_authority(cache, registration->lease_call_sent_ms);
+        extend_authority(cache, registration->entry_sent_ms);
         AprLog_Write(APR_LOG_INFO, "registered", "lease=%lld revision=%lld",
                      (long long)registration->lease_id,
                      (long long)result->revision);
@@ -341,7 +341,7 @@
         registration->entry_revision;
     registration->step = APR_LEASE_WRITING_ENTRY;
     registration->entry_changed = false;
-    registration->lease_call_sent_ms = AprStoreCache_NowMs(cache);
+    registration->entry_sent_ms = AprStoreCache_NowMs(cache);
     kv->commit(kv->self, &transaction, on_entry_written, cache);
     free(generation_text);
 }
@@ -359,25 +359,39 @@
     }
     AprStoreCache_RecordStoreResult(cache, APR_OK);
     registration->lease_id = result->lease;
+    registration->renewal_pending = false;
     registration->step = APR_LEASE_GRANTED;
 }
 
+/* A renewal of the lease that waits for its answer. */
+typedef struct LeaseRenewal_t {
+    AprStoreCache_t *cache;
+    int64_t lease;
+    int64_t sent_ms;
+} LeaseRenewal_t;
+
 static void
 on_lease_renewed(void *context, const AprKvResult_t *result)
 {
-    AprStoreCache_t *cache = context;
+    LeaseRenewal_t renewal = *(LeaseRenewal_t *)context;
+    AprStoreCache_t *cache = renewal.cache;
     AprRegistration_t *registration = &cache->registration;
 
+    free(context);
+    if (renewal.lease != registration->lease_id) {
+        return; /* of a lease that was replaced meanwhile */
+    }
     registration->renewal_pending = false;
+    if (registration->step != APR_LEASE_REGISTERED) {
+        return; /* a new lease or a write of the entry is on its way */
+    }
     if (result->code == APR_OK) {
         AprStoreCache_RecordStoreResult(cache, APR_OK);
         registration->lease_failures = 0;
         registration->next_lease_call_ms =
             AprStoreCache_NowMs(cache) +
             AprRegistration_RenewIntervalMs(cache);
-        if (registration->step == APR_LEASE_REGISTERED) {
-            extend_authority(cache, registration->lease_call_sent_ms);
-        }
+        extend_authority(cache, renewal.sent_ms);
         return;
     }
     if (result->code == APR_E_NOT_FOUND) {
@@ -390,6 +404,24 @@
     back_off_lease(cache, result->code);
 }
 
+static void
+renew_lease(AprStoreCache_t *cache)
+{
+    AprRegistration_t *registration = &cache->registration;
+    const AprKvStore_t *kv = cache->gateway->kv;
+    LeaseRenewal_t *renewal = calloc(1, sizeof(*renewal));
+
+    if (renewal == NULL) {
+        back_off_lease(cache, APR_E_NOMEM);
+        return;
+    }
+    renewal->cache = cache;
+    renewal->lease = registration->lease_id;
+    renewal->sent_ms = AprStoreCache_NowMs(cache);
+    registration->renewal_pending = true;
+    kv->renew_lease(kv->self, renewal->lease, on_lease_renewed, renewal);
+}
+
 /* Asks another host to renew the lease of this one; each call asks the next
    host that can be reached. */
 static void
@@ -480,10 +512,7 @@
             write_entry(cache);
             break;
         }
-        registration->renewal_pending = true;
-        registration->lease_call_sent_ms = now_ms;
-        kv->renew_lease(kv->self, registration->lease_id, on_lease_renewed,
-                        cache);
+        renew_lease(cache);
         if (registration->lease_failures > 0) {
             renew_through_peer(cache);
         }
--- a/tests/test_gateway_late_changes.c
+++ b/tests/test_gateway_late_changes.c
@@ -8,6 +8,7 @@
 #include <cmocka.h>
 
 #include "gateway_cluster.h"
+#include "internal/store_cache_state.h"
 
 #define START_TIMEOUT_S 6.0
 
@@ -269,6 +270,82 @@
     cluster_stop(&cluster);
 }
 
+/* Renewals of leases that the store carries out when they are sent, and
+   answers in answer_renewal(). */
+static struct {
+    AprKvCallback_t done;
+    void *context;
+    int code;
+} held_renewals[16];
+static int held_renewal_count;
+
+/* Keeps the answer to a renewal; an operation of the store. A renewal that its
+   host cannot send gets none. */
+static void
+hold_renewal(void *self, int64_t id, AprKvCallback_t done, void *context)
+{
+    const ClusterHost_t *host = self;
+    StoreLease_t *lease = store_find_lease(&cluster.store, id);
+    int at = held_renewal_count++;
+
+    assert_in_range(at, 0, 15);
+    held_renewals[at].done = done;
+    held_renewals[at].context = context;
+    held_renewals[at].code = lease == NULL ? APR_E_NOT_FOUND : APR_OK;
+    if (lease != NULL && !host->store_silent) {
+        lease->expires_s = ev_now(cluster.loop) + lease->ttl_s;
+    }
+}
+
+static void
+answer_renewal(int at)
+{
+    AprKvResult_t result = {.code = held_renewals[at].code};
+
+    held_renewals[at].done(held_renewals[at].context, &result);
+}
+
+/* Guards against another registration, with another write of the entry,
+   because of a late answer that a lease has ended which was replaced
+   meanwhile: while the new one is requested, and once the entry is written. */
+static void
+test_late_end_of_replaced_lease_is_ignored(void **state)
+{
+    (void)state;
+    for (int registered = 0; registered < 2; registered++) {
+        ClusterHost_t *host = &cluster.hosts[1];
+        const AprRegistration_t *registration;
+        int64_t old_lease;
+        int leases;
+
+        start_with_all_keys_held();
+        registration = &host->gateway->store_cache->registration;
+        old_lease = registration->lease_id;
+        leases = cluster.store.lease_count;
+        held_renewal_count = 0;
+        host->kv.renew_lease = hold_renewal;
+        store_find_lease(&cluster.store, old_lease)->expires_s = 0;
+        while (held_renewal_count == 0) {
+            cluster_run_for(&cluster, 0.02);
+        }
+        store_remove_leased_items(&cluster.store, old_lease);
+        while (registration->step != APR_LEASE_REQUESTED) {
+            ev_run(cluster.loop, EVRUN_ONCE);
+        }
+        while (registered && registration->step != APR_LEASE_REGISTERED) {
+            ev_run(cluster.loop, EVRUN_ONCE);
+        }
+        answer_renewal(0);
+        host->kv.renew_lease = store_renew_lease;
+        cluster_run_for(&cluster, 1.5);
+        assert_int_equal(cluster.store.lease_count, leases + 1);
+        assert_int_equal(registration->step, APR_LEASE_REGISTERED);
+        assert_int_not_equal(registration->lease_id, old_lease);
+        assert_int_equal(cluster.overlaps, 0);
+        cluster_stop(&cluster);
+    }
+}
+
 int
 main(void)
 {
@@ -280,6 +357,7 @@
         cmocka_unit_test(test_settled_change_frees_the_keys),
         cmocka_unit_test(test_late_entry_does_not_replace_newer_one),
         cmocka_unit_test(test_entry_is_read_after_a_lost_response),
+        cmocka_unit_test(test_late_end_of_replaced_lease_is_ignored),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
