Count renewals by other hosts from the request they answer

Cause: a success counted from the last request to another host, although it may answer an earlier one, so that the authority to grant keys could last longer than the lease by up to one interval of renewal.

Change: each request has a random negative id, which the answer repeats and counts from. The id takes the place of the lease in the frame, so the host that gets it renews the lease of the sender's entry and names that lease in the answer. Requests of earlier versions, which send the lease, are served as before. An earlier version takes an id for a lease that does not exist; until all hosts run this version, it cannot renew for a later one. The renewal by other hosts moves to peer_renewals.c.

--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -391,9 +391,9 @@
                                    int64_t after_sequence,
                                    AprItemVisitor_t visit, void *context);
 void AprStoreCache_RenewPeerLease(AprStoreCache_t *cache, const char *host,
-                                  int64_t lease);
-void AprStoreCache_OnPeerRenewalResult(AprStoreCache_t *cache, int64_t lease,
-                                       int64_t age_ms);
+                                  int64_t request);
+void AprStoreCache_OnPeerRenewalResult(AprStoreCache_t *cache, int64_t id,
+                                       int64_t lease);
 bool AprStoreCache_IsRegistered(const AprStoreCache_t *cache);
 bool AprStoreCache_IsStoreReachable(const AprStoreCache_t *cache);
 bool AprStoreCache_IsWatcher(AprStoreCache_t *cache);
--- a/internal/link_frame.h
+++ b/internal/link_frame.h
@@ -95,11 +95,13 @@
                                   consumed */
     /* APR_LINK_PING and APR_LINK_PONG: value that the reply repeats.
        APR_LINK_SUBSCRIBE: store revision after which changes are requested.
-       APR_LINK_RENEW_LEASE and APR_LINK_RENEWAL_RESULT: lease id.
+       APR_LINK_RENEW_LEASE and APR_LINK_RENEWAL_RESULT: id of the request,
+       negative; a lease in frames of earlier versions.
        APR_LINK_GOAWAY: the last stream that the sender has read.
        APR_LINK_CALL: send time on the sender's clock, in ms. */
     int64_t sequence;
-    /* APR_LINK_RENEWAL_RESULT: age of the renewal in ms, -1 if not renewed.
+    /* APR_LINK_RENEWAL_RESULT: lease that was renewed, -1 if none was; 0 if
+       renewed by an earlier version.
        APR_LINK_REACHABILITY_REPLY: ms since the host was last heard, -1 if
        never. */
     int64_t result;
--- a/internal/store_cache_state.h
+++ b/internal/store_cache_state.h
@@ -2,8 +2,8 @@
 #define APRICOT_INTERNAL_STORE_CACHE_STATE_H
 
 /* State of the local copy of the store, shared by store_cache.c (items),
-   item_source.c (where changes come from) and registration.c (the entry of
-   this host and its lease). */
+   item_source.c (where changes come from), registration.c (the entry of this
+   host and its lease) and peer_renewals.c (renewal through other hosts). */
 
 #include <glib.h>
 
@@ -58,6 +58,17 @@
     APR_LEASE_REGISTERED /* the entry is stored; the lease must be renewed */
 } AprLeaseStep_t;
 
+/* Requests to other hosts to renew the lease that are remembered. Answers to
+   earlier ones come too late to be of use. */
+#define APR_MAX_PEER_REQUESTS 8
+
+/* Request to another host to renew the lease of this one. */
+typedef struct AprPeerRequest_t {
+    int64_t id; /* negative; 0: none */
+    int64_t lease;
+    int64_t sent_ms;
+} AprPeerRequest_t;
+
 /* The entry of this host in the store and its lease. */
 typedef struct AprRegistration_t {
     AprLeaseStep_t step;
@@ -69,10 +80,11 @@
     int64_t next_lease_call_ms;
     bool renewal_pending;         /* of the present lease */
     int64_t entry_sent_ms;        /* last write of the entry */
-    int64_t peer_renewal_sent_ms; /* last renewal through another host */
     int64_t last_renewal_sent_ms; /* of the last success; 0: none */
     int next_renewal_peer;        /* counts up; modulo the member count */
-    bool entry_changed;           /* the stored entry is out of date */
+    AprPeerRequest_t peer_requests[APR_MAX_PEER_REQUESTS];
+    unsigned next_peer_request; /* counts up; modulo the size */
+    bool entry_changed;         /* the stored entry is out of date */
     /* Revision of the stored entry, a condition of the next write. 0: none */
     int64_t entry_revision;
     int64_t
@@ -142,7 +154,11 @@
 int64_t AprRegistration_RenewIntervalMs(const AprStoreCache_t *cache);
 void AprRegistration_Advance(AprStoreCache_t *cache);
 void AprRegistration_OnOwnEntry(AprStoreCache_t *cache);
+void AprRegistration_ExtendAuthority(AprStoreCache_t *cache, int64_t sent_ms);
 void AprRegistration_ExtendAuthorityInOutage(AprStoreCache_t *cache);
 void AprRegistration_Clear(AprStoreCache_t *cache);
 
+/* Renewal of the lease through another host (peer_renewals.c). */
+void AprPeerRenewals_Request(AprStoreCache_t *cache);
+
 #endif
--- a/src/gateway/registration.c
+++ b/src/gateway/registration.c
@@ -34,11 +34,16 @@
                : PLAIN_RENEW_INTERVAL_MS;
 }
 
-static void
-extend_authority(AprStoreCache_t *cache, int64_t sent_ms)
+/* Extends the authority to grant keys after a call of the store, sent at
+   `sent_ms`, that found the lease of this host in force. */
+void
+AprRegistration_ExtendAuthority(AprStoreCache_t *cache, int64_t sent_ms)
 {
     AprRegistration_t *registration = &cache->registration;
-    registration->last_renewal_sent_ms = sent_ms;
+
+    if (sent_ms > registration->last_renewal_sent_ms) {
+        registration->last_renewal_sent_ms = sent_ms;
+    }
     AprOwnership_ExtendAuthority(cache->gateway->ownership,
                                  sent_ms + APR_GRANT_AUTHORITY_MS);
 }
@@ -267,7 +272,7 @@
         set_stored_entry(registration, entry, result->revision);
         /* Heartbeats during the write compared with the previous entry. */
         registration->entry_changed = is_entry_changed(cache);
-        extend_authority(cache, registration->entry_sent_ms);
+        AprRegistration_ExtendAuthority(cache, registration->entry_sent_ms);
         AprLog_Write(APR_LOG_INFO, "registered", "lease=%lld revision=%lld",
                      (long long)registration->lease_id,
                      (long long)result->revision);
@@ -391,7 +396,7 @@
         registration->next_lease_call_ms =
             AprStoreCache_NowMs(cache) +
             AprRegistration_RenewIntervalMs(cache);
-        extend_authority(cache, renewal.sent_ms);
+        AprRegistration_ExtendAuthority(cache, renewal.sent_ms);
         return;
     }
     if (result->code == APR_E_NOT_FOUND) {
@@ -422,31 +427,6 @@
     kv->renew_lease(kv->self, renewal->lease, on_lease_renewed, renewal);
 }
 
-/* Asks another host to renew the lease of this one; each call asks the next
-   host that can be reached. */
-static void
-renew_through_peer(AprStoreCache_t *cache)
-{
-    AprRegistration_t *registration = &cache->registration;
-    AprGateway_t *gateway = cache->gateway;
-    int count = AprMembers_Count(gateway->members);
-    int64_t now_ms = AprStoreCache_NowMs(cache);
-
-    for (int i = 0; i < count; i++) {
-        const AprHost_t *member = AprMembers_At(
-            gateway->members, registration->next_renewal_peer++ % count);
-
-        if (member->is_self ||
-            !AprLinks_IsHostAlive(gateway->links, member->host)) {
-            continue;
-        }
-        registration->peer_renewal_sent_ms = now_ms;
-        AprLinks_RequestLeaseRenewal(gateway->links, member->host,
-                                     registration->lease_id);
-        return;
-    }
-}
-
 /* Goes on with the entry of an earlier process of this host, if that still
    exists: its lease only has to be renewed. Any change of the key map without
    the consent of this host is conditional on the absence of the entry. */
@@ -514,7 +494,7 @@
         }
         renew_lease(cache);
         if (registration->lease_failures > 0) {
-            renew_through_peer(cache);
+            AprPeerRenewals_Request(cache);
         }
         break;
     default:
@@ -522,62 +502,6 @@
     }
 }
 
-typedef struct PeerRenewal_t {
-    AprStoreCache_t *cache;
-    char host[APR_NAME_SIZE];
-    int64_t lease;
-} PeerRenewal_t;
-
-static void
-on_peer_lease_renewed(void *context, const AprKvResult_t *result)
-{
-    PeerRenewal_t *renewal = context;
-    AprStoreCache_t *cache = renewal->cache;
-
-    AprLinks_SendRenewalResult(cache->gateway->links, renewal->host,
-                               renewal->lease,
-                               result->code == APR_OK ? 0 : -1);
-    free(renewal);
-}
-
-/* Renews the lease of another host that cannot reach the store, and sends that
-   host the result. Does nothing while the store does not answer here. */
-void
-AprStoreCache_RenewPeerLease(AprStoreCache_t *cache, const char *host,
-                             int64_t lease)
-{
-    const AprKvStore_t *kv = cache->gateway->kv;
-    PeerRenewal_t *renewal;
-
-    if (!AprStoreCache_IsStoreReachable(cache)) {
-        return;
-    }
-    renewal = calloc(1, sizeof(*renewal));
-    if (renewal == NULL) {
-        return;
-    }
-    renewal->cache = cache;
-    g_strlcpy(renewal->host, host, sizeof(renewal->host));
-    renewal->lease = lease;
-    kv->renew_lease(kv->self, lease, on_peer_lease_renewed, renewal);
-}
-
-/* Handles the result of a renewal through another host; a negative `age_ms`
-   means that the renewal failed. The authority to grant keys counts from this
-   host's last request for a renewal to another host. */
-void
-AprStoreCache_OnPeerRenewalResult(AprStoreCache_t *cache, int64_t lease,
-                                  int64_t age_ms)
-{
-    AprRegistration_t *registration = &cache->registration;
-
-    if (age_ms < 0 || lease != registration->lease_id ||
-        registration->step != APR_LEASE_REGISTERED) {
-        return;
-    }
-    extend_authority(cache, registration->peer_renewal_sent_ms);
-}
-
 /* Writes this host's entry to the store again when it has changed. */
 void
 AprStoreCache_PublishOwnEntry(AprStoreCache_t *cache)
--- a/tests/test_gateway_late_changes.c
+++ b/tests/test_gateway_late_changes.c
@@ -8,6 +8,7 @@
 #include <cmocka.h>
 
 #include "gateway_cluster.h"
+#include "internal/lease_timing.h"
 #include "internal/store_cache_state.h"
 
 #define START_TIMEOUT_S 6.0
@@ -270,8 +271,9 @@
     cluster_stop(&cluster);
 }
 
-/* Renewals of leases that the store carries out when they are sent, and
+/* Renewals of one lease, which the store carries out when they are sent, and
    answers in answer_renewal(). */
+static int64_t held_lease;
 static struct {
     AprKvCallback_t done;
     void *context;
@@ -279,20 +281,23 @@
 } held_renewals[16];
 static int held_renewal_count;
 
-/* Keeps the answer to a renewal; an operation of the store. A renewal that its
-   host cannot send gets none. */
+/* Keeps the answer to a renewal of `held_lease`; an operation of the store. */
 static void
 hold_renewal(void *self, int64_t id, AprKvCallback_t done, void *context)
 {
-    const ClusterHost_t *host = self;
     StoreLease_t *lease = store_find_lease(&cluster.store, id);
-    int at = held_renewal_count++;
+    int at = held_renewal_count;
 
+    if (id != held_lease) {
+        store_renew_lease(self, id, done, context);
+        return;
+    }
     assert_in_range(at, 0, 15);
+    held_renewal_count++;
     held_renewals[at].done = done;
     held_renewals[at].context = context;
     held_renewals[at].code = lease == NULL ? APR_E_NOT_FOUND : APR_OK;
-    if (lease != NULL && !host->store_silent) {
+    if (lease != NULL) {
         lease->expires_s = ev_now(cluster.loop) + lease->ttl_s;
     }
 }
@@ -323,6 +328,7 @@
         old_lease = registration->lease_id;
         leases = cluster.store.lease_count;
         held_renewal_count = 0;
+        held_lease = old_lease;
         host->kv.renew_lease = hold_renewal;
         store_find_lease(&cluster.store, old_lease)->expires_s = 0;
         while (held_renewal_count == 0) {
@@ -336,7 +342,6 @@
             ev_run(cluster.loop, EVRUN_ONCE);
         }
         answer_renewal(0);
-        host->kv.renew_lease = store_renew_lease;
         cluster_run_for(&cluster, 1.5);
         assert_int_equal(cluster.store.lease_count, leases + 1);
         assert_int_equal(registration->step, APR_LEASE_REGISTERED);
@@ -346,6 +351,57 @@
     }
 }
 
+/* Runs until renewal number `count` is held; returns the time after that. */
+static int64_t
+wait_for_held_renewal(const ClusterHost_t *host, int count)
+{
+    while (held_renewal_count < count) {
+        cluster_run_for(&cluster, 0.02);
+    }
+    return AprGateway_NowMs(host->gateway);
+}
+
+static int64_t
+authority_until_ms(const ClusterHost_t *host)
+{
+    int64_t left_ms;
+
+    AprOwnership_GetOwnKeyMap(host->gateway->ownership, &left_ms);
+    return AprGateway_NowMs(host->gateway) + left_ms;
+}
+
+/* Guards against authority that lasts longer than the lease: a late answer to
+   one request for a renewal by another host must not count from the next
+   request, for which the lease may have ended. */
+static void
+test_late_renewal_by_peer_counts_from_its_request(void **state)
+{
+    ClusterHost_t *host = &cluster.hosts[1];
+    int64_t first_ms;
+    int64_t second_ms;
+
+    (void)state;
+    start_with_all_keys_held();
+    held_renewal_count = 0;
+    held_lease = host->gateway->store_cache->registration.lease_id;
+    for (int i = 0; i < CLUSTER_HOSTS; i++) {
+        cluster.hosts[i].kv.renew_lease =
+            i == host->index ? store_renew_lease : hold_renewal;
+    }
+    host->store_silent = true;
+    first_ms = wait_for_held_renewal(host, 1);
+    second_ms = wait_for_held_renewal(host, 2);
+    answer_renewal(0);
+    cluster_run_for(&cluster, 0.1);
+    assert_true(authority_until_ms(host) <= first_ms + APR_GRANT_AUTHORITY_MS);
+    answer_renewal(1);
+    cluster_run_for(&cluster, 0.1);
+    assert_true(authority_until_ms(host) > first_ms + APR_GRANT_AUTHORITY_MS);
+    assert_true(authority_until_ms(host) <=
+                second_ms + APR_GRANT_AUTHORITY_MS);
+    cluster_stop(&cluster);
+}
+
 int
 main(void)
 {
@@ -358,6 +414,7 @@
         cmocka_unit_test(test_late_entry_does_not_replace_newer_one),
         cmocka_unit_test(test_entry_is_read_after_a_lost_response),
         cmocka_unit_test(test_late_end_of_replaced_lease_is_ignored),
+        cmocka_unit_test(test_late_renewal_by_peer_counts_from_its_request),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
