Remove the lease items of hosts that are gone for good

Cause: nothing deleted `leases/HOST`, which names the lease of a host's last registration and outlives its entry.

Change: the fence of a lost host is written together with the removal of the item, under its revision, if it names the lease that was ended. The fence's mark says what the item did, so that another process can go on with the removal. At the end of a planned stop a host without keys removes its item itself, with one call under the same condition; with keys the item stays for a restart or for who removes the host. A process that goes on with an entry whose item is missing writes the item again with its next heartbeat, together with the claim if that is due.

--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -378,6 +378,7 @@
 bool AprStoreCache_IsCurrent(const AprStoreCache_t *cache);
 int64_t AprStoreCache_Revision(const AprStoreCache_t *cache);
 void AprStoreCache_PublishOwnEntry(AprStoreCache_t *cache);
+void AprStoreCache_RemoveLeaseItem(AprStoreCache_t *cache);
 void AprStoreCache_ApplyItem(AprStoreCache_t *cache,
                              const AprKvItem_t *update);
 void AprStoreCache_ApplyConflictItems(AprStoreCache_t *cache,
--- a/internal/store_cache_state.h
+++ b/internal/store_cache_state.h
@@ -93,8 +93,11 @@
        before it is written again. */
     bool entry_uncertain;
     char *stored_entry;      /* NULL: none */
-    char *pending_entry;     /* being written */
-    bool writing_generation; /* the pending write stores a generation */
+    bool writing_lease_item; /* with the entry that is being written */
+    bool lease_item_missing; /* it was removed, or not found at the start */
+    int64_t lease_item_revision; /* of the last own write; 0: none */
+    char *pending_entry;         /* being written */
+    bool writing_generation;     /* the pending write stores a generation */
 } AprRegistration_t;
 
 struct AprStoreCache_t {
@@ -154,6 +157,7 @@
 int64_t AprRegistration_RenewIntervalMs(const AprStoreCache_t *cache);
 void AprRegistration_Advance(AprStoreCache_t *cache);
 void AprRegistration_OnOwnEntry(AprStoreCache_t *cache);
+void AprRegistration_OnOwnLeaseItem(AprStoreCache_t *cache);
 void AprRegistration_ExtendAuthority(AprStoreCache_t *cache, int64_t sent_ms);
 void AprRegistration_ExtendAuthorityInOutage(AprStoreCache_t *cache);
 void AprRegistration_Clear(AprStoreCache_t *cache);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -220,6 +220,9 @@
     if (step == APR_STOP_CLOSE_LISTENER) {
         AprIngress_StopListening(gateway->ingress);
     }
+    else if (step == APR_STOP_EXIT) {
+        AprStoreCache_RemoveLeaseItem(gateway->store_cache);
+    }
 }
 
 /* Ends the links from other hosts. Returns whether they have closed them, or
--- a/src/gateway/registration.c
+++ b/src/gateway/registration.c
@@ -116,6 +116,36 @@
     return changed;
 }
 
+/* Returns the item that names the lease of this host, or NULL if it is not
+   stored. `key` has APR_CACHE_KEY_SIZE and gets its key. */
+static const AprItem_t *
+find_lease_item(AprStoreCache_t *cache, char *key)
+{
+    const AprItem_t *item;
+
+    format_own_key(cache, APR_LEASE_KEY_PREFIX, key);
+    item = AprStoreCache_FindItem(cache, key);
+    return item == NULL || item->removed ? NULL : item;
+}
+
+/* Notes whether the item that names the lease was removed after this process
+   wrote it, as when a removal that an earlier process sent at its stop is
+   carried out. The next heartbeat then writes it again, with the entry. */
+void
+AprRegistration_OnOwnLeaseItem(AprStoreCache_t *cache)
+{
+    AprRegistration_t *registration = &cache->registration;
+    const AprItem_t *item;
+    char key[APR_CACHE_KEY_SIZE];
+
+    format_own_key(cache, APR_LEASE_KEY_PREFIX, key);
+    item = AprStoreCache_FindItem(cache, key);
+    registration->lease_item_missing =
+        item != NULL && item->removed &&
+        item->revision > registration->lease_item_revision &&
+        cache->gateway->stop_step < APR_STOP_EXIT;
+}
+
 static bool
 has_heartbeat(const AprStoreCache_t *cache)
 {
@@ -270,6 +300,10 @@
         enter_registered(cache, AprStoreCache_NowMs(cache) +
                                     AprRegistration_RenewIntervalMs(cache));
         set_stored_entry(registration, entry, result->revision);
+        if (registration->writing_lease_item) {
+            registration->lease_item_revision = result->revision;
+            AprRegistration_OnOwnLeaseItem(cache);
+        }
         /* Heartbeats during the write compared with the previous entry. */
         registration->entry_changed = is_entry_changed(cache);
         AprRegistration_ExtendAuthority(cache, registration->entry_sent_ms);
@@ -331,7 +365,10 @@
     transaction.writes[0].value = registration->pending_entry;
     transaction.writes[0].value_size = strlen(registration->pending_entry);
     transaction.writes[0].lease = registration->lease_id;
-    if (registration->step == APR_LEASE_GRANTED) {
+    registration->writing_lease_item =
+        registration->step == APR_LEASE_GRANTED ||
+        registration->lease_item_missing;
+    if (registration->writing_lease_item) {
         snprintf(lease_id, sizeof(lease_id), "%lld",
                  (long long)registration->lease_id);
         add_registration_writes(cache, &transaction, keys, lease_id);
@@ -438,6 +475,7 @@
     const AprHost_t *self =
         AprMembers_Find(gateway->members, gateway->settings.host);
     const AprItem_t *item;
+    char key[APR_CACHE_KEY_SIZE];
 
     registration->started = true;
     registration->started_ms = AprStoreCache_NowMs(cache);
@@ -449,6 +487,7 @@
         AprOwnership_RestoreLeaving(gateway->ownership, &self->incarnation);
     }
     registration->resumed = true;
+    registration->lease_item_missing = find_lease_item(cache, key) == NULL;
     registration->lease_id = item->lease;
     registration->step = APR_LEASE_REGISTERED;
     AprLog_Write(APR_LOG_INFO, "registration_resumed",
@@ -508,7 +547,10 @@
 {
     AprRegistration_t *registration = &cache->registration;
 
-    registration->entry_changed = is_entry_changed(cache);
+    registration->entry_changed =
+        is_entry_changed(cache) ||
+        (registration->lease_item_missing &&
+         AprOwnership_IsKeyed(cache->gateway->ownership));
     if (registration->entry_changed &&
         registration->step == APR_LEASE_REGISTERED &&
         !registration->renewal_pending) {
@@ -543,6 +585,43 @@
     return cache->registration.step == APR_LEASE_REGISTERED;
 }
 
+static void
+on_lease_item_removed(void *context, const AprKvResult_t *result)
+{
+    (void)context;
+    AprLog_Write(APR_LOG_INFO, "lease_item_removed", "result=%s",
+                 AprError_Name(result->code));
+}
+
+/* Removes the item that names the lease of this host, at the end of a planned
+   stop. While the host owns keys, the item stays: it may be restarted, and
+   otherwise who removes the host removes the item. The process may exit before
+   the answer. A removal that is carried out late fails once the item has been
+   written again. */
+void
+AprStoreCache_RemoveLeaseItem(AprStoreCache_t *cache)
+{
+    const AprKvStore_t *kv = cache->gateway->kv;
+    AprKvTransaction_t transaction = {0};
+    char key[APR_CACHE_KEY_SIZE];
+    const AprItem_t *item = find_lease_item(cache, key);
+    int64_t authority_ms;
+    const AprKeyMap_t *map =
+        AprOwnership_GetOwnKeyMap(cache->gateway->ownership, &authority_ms);
+
+    if (item == NULL || !AprStoreCache_IsStoreReachable(cache) ||
+        (map != NULL &&
+         AprKeyMap_CountKeysOf(map, cache->gateway->settings.host) > 0)) {
+        return;
+    }
+    transaction.conditions[0].key = key;
+    transaction.conditions[0].revision = item->revision;
+    transaction.condition_count = 1;
+    transaction.removals[0] = key;
+    transaction.removal_count = 1;
+    kv->commit(kv->self, &transaction, on_lease_item_removed, cache);
+}
+
 /* Frees what the registration holds, but not the struct itself. */
 void
 AprRegistration_Clear(AprStoreCache_t *cache)
--- a/src/gateway/removal_queue.c
+++ b/src/gateway/removal_queue.c
@@ -144,13 +144,31 @@
              removal->host);
 }
 
+/* Returns the item that names the lease of a host's last registration, or NULL
+   if it is not stored. `key` has STORE_KEY_SIZE and gets its key. */
+static const AprItem_t *
+find_lease_item(const AprHostRemoval_t *removal, char *key)
+{
+    const AprItem_t *item;
+
+    format_store_key(removal, "leases", key);
+    item = AprStoreCache_FindItem(removal->gateway->store_cache, key);
+    return item == NULL || item->removed ? NULL : item;
+}
+
+/* Writes the fence on condition that the host has no entry. The item that
+   names the ended lease is removed with it, on condition that it is still the
+   known one: the mark of the fence says from then on that the lease has ended,
+   and a host that registers again writes the item again. */
 static void
 write_fence(AprHostRemoval_t *removal)
 {
     const AprKvStore_t *kv = removal->gateway->kv;
     char member[STORE_KEY_SIZE];
     char fence[STORE_KEY_SIZE];
+    char lease[STORE_KEY_SIZE];
     char value[STORE_KEY_SIZE];
+    const AprItem_t *lease_item = find_lease_item(removal, lease);
     AprKvTransaction_t transaction = {0};
 
     format_store_key(removal, "hosts", member);
@@ -163,6 +181,14 @@
     transaction.writes[0].value = value;
     transaction.writes[0].value_size = strlen(value);
     transaction.write_count = 1;
+    if (lease_item != NULL && removal->lease_id != 0 &&
+        strtoll(lease_item->value, NULL, 10) == removal->lease_id) {
+        transaction.conditions[1].key = lease;
+        transaction.conditions[1].revision = lease_item->revision;
+        transaction.condition_count = 2;
+        transaction.removals[0] = lease;
+        transaction.removal_count = 1;
+    }
     removal->call_pending = true;
     kv->commit(kv->self, &transaction, on_fence_written, removal);
 }
@@ -172,11 +198,9 @@
 find_stored_lease(const AprHostRemoval_t *removal)
 {
     char key[STORE_KEY_SIZE];
-    const AprItem_t *item;
+    const AprItem_t *item = find_lease_item(removal, key);
 
-    format_store_key(removal, "leases", key);
-    item = AprStoreCache_FindItem(removal->gateway->store_cache, key);
-    return item == NULL || item->removed ? 0 : strtoll(item->value, NULL, 10);
+    return item == NULL ? 0 : strtoll(item->value, NULL, 10);
 }
 
 /* Goes on from the fence that an earlier process wrote, if the lease had ended
--- a/src/gateway/store_cache.c
+++ b/src/gateway/store_cache.c
@@ -191,6 +191,11 @@
                                 APR_GENERATION_KEY_PREFIX)) != NULL) {
         AprOwnership_ApplyGenerationRecord(gateway->ownership, name, item);
     }
+    else if ((name = key_suffix(cache, item->key, APR_LEASE_KEY_PREFIX)) !=
+                 NULL &&
+             strcmp(name, gateway->settings.host) == 0) {
+        AprRegistration_OnOwnLeaseItem(cache);
+    }
 }
 
 /* Applies a new state of an item, or its removal, unless the same or a later
--- a/tests/test_gateway_late_changes.c
+++ b/tests/test_gateway_late_changes.c
@@ -402,6 +402,62 @@
     cluster_stop(&cluster);
 }
 
+static bool
+is_stored(const char *key)
+{
+    const StoreItem_t *item = store_find_item(&cluster.store, key);
+
+    return item != NULL && !item->removed;
+}
+
+/* Guards against lease items of hosts that are gone for good: those of a lost
+   host and of one that stopped without keys are removed, that of a host which
+   stopped with keys stays. One that comes back has an item again. */
+static void
+test_lease_items_of_gone_hosts_are_removed(void **state)
+{
+    ClusterHost_t *stopped = &cluster.hosts[2];
+    ClusterHost_t *lost = &cluster.hosts[3];
+
+    (void)state;
+    start_with_all_keys_held();
+    host_kill_gateway(lost);
+    host_kill_backend(lost);
+    AprGateway_Stop(cluster.hosts[1].gateway);
+    stopped->leaving = true;
+    cluster_run_for(&cluster, 1.0);
+    AprGateway_Stop(stopped->gateway);
+    for (int i = 1; i <= 2; i++) {
+        while (cluster.hosts[i].gateway->stop_step != APR_STOP_DONE) {
+            ev_run(cluster.loop, EVRUN_ONCE);
+        }
+        host_kill_gateway(&cluster.hosts[i]);
+    }
+    assert_false(is_stored("apricot/leases/h2"));
+    assert_true(is_stored("apricot/leases/h1"));
+    host_kill_backend(stopped);
+    stopped->leaving = false;
+    host_start_backend(stopped);
+    host_start_gateway(stopped);
+    host_start_gateway(&cluster.hosts[1]);
+    assert_true(cluster_wait_until_held(&cluster, 15) < 15);
+    assert_true(is_stored("apricot/leases/h1"));
+    assert_true(is_stored("apricot/leases/h2"));
+    assert_false(is_stored("apricot/leases/h3"));
+    host_start_backend(lost);
+    host_start_gateway(lost);
+    cluster_run_for(&cluster, 2.0);
+    assert_true(is_stored("apricot/leases/h3"));
+    /* As the removal of an earlier process does when it is carried out late.
+     */
+    cluster.store.revision++;
+    store_put_item(&cluster.store, "apricot/leases/h1", NULL, 0);
+    cluster_run_for(&cluster, 1.0);
+    assert_true(is_stored("apricot/leases/h1"));
+    assert_int_equal(cluster.overlaps, 0);
+    cluster_stop(&cluster);
+}
+
 int
 main(void)
 {
@@ -415,6 +471,7 @@
         cmocka_unit_test(test_entry_is_read_after_a_lost_response),
         cmocka_unit_test(test_late_end_of_replaced_lease_is_ignored),
         cmocka_unit_test(test_late_renewal_by_peer_counts_from_its_request),
+        cmocka_unit_test(test_lease_items_of_gone_hosts_are_removed),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
