--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -384,6 +384,7 @@
 bool AprStoreCache_IsCurrent(const AprStoreCache_t *cache);
 int64_t AprStoreCache_Revision(const AprStoreCache_t *cache);
 void AprStoreCache_PublishOwnEntry(AprStoreCache_t *cache);
+void AprStoreCache_RemoveLeaseItem(AprStoreCache_t *cache);
 void AprStoreCache_ApplyItem(AprStoreCache_t *cache,
                              const AprKvItem_t *update);
 void AprStoreCache_ApplyConflictItems(AprStoreCache_t *cache,
@@ -397,9 +398,9 @@
                                    int64_t after_sequence,
                                    AprItemVisitor_t visit, void *context);
 void AprStoreCache_RenewPeerLease(AprStoreCache_t *cache, const char *host,
-                                  int64_t lease);
-void AprStoreCache_OnPeerRenewalResult(AprStoreCache_t *cache, int64_t lease,
-                                       int64_t age_ms);
+                                  int64_t request);
+void AprStoreCache_OnPeerRenewalResult(AprStoreCache_t *cache, int64_t id,
+                                       int64_t lease);
 bool AprStoreCache_IsRegistered(const AprStoreCache_t *cache);
 bool AprStoreCache_IsStoreReachable(const AprStoreCache_t *cache);
 bool AprStoreCache_IsWatcher(AprStoreCache_t *cache);
