Read the load header in responses to health probes

A pace that the backend server reports only reached the cost model with the response to a request, so that an idle one kept an old pace. The probe now reads the header as a response does, with the same counter for values that cannot be meant. A report that arrived after the probe was sent stays, and so does what a new incarnation told.

--- a/internal/backend_conn.h
+++ b/internal/backend_conn.h
@@ -90,6 +90,10 @@
 bool AprBackendConn_IsIdle(const AprBackendConn_t *conn, int64_t now_ms);
 bool AprBackendConn_IsExpired(const AprBackendConn_t *conn, int64_t now_ms);
 
+void AprBackendNotice_ReadLoad(AprBackendNotice_t *notice,
+                               const AprHeaderNames_t *names,
+                               const AprHttpHead_t *head);
+
 /* Implemented in backend.c; AprBackend_OnConnDone() may free `conn`. */
 void AprBackend_OnConnDone(AprBackendConn_t *conn, AprConnOutcome_t outcome);
 void AprBackend_SendOnConn(AprBackendCall_t *call);
@@ -98,5 +102,9 @@
 void AprBackend_RecordResponse(AprBackend_t *backend,
                                const AprBackendIncarnation_t *sender,
                                const AprBackendNotice_t *notice);
+void AprBackend_RecordProbedLoad(AprBackend_t *backend,
+                                 const AprBackendIncarnation_t *sender,
+                                 const AprBackendNotice_t *notice,
+                                 int64_t sent_ms);
 
 #endif
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -259,6 +259,20 @@
     }
 }
 
+/* Counts a load that cannot be meant and records a reported pace. */
+static void
+apply_load(AprBackend_t *backend, const AprBackendNotice_t *notice)
+{
+    if (notice->load_invalid) {
+        AprGateway_IncrementCounter(backend->gateway,
+                                    "backend_load_invalid_total", "");
+    }
+    if (notice->load.pace != 0) {
+        AprCostModel_ReportPace(&backend->costs, notice->load.pace,
+                                AprGateway_NowMs(backend->gateway));
+    }
+}
+
 /* Acts on what the present incarnation tells about itself. If its first
    response to this process says that it leaves, an earlier process may have
    been told so long ago, and the drain time counts as over. */
@@ -276,14 +290,7 @@
             AprBackend_EndDrain(backend);
         }
     }
-    if (notice->load_invalid) {
-        AprGateway_IncrementCounter(backend->gateway,
-                                    "backend_load_invalid_total", "");
-    }
-    if (notice->load.pace != 0) {
-        AprCostModel_ReportPace(&backend->costs, notice->load.pace,
-                                AprGateway_NowMs(backend->gateway));
-    }
+    apply_load(backend, notice);
     backend->notice = *notice;
     backend->notice_known = true;
 }
@@ -307,6 +314,25 @@
     }
 }
 
+/* Records the load in the response to a health probe that was sent at
+   `sent_ms` to `sender`. A report that arrived since then may be newer and
+   stays. */
+void
+AprBackend_RecordProbedLoad(AprBackend_t *backend,
+                            const AprBackendIncarnation_t *sender,
+                            const AprBackendNotice_t *notice, int64_t sent_ms)
+{
+    AprBackendNotice_t known = *notice;
+
+    if (!AprBackendIncarnation_Equal(sender, &backend->incarnation)) {
+        return;
+    }
+    if (backend->costs.reported_ms > sent_ms) {
+        known.load.pace = 0;
+    }
+    apply_load(backend, &known);
+}
+
 /* Lets the cost model decide while balancing is adaptive. */
 static void
 update_cost_model(AprBackend_t *backend)
--- a/src/gateway/backend_conn.c
+++ b/src/gateway/backend_conn.c
@@ -118,6 +118,31 @@
     return RESPONSE_FOREIGN;
 }
 
+/* Reads the load that a response reports, if any, into `notice`, whose other
+   members stay. */
+void
+AprBackendNotice_ReadLoad(AprBackendNotice_t *notice,
+                          const AprHeaderNames_t *names,
+                          const AprHttpHead_t *head)
+{
+    char text[64];
+
+    if (names->server_load == NULL) {
+        return;
+    }
+    switch (
+        AprHttpHead_CopyValue(head, names->server_load, text, sizeof(text))) {
+    case APR_OK:
+        notice->load_invalid = !AprServerLoad_Parse(text, &notice->load);
+        break;
+    case APR_E_NOT_FOUND:
+        break;
+    default:
+        notice->load_invalid = true;
+        break;
+    }
+}
+
 /* Reads what the backend server tells about itself. A limit that is no number
    of requests counts as none. */
 static AprBackendNotice_t
@@ -138,19 +163,7 @@
     notice.leaving = AprHttpHead_CopyValue(head, names->leaving, text,
                                            sizeof(text)) == APR_OK &&
                      strcmp(text, "1") == 0;
-    if (names->server_load != NULL) {
-        switch (AprHttpHead_CopyValue(head, names->server_load, text,
-                                      sizeof(text))) {
-        case APR_OK:
-            notice.load_invalid = !AprServerLoad_Parse(text, &notice.load);
-            break;
-        case APR_E_NOT_FOUND:
-            break;
-        default:
-            notice.load_invalid = true;
-            break;
-        }
-    }
+    AprBackendNotice_ReadLoad(&notice, names, head);
     return notice;
 }
 
--- a/src/gateway/health_probe.c
+++ b/src/gateway/health_probe.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "apricot/error.h"
+#include "internal/backend_conn.h"
 #include "internal/http_message.h"
 #include "internal/stream.h"
 
@@ -35,9 +36,10 @@
     bool interim;  /* the response being read is a 1xx one */
     bool complete; /* the response has been read */
     bool keep_alive;
-    int64_t sent_ms;       /* of the last probe */
-    uint64_t sent_count;   /* requests until the last probe */
-    int64_t not_before_ms; /* the next probe waits until then */
+    AprBackendIncarnation_t incarnation; /* at the time of the last probe */
+    int64_t sent_ms;                     /* of the last probe */
+    uint64_t sent_count;                 /* requests until the last probe */
+    int64_t not_before_ms;               /* the next probe waits until then */
 };
 
 /* Returns the value of the header with the remaining cold time; -1 if it is
@@ -60,18 +62,22 @@
                                                                     : left_ms;
 }
 
-/* Reads what the backend server tells about itself in the response to a probe.
-   Headers other than the cold time are to be read here as well. */
+/* Reads what the backend server tells about itself in the response to a probe:
+   the remaining cold time and its load. */
 static void
 apply_response(AprHealthProbe_t *probe, const AprHttpHead_t *head)
 {
-    int64_t cold_left_ms =
-        parse_cold_left_ms(probe->gateway->header_names, head);
+    const AprHeaderNames_t *names = probe->gateway->header_names;
+    int64_t cold_left_ms = parse_cold_left_ms(names, head);
+    AprBackendNotice_t notice = {.request_limit = APR_NO_REQUEST_LIMIT};
 
     /* A heartbeat that arrived after the probe was sent may be newer. */
     if (cold_left_ms >= 0 && probe->cold->reported_ms <= probe->sent_ms) {
         AprBackendCold_Report(probe->cold, cold_left_ms);
     }
+    AprBackendNotice_ReadLoad(&notice, names, head);
+    AprBackend_RecordProbedLoad(probe->gateway->backend, &probe->incarnation,
+                                &notice, probe->sent_ms);
 }
 
 static int
@@ -208,6 +214,7 @@
     AprBackendCold_CountProbe(probe->cold);
     probe->awaiting_response = true;
     probe->complete = false;
+    probe->incarnation = *AprBackend_GetIncarnation(probe->gateway->backend);
     probe->sent_ms = now_ms;
     probe->sent_count = probe->cold->limit.sent_count;
 }
--- a/tests/test_cold_backend.c
+++ b/tests/test_cold_backend.c
@@ -10,6 +10,7 @@
 #include <cmocka.h>
 
 #include "gateway_cluster.h"
+#include "internal/backend_conn.h"
 
 #define START_TIMEOUT_S 6.0
 #define MAX_ARRIVALS 4096
@@ -297,6 +298,71 @@
     assert_true(AprBackend_IsCold(host->gateway->backend));
 }
 
+/* Runs until the backend server of host 0 has got another probe. */
+static void
+wait_for_probe(void)
+{
+    int probes = cluster.hosts[0].health_count;
+
+    for (int i = 0; i < 200 && cluster.hosts[0].health_count == probes; i++) {
+        cluster_run_for(&cluster, 0.02);
+    }
+    cluster_run_for(&cluster, 0.02);
+}
+
+static int64_t
+read_counter(const char *name)
+{
+    return AprMetric_Value(AprMetrics_RegisterCounter(
+        cluster.hosts[0].gateway->metrics, name, "", ""));
+}
+
+/* Returns the pace of host 0 in percent as other hosts get it. */
+static int
+reported_pace(void)
+{
+    AprHostLoad_t load = {0};
+
+    AprGateway_GetLoad(cluster.hosts[0].gateway, &load);
+    return load.pace;
+}
+
+/* Guards against a pace that an idle backend server tells only to the probe
+   and that is not used, against one that cannot be meant, and against a probe
+   that replaces a report which arrived after the probe was sent. */
+static void
+test_probe_tells_the_load(void **state)
+{
+    static const AprBackendNotice_t later = {
+        APR_NO_REQUEST_LIMIT, false, {.known = true, .pace = 200}, false};
+    ClusterHost_t *host = &cluster.hosts[0];
+    AprBackend_t *backend;
+    int64_t now_ms;
+
+    (void)state;
+    start_with_probes();
+    host->gateway->settings.balancing_mode = APR_BALANCING_ON;
+    backend = host->gateway->backend;
+    host->health_header = "Load: 5,0,6,300000";
+    wait_for_probe();
+    assert_int_equal(reported_pace(), 100);
+    assert_true(read_counter("backend_load_invalid_total") > 0);
+    host->health_header = "Load: 5,0,6,300";
+    wait_for_probe();
+    wait_for_probe();
+    assert_in_range(reported_pace(), 200, 300);
+    /* No further probes. */
+    host->gateway->settings.cold_probe_ms = 0;
+    cluster_run_for(&cluster, 0.2);
+    now_ms = AprGateway_NowMs(host->gateway);
+    AprBackend_RecordResponse(backend, &host->incarnation, &later);
+    AprBackend_RecordProbedLoad(
+        backend, &host->incarnation,
+        &(AprBackendNotice_t){.load = {.known = true, .pace = 1000}},
+        now_ms - 1);
+    assert_in_range(reported_pace(), 100, 200);
+}
+
 /* Returns the number of keys that a backend server holds. */
 static int
 count_held_keys(int host)
@@ -420,6 +486,7 @@
         cmocka_unit_test_teardown(test_probe_tells_that_it_is_cold, stop),
         cmocka_unit_test_teardown(test_probe_looks_for_the_end_only, stop),
         cmocka_unit_test_teardown(test_probe_without_information, stop),
+        cmocka_unit_test_teardown(test_probe_tells_the_load, stop),
         cmocka_unit_test_teardown(test_cold_host_gets_no_keys_for_balance,
                                   stop),
         cmocka_unit_test_teardown(test_cold_host_gives_keys_away, stop),
