Ignore health probes of another incarnation

A new backend server that takes over an address responds to probes before its first heartbeat, and its cold time and load were attributed to the one before it. A response whose id differs from that of the last heartbeat is ignored and counted in health_probe_other_incarnation_total. A response without the header is used as before.

test_cold_backend passed, with test_probe_of_another_incarnation.

--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -48,6 +48,9 @@
     bool attempt_id_echoed;
     /* In a response to a health probe: remaining cold time in milliseconds. */
     const char *cold_left;
+    /* In a response to a health probe: id of the incarnation that sent it.
+       NULL: none. */
+    const char *incarnation;
 } AprHeaderNames_t;
 
 typedef struct AprGateway_t AprGateway_t;
--- a/src/gateway/health_probe.c
+++ b/src/gateway/health_probe.c
@@ -62,6 +62,30 @@
                                                                     : left_ms;
 }
 
+/* Returns whether the backend server of the last heartbeat sent a response, as
+   far as the response tells: after a restart another one may have taken over
+   the address. */
+static bool
+is_from_known_incarnation(const AprHealthProbe_t *probe,
+                          const AprHttpHead_t *head)
+{
+    const char *name = probe->gateway->header_names->incarnation;
+    const char *known = AprBackend_GetIncarnation(probe->gateway->backend)->id;
+    char id[APR_NAME_SIZE];
+
+    if (name == NULL) {
+        return true;
+    }
+    switch (AprHttpHead_CopyValue(head, name, id, sizeof(id))) {
+    case APR_OK:
+        return strcmp(id, known) == 0;
+    case APR_E_NOT_FOUND:
+        return true;
+    default:
+        return false;
+    }
+}
+
 /* Reads what the backend server tells about itself in the response to a probe:
    the remaining cold time and its load. */
 static void
@@ -71,6 +95,11 @@
     int64_t cold_left_ms = parse_cold_left_ms(names, head);
     AprBackendNotice_t notice = {.request_limit = APR_NO_REQUEST_LIMIT};
 
+    if (!is_from_known_incarnation(probe, head)) {
+        AprGateway_IncrementCounter(
+            probe->gateway, "health_probe_other_incarnation_total", "");
+        return;
+    }
     /* A heartbeat that arrived after the probe was sent may be newer. */
     if (cold_left_ms >= 0 && probe->cold->reported_ms <= probe->sent_ms) {
         AprBackendCold_Report(probe->cold, cold_left_ms);
--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -784,7 +784,7 @@
 host_reply_to_probe(ClusterHost_t *host, AprHttpCall_t *call)
 {
     double left_s = host->cold_until_s - ev_now(host->cluster->loop);
-    char type[64];
+    char type[128];
 
     host->health_count++;
     snprintf(type, sizeof(type), "text/plain\r\nCold-Ms: %d",
@@ -962,6 +962,7 @@
     .nested_separator = '.',
     .attempt_id_echoed = false,
     .cold_left = "Cold-Ms",
+    .incarnation = "Incarnation",
     .server_load = "Load",
 };
 
--- a/tests/test_cold_backend.c
+++ b/tests/test_cold_backend.c
@@ -363,6 +363,30 @@
     assert_in_range(reported_pace(), 100, 200);
 }
 
+/* Guards against a new backend server at the address whose cold time and load
+   are attributed to the one before it. */
+static void
+test_probe_of_another_incarnation(void **state)
+{
+    ClusterHost_t *host = &cluster.hosts[0];
+
+    (void)state;
+    start_with_probes();
+    host->gateway->settings.balancing_mode = APR_BALANCING_ON;
+    ev_timer_stop(cluster.loop, &host->heartbeat_timer);
+    host->health_header = "Incarnation: b9\r\nCold-Ms: 4000\r\n"
+                          "Load: 5,0,6,300";
+    wait_for_probe();
+    assert_false(AprBackend_IsCold(host->gateway->backend));
+    assert_int_equal(reported_pace(), 100);
+    assert_true(read_counter("health_probe_other_incarnation_total") > 0);
+    host->health_header = "Incarnation: b0\r\nCold-Ms: 4000\r\n"
+                          "Load: 5,0,6,300";
+    wait_for_probe();
+    assert_true(AprBackend_IsCold(host->gateway->backend));
+    assert_in_range(reported_pace(), 200, 300);
+}
+
 /* Returns the number of keys that a backend server holds. */
 static int
 count_held_keys(int host)
@@ -487,6 +511,7 @@
         cmocka_unit_test_teardown(test_probe_looks_for_the_end_only, stop),
         cmocka_unit_test_teardown(test_probe_without_information, stop),
         cmocka_unit_test_teardown(test_probe_tells_the_load, stop),
+        cmocka_unit_test_teardown(test_probe_of_another_incarnation, stop),
         cmocka_unit_test_teardown(test_cold_host_gets_no_keys_for_balance,
                                   stop),
         cmocka_unit_test_teardown(test_cold_host_gives_keys_away, stop),
