Leave service times of keys without a token out

A key that arrives without its handover token is slow for warmS, and its service times made a backend server with new keys look slow. Keys that the backend server reports as held, as after a restart of the gateway, count as usual.

--- a/Makefile
+++ b/Makefile
@@ -68,6 +68,11 @@
 $(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(STANDIN_OBJ) $(LIB)
 	@$(CC) $^ $(LDLIBS) -lcmocka -o $@
 
+# Also needs the parser of the configuration.
+$(BUILD)/tests/test_key_warmup: $(BUILD)/tests/test_key_warmup.o \
+    $(BUILD)/platform/codec.o $(STANDIN_OBJ) $(LIB)
+	@$(CC) $^ $(LDLIBS) -lcmocka -o $@
+
 $(BUILD)/tests/prop_%: $(BUILD)/tests/prop_%.o $(STANDIN_OBJ) $(LIB)
 	@$(CXX) $^ -lrapidcheck $(LDLIBS) -o $@
 
--- a/include/apricot/route_table.h
+++ b/include/apricot/route_table.h
@@ -40,6 +40,9 @@
     /* Requests a second that a cold backend server tolerates; 0: no limit. */
     double cold_requests_per_s;
     char health_path[APR_HEALTH_PATH_SIZE]; /* "": none */
+    /* Time for which a key that came without a handover token is slow; 0: it
+       is not. */
+    int64_t key_warmup_ms;
 } AprServiceSpec_t;
 
 /* Limits for requests and connections of callers. */
--- a/internal/backend_conn.h
+++ b/internal/backend_conn.h
@@ -42,6 +42,7 @@
     bool body_buffered; /* `body` holds the whole body, for a resend */
     bool resent;        /* sent a second time after a kept connection broke */
     bool detached;      /* the caller is gone; the response is discarded */
+    bool key_slow;      /* its key was slow when it left the queue */
     int64_t submitted_ms;
     int64_t started_ms;     /* when it left the queue */
     AprBackendConn_t *conn; /* NULL while queued */
--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -342,6 +342,7 @@
 AprKeyStatus_t AprOwnership_CheckKey(AprOwnership_t *ownership, int key,
                                      int64_t *wait_ms);
 int64_t AprOwnership_ExpectedGrantMs(AprOwnership_t *ownership, int key);
+bool AprOwnership_IsKeySlow(const AprOwnership_t *ownership, int key);
 bool AprOwnership_AreGrantsSettled(const AprOwnership_t *ownership);
 void AprOwnership_OnHeartbeat(AprOwnership_t *ownership,
                               const AprHeartbeat_t *heartbeat,
--- a/internal/ownership_state.h
+++ b/internal/ownership_state.h
@@ -6,6 +6,7 @@
 
 #include "apricot/departures.h"
 #include "apricot/hot_range_plan.h"
+#include "apricot/key_warmup.h"
 #include "internal/gateway.h"
 #include "internal/generation_record.h"
 #include "internal/removal_queue.h"
@@ -51,6 +52,7 @@
     int held_grant_count;
     int64_t last_reply_ms;        /* time of the last reply with grants */
     int64_t held_grants_until_ms; /* new requests use them until then */
+    AprKeyWarmup_t key_warmup;
 
     /* Proposed change of the own service's key map. Until it is settled, keys
        that it gives away are not granted. */
@@ -113,6 +115,11 @@
 bool AprOwnership_IsRangeHeld(const AprOwnership_t *ownership,
                               const AprKeyRange_t *range);
 
+/* Keys that arrived without a handover token (slow_keys.c). */
+void AprOwnership_RecordReportedKeys(AprOwnership_t *ownership,
+                                     const AprHeartbeat_t *heartbeat);
+void AprOwnership_RecordGrantedKeys(AprOwnership_t *ownership);
+
 bool AprKeyMoves_CanSendChange(AprOwnership_t *ownership);
 bool AprKeyMoves_OnHeartbeat(AprOwnership_t *ownership);
 void AprKeyMoves_PlanOnTick(AprOwnership_t *ownership);
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -142,12 +142,18 @@
 static void start_queued_calls(AprBackend_t *backend);
 
 /* Frees a call and its slot and starts queued calls. `measured` tells whether
-   its duration updates the expected service time. */
+   its duration updates the expected service time; that of a slow key never
+   does, because it would make the backend server look slow. */
 static void
 finish_call(AprBackendCall_t *call, bool measured)
 {
     AprBackend_t *backend = call->backend;
 
+    if (measured && call->key_slow) {
+        measured = false;
+        AprGateway_IncrementCounter(backend->gateway,
+                                    "backend_slow_key_runs_total", "");
+    }
     AprAdmission_Finish(&backend->admission, (uint64_t)call->id,
                         AprGateway_NowMs(backend->gateway), measured);
     if (measured) {
@@ -711,6 +717,8 @@
         }
         else {
             call->started_ms = now_ms;
+            call->key_slow = AprOwnership_IsKeySlow(
+                backend->gateway->ownership, call->head.key);
             AprBackend_SendOnConn(call);
         }
     }
--- a/src/gateway/ownership.c
+++ b/src/gateway/ownership.c
@@ -468,6 +468,7 @@
         AprLog_Write(APR_LOG_WARN, "heartbeat_reply_long", "grants=%d", count);
     }
     ownership->held_grant_count = count;
+    AprOwnership_RecordGrantedKeys(ownership);
     ownership->last_reply_ms = now_ms;
     ownership->held_grants_until_ms =
         now_ms + ownership->grant_table.grant_ms - GRANT_END_MARGIN_MS;
@@ -697,6 +698,7 @@
                                         AprOwnership_NowMs(ownership));
             AprOwnership_ReleaseAllKeys(ownership);
         }
+        AprKeyWarmup_Reset(&ownership->key_warmup);
         ownership->held_grant_count = 0;
         ownership->early_release_count = 0;
         ownership->backend_leaving = false;
@@ -706,6 +708,7 @@
     ownership->last_heartbeat_sequence = heartbeat->sequence;
     ownership->last_heartbeat_ms = AprOwnership_NowMs(ownership);
     ownership->backend_leaving |= heartbeat->leaving || left_before;
+    AprOwnership_RecordReportedKeys(ownership, heartbeat);
     AprGrantTable_RecordHeldKeys(
         &ownership->grant_table, heartbeat->held, heartbeat->held_count,
         AprGenerationRecord_Find(&ownership->generation_record,
--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -34,6 +34,10 @@
 static double cluster_cold_per_s;
 static const char *cluster_health_path = "";
 
+/* Time for which keys without a handover token are slow, by the
+   configuration. */
+static int64_t cluster_key_warmup_ms;
+
 typedef struct StoreItem_t {
     char key[128];
     char *value;
@@ -85,8 +89,9 @@
     AprBackendIncarnation_t incarnation;
     int64_t sequence;
     bool leaving;
-    bool unresponsive; /* the backend server answers no request */
-    int response_size; /* bytes of each response body; 0: a short text */
+    bool unresponsive;     /* the backend server answers no request */
+    double service_time_s; /* 0: CLUSTER_SERVICE_TIME_S */
+    int response_size;     /* bytes of each response body; 0: a short text */
     /* The store answers no request of this host, not even those that are in
        flight; they time out. */
     bool store_silent;
@@ -829,7 +834,10 @@
     run = calloc(1, sizeof(*run));
     run->call = call;
     run->response_size = host->response_size;
-    ev_timer_init(&run->timer, host_on_run_end, CLUSTER_SERVICE_TIME_S, 0.0);
+    ev_timer_init(&run->timer, host_on_run_end,
+                  host->service_time_s > 0 ? host->service_time_s
+                                           : CLUSTER_SERVICE_TIME_S,
+                  0.0);
     run->timer.data = run;
     ev_timer_start(host->cluster->loop, &run->timer);
 }
@@ -981,6 +989,7 @@
     strcpy(routes->services[0].name, CLUSTER_SERVICE);
     routes->services[0].cold_requests_per_s = cluster_cold_per_s;
     strcpy(routes->services[0].health_path, cluster_health_path);
+    routes->services[0].key_warmup_ms = cluster_key_warmup_ms;
     routes->services[0].owns_keys = strstr(text, "unkeyed") == NULL;
     routes->routes[0].host = strdup("desk.example");
     routes->routes[0].prefix = strdup("/");
