--- a/internal/backend_conn.h
+++ b/internal/backend_conn.h
@@ -95,7 +95,7 @@
                                const AprHeaderNames_t *names,
                                const AprHttpHead_t *head);
 
-/* Implemented in backend.c; AprBackend_OnConnDone() may free `conn`. */
+/* Implemented beside backend.c; AprBackend_OnConnDone() may free `conn`. */
 void AprBackend_OnConnDone(AprBackendConn_t *conn, AprConnOutcome_t outcome);
 void AprBackend_SendOnConn(AprBackendCall_t *call);
 void AprBackend_RecordOutcome(AprBackend_t *backend, const AprCallHead_t *head,
--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -182,7 +182,8 @@
    "descriptors". */
 void AprResources_CountClosed(AprGateway_t *gateway, const char *reason);
 
-/* The local backend server: its queue, connections and load (backend.c). */
+/* The local backend server: its queue, connections and load (backend.c and
+   backend_*.c). */
 AprBackend_t *AprBackend_New(AprGateway_t *gateway);
 void AprBackend_Free(AprBackend_t *backend);
 bool AprBackend_Submit(AprBackend_t *backend, const AprCallHead_t *head,
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -7,14 +7,9 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "apricot/admission.h"
 #include "apricot/error.h"
-#include "apricot/grant_waits.h"
 #include "apricot/log.h"
-#include "internal/backend_cold.h"
-#include "internal/backend_conn.h"
-#include "internal/gateway.h"
-#include "internal/health_probe.h"
+#include "internal/backend_state.h"
 
 /* A backend server may respond at the deadline itself. The response may take
    this much longer to arrive. */
@@ -54,35 +49,6 @@
    compares all of them with the grants. */
 #define GRANT_CHECK_INTERVAL_MS 20
 
-struct AprBackend_t {
-    AprGateway_t *gateway;
-    AprAdmission_t admission;
-    AprBackendCold_t cold;
-    AprHealthProbe_t *health_probe;
-    AprGrantWaits_t grant_waits;
-    int64_t next_settle_ms;              /* next check of grant_waits */
-    AprCostModel_t costs;                /* used while balancing is adaptive */
-    AprRecentFailures_t failures;        /* of runs */
-    AprBackendIncarnation_t incarnation; /* empty id: no heartbeat yet */
-    bool leaving;
-    int64_t leaving_since_ms;
-    bool unreachable;
-    bool unresponsive;
-    AprBackendNotice_t notice; /* of the last response */
-    bool notice_known;         /* this incarnation has responded */
-    int64_t sent_requests;     /* to this incarnation, with resends */
-    int64_t last_response_ms;  /* arrival of the last response head */
-    int consecutive_refusals;  /* refused connections */
-    int64_t first_refusal_ms;
-    uint64_t next_id;
-    GHashTable *calls; /* by id */
-    AprBackendConn_t *conns;
-    double demand_ms; /* decaying sum of the expected service times */
-    int64_t demand_updated_ms;
-    bool starting_calls;      /* start_queued_calls() is on the stack */
-    ev_timer allowance_timer; /* fires when the limit allows the next start */
-};
-
 /* Returns a non-zero hash of the route: requests of one route take similar
    time. */
 static uint32_t
@@ -103,9 +69,6 @@
     free(call);
 }
 
-static void on_allowance_timer(struct ev_loop *loop, ev_timer *timer,
-                               int events);
-
 /* Creates the state; the backend server is unknown until its first heartbeat.
    Returns NULL when out of memory. */
 AprBackend_t *
@@ -120,7 +83,8 @@
         AprBackendCold_Init(&backend->cold, gateway, &backend->admission);
         AprCostModel_Init(&backend->costs, AprGateway_NowMs(gateway));
         backend->notice.request_limit = APR_NO_REQUEST_LIMIT;
-        ev_timer_init(&backend->allowance_timer, on_allowance_timer, 0.0, 0.0);
+        ev_timer_init(&backend->allowance_timer, AprBackend_OnAllowanceTimer,
+                      0.0, 0.0);
         backend->allowance_timer.data = backend;
         backend->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal,
                                                NULL, destroy_call);
@@ -133,19 +97,18 @@
     return backend;
 }
 
-static void
-free_call(AprBackendCall_t *call)
+/* Frees a call that occupies no slot. */
+void
+AprBackend_FreeCall(AprBackendCall_t *call)
 {
     g_hash_table_remove(call->backend->calls, &call->id);
 }
 
-static void start_queued_calls(AprBackend_t *backend);
-
 /* Frees a call and its slot and starts queued calls. `measured` tells whether
    its duration updates the expected service time; that of a slow key never
    does, because it would make the backend server look slow. */
-static void
-finish_call(AprBackendCall_t *call, bool measured)
+void
+AprBackend_FinishCall(AprBackendCall_t *call, bool measured)
 {
     AprBackend_t *backend = call->backend;
 
@@ -159,8 +122,8 @@
     if (measured) {
         AprBackendCold_AddServiceTime(&backend->cold, call->started_ms);
     }
-    free_call(call);
-    start_queued_calls(backend);
+    AprBackend_FreeCall(call);
+    AprBackend_StartQueuedCalls(backend);
 }
 
 /* Records whether the backend server answered a request. A failure counts with
@@ -177,8 +140,8 @@
 }
 
 /* Frees a call and reports its failure, unless its caller is gone. */
-static void
-fail_call(AprBackendCall_t *call, const AprCallFailure_t *failure)
+void
+AprBackend_FailCall(AprBackendCall_t *call, const AprCallFailure_t *failure)
 {
     AprCallHandlers_t handlers = call->handlers;
     void *context = call->context;
@@ -193,15 +156,15 @@
     if (!failure->not_run || failure->error == APR_CALL_UNREACHABLE) {
         AprBackend_RecordOutcome(call->backend, &call->head, false);
     }
-    finish_call(call, false);
+    AprBackend_FinishCall(call, false);
     if (!detached) {
         handlers.on_failure(context, failure);
     }
 }
 
 /* Removes a connection from the list, closes and frees it. */
-static void
-remove_conn(AprBackendConn_t *conn)
+void
+AprBackend_RemoveConn(AprBackendConn_t *conn)
 {
     AprBackendConn_t **at = &conn->backend->conns;
 
@@ -216,8 +179,9 @@
 
 /* Counts consecutive refused connections and marks the backend server as
    unreachable. */
-static void
-track_refused_connects(AprBackend_t *backend, AprConnOutcome_t outcome)
+void
+AprBackend_TrackRefusedConnects(AprBackend_t *backend,
+                                AprConnOutcome_t outcome)
 {
     int64_t now_ms = AprGateway_NowMs(backend->gateway);
 
@@ -239,8 +203,10 @@
     }
 }
 
-static AprBackendCall_t *
-find_call(AprBackend_t *backend, uint64_t work_id)
+/* Returns the call of a request that admission control knows by this id, or
+   NULL. */
+AprBackendCall_t *
+AprBackend_FindCall(AprBackend_t *backend, uint64_t work_id)
 {
     gint64 id = (gint64)work_id;
 
@@ -340,8 +306,8 @@
 }
 
 /* Lets the cost model decide while balancing is adaptive. */
-static void
-update_cost_model(AprBackend_t *backend)
+void
+AprBackend_UpdateCostModel(AprBackend_t *backend)
 {
     bool adaptive = AprGateway_IsBalancingAdaptive(backend->gateway);
 
@@ -353,8 +319,8 @@
 }
 
 /* Exports the pace and the remaining work while balancing is adaptive. */
-static void
-update_load_metrics(AprBackend_t *backend)
+void
+AprBackend_UpdateLoadMetrics(AprBackend_t *backend)
 {
     AprMetrics_t *metrics = backend->gateway->metrics;
     AprHostLoad_t load = {0};
@@ -387,19 +353,19 @@
 }
 
 /* Fails all queued calls. */
-static void
-refuse_queued_calls(AprBackend_t *backend)
+void
+AprBackend_RefuseQueuedCalls(AprBackend_t *backend)
 {
     while (backend->admission.queue_count > 0) {
         AprAdmissionRequest_t request = backend->admission.queue[0];
-        AprBackendCall_t *call = find_call(backend, request.id);
+        AprBackendCall_t *call = AprBackend_FindCall(backend, request.id);
         AprCallFailure_t failure = {
             APR_CALL_NO_BACKEND, true,
             (int64_t)(backend->gateway->settings.heartbeat_s * 500)};
 
         AprAdmission_RemoveQueued(&backend->admission, request.id);
         if (call != NULL) {
-            fail_call(call, &failure);
+            AprBackend_FailCall(call, &failure);
         }
     }
 }
@@ -409,7 +375,7 @@
 static bool
 has_response(AprBackend_t *backend, uint64_t id)
 {
-    const AprBackendCall_t *call = find_call(backend, id);
+    const AprBackendCall_t *call = AprBackend_FindCall(backend, id);
 
     return call != NULL && call->conn != NULL && call->conn->response_started;
 }
@@ -441,14 +407,14 @@
                      "id=%s running=%d answer_age_ms=%lld",
                      backend->incarnation.id, admission->running_count,
                      (long long)(now_ms - since_ms));
-        refuse_queued_calls(backend);
+        AprBackend_RefuseQueuedCalls(backend);
     }
 }
 
 /* Returns whether the failure domain of this host lets requests with a key, or
    without one (APR_NO_KEY), be sent to the backend server. */
-static bool
-may_start_here(const AprBackend_t *backend, int key)
+bool
+AprBackend_MayStartHere(const AprBackend_t *backend, int key)
 {
     const AprGatewaySettings_t *settings = &backend->gateway->settings;
 
@@ -472,9 +438,9 @@
     }
     conn->call = NULL;
     if (outcome != APR_CONN_REUSABLE) {
-        remove_conn(conn);
+        AprBackend_RemoveConn(conn);
     }
-    track_refused_connects(backend, outcome);
+    AprBackend_TrackRefusedConnects(backend, outcome);
     if (call == NULL) {
         return;
     }
@@ -485,7 +451,7 @@
         void *context = call->context;
         bool detached = call->detached;
 
-        finish_call(call, true);
+        AprBackend_FinishCall(call, true);
         if (!detached) {
             handlers.on_end(context);
         }
@@ -519,13 +485,14 @@
        is resent once, but not in an evacuated failure domain. */
     if (outcome == APR_CONN_BROKEN && !answered && !first_use &&
         call->head.idempotent && !call->resent && !call->detached &&
-        call->body_buffered && may_start_here(backend, call->head.key) &&
+        call->body_buffered &&
+        AprBackend_MayStartHere(backend, call->head.key) &&
         AprBackendCold_MayStart(&backend->cold)) {
         call->resent = true;
         AprBackend_SendOnConn(call);
         return;
     }
-    fail_call(call, &failure);
+    AprBackend_FailCall(call, &failure);
 }
 
 /* Sends an admitted call on an idle or a new connection. Fails the call when
@@ -544,7 +511,7 @@
     if (conn == NULL) {
         conn = AprBackendConn_Open(backend, backend->gateway);
         if (conn == NULL) {
-            fail_call(call, &failure);
+            AprBackend_FailCall(call, &failure);
             return;
         }
         conn->next = backend->conns;
@@ -568,21 +535,22 @@
 
     while (AprAdmission_ShedNext(&backend->admission, now_ms, &request,
                                  &decision)) {
-        AprBackendCall_t *call = find_call(backend, request.id);
+        AprBackendCall_t *call = AprBackend_FindCall(backend, request.id);
         AprCallFailure_t failure = {APR_CALL_FULL, true,
                                     decision.retry_after_ms};
 
         AprBackendCold_CountRefused(&backend->cold);
         if (call != NULL) {
-            fail_call(call, &failure);
+            AprBackend_FailCall(call, &failure);
         }
     }
 }
 
 /* Returns whether the backend server holds a key. Requests without a key may
    run anywhere. Fills in the failure otherwise, except not_run. */
-static bool
-check_key_held(AprBackend_t *backend, int key, AprCallFailure_t *failure)
+bool
+AprBackend_CheckKeyHeld(AprBackend_t *backend, int key,
+                        AprCallFailure_t *failure)
 {
     int64_t wait_ms = 0;
 
@@ -607,13 +575,14 @@
    and an evacuation of the failure domain decide it. Fills in the failure
    otherwise, except not_run. A key that has moved away is reported as such, so
    that the request is sent to its new owner. */
-static bool
-check_key_startable(AprBackend_t *backend, int key, AprCallFailure_t *failure)
+bool
+AprBackend_CheckKeyStartable(AprBackend_t *backend, int key,
+                             AprCallFailure_t *failure)
 {
-    if (!check_key_held(backend, key, failure)) {
+    if (!AprBackend_CheckKeyHeld(backend, key, failure)) {
         return false;
     }
-    if (!may_start_here(backend, key)) {
+    if (!AprBackend_MayStartHere(backend, key)) {
         failure->error = APR_CALL_LEAVING;
         return false;
     }
@@ -622,8 +591,8 @@
 
 /* Refuses the queued calls that may not start because the failure domain is
    evacuated. */
-static void
-refuse_evacuated_calls(AprBackend_t *backend)
+void
+AprBackend_RefuseEvacuatedCalls(AprBackend_t *backend)
 {
     const AprGateway_t *gateway = backend->gateway;
     int i = 0;
@@ -633,18 +602,18 @@
     }
     while (i < backend->admission.queue_count) {
         uint64_t id = backend->admission.queue[i].id;
-        AprBackendCall_t *call = find_call(backend, id);
+        AprBackendCall_t *call = AprBackend_FindCall(backend, id);
         AprCallFailure_t failure = {
             APR_CALL_LEAVING, true,
             (int64_t)(gateway->settings.heartbeat_s * 500)};
 
-        if (call == NULL || may_start_here(backend, call->head.key)) {
+        if (call == NULL || AprBackend_MayStartHere(backend, call->head.key)) {
             i++;
             continue;
         }
-        check_key_held(backend, call->head.key, &failure);
+        AprBackend_CheckKeyHeld(backend, call->head.key, &failure);
         AprAdmission_RemoveQueued(&backend->admission, id);
-        fail_call(call, &failure);
+        AprBackend_FailCall(call, &failure);
         /* Other calls may have been started or refused meanwhile. */
         i = 0;
     }
@@ -664,15 +633,16 @@
         failure->error = APR_CALL_NO_BACKEND;
         return false;
     }
-    return check_key_startable(backend, call->head.key, failure);
+    return AprBackend_CheckKeyStartable(backend, call->head.key, failure);
 }
 
-static void
-on_allowance_timer(struct ev_loop *loop, ev_timer *timer, int events)
+/* Called when the limit of the backend server allows the next start. */
+void
+AprBackend_OnAllowanceTimer(struct ev_loop *loop, ev_timer *timer, int events)
 {
     (void)loop;
     (void)events;
-    start_queued_calls(timer->data);
+    AprBackend_StartQueuedCalls(timer->data);
 }
 
 /* Sets the timer for the next call that waits only for the limit of the
@@ -693,8 +663,8 @@
 
 /* Starts queued calls while slots are free. Does nothing when called again
    from within, as finished calls do. */
-static void
-start_queued_calls(AprBackend_t *backend)
+void
+AprBackend_StartQueuedCalls(AprBackend_t *backend)
 {
     int64_t now_ms = AprGateway_NowMs(backend->gateway);
     AprAdmissionRequest_t request;
@@ -705,7 +675,7 @@
     backend->starting_calls = true;
     while (AprBackendCold_MayStart(&backend->cold) &&
            AprAdmission_StartNext(&backend->admission, now_ms, &request)) {
-        AprBackendCall_t *call = find_call(backend, request.id);
+        AprBackendCall_t *call = AprBackend_FindCall(backend, request.id);
         AprCallFailure_t failure = {APR_CALL_FULL, true, 0};
 
         if (call == NULL) {
@@ -713,7 +683,7 @@
                                 false);
         }
         else if (!check_startable(backend, call, &failure)) {
-            fail_call(call, &failure);
+            AprBackend_FailCall(call, &failure);
         }
         else {
             call->started_ms = now_ms;
@@ -762,7 +732,7 @@
 
     if (AprAdmission_RemoveQueued(&backend->admission, (uint64_t)call->id) ||
         AprGrantWaits_Remove(&backend->grant_waits, (uint64_t)call->id)) {
-        free_call(call);
+        AprBackend_FreeCall(call);
         return;
     }
     if (!call->head.idempotent && call->body_complete) {
@@ -779,9 +749,9 @@
 
         conn->call = NULL;
         call->conn = NULL;
-        remove_conn(conn);
+        AprBackend_RemoveConn(conn);
     }
-    finish_call(call, false);
+    AprBackend_FinishCall(call, false);
 }
 
 static const AprCallOps_t call_ops = {write_request_body, acknowledge_response,
@@ -798,8 +768,9 @@
     return backend->demand_ms * (age < 1 ? 1 - age : 0);
 }
 
-static void
-add_demand(AprBackend_t *backend, double cost_ms, int64_t now_ms)
+/* Adds the expected service time of a request to the demand. */
+void
+AprBackend_AddDemand(AprBackend_t *backend, double cost_ms, int64_t now_ms)
 {
     backend->demand_ms = decayed_demand(backend, now_ms) + cost_ms;
     backend->demand_updated_ms = now_ms;
@@ -831,8 +802,9 @@
         (int64_t)(backend->gateway->settings.heartbeat_s * 500);
     if (backend->incarnation.id[0] == '\0' || backend->unreachable ||
         AprBackendCold_IsLimitUnknown(&backend->cold) ||
-        (backend->unresponsive && (AprBackend_CountCalls(backend) > 0 ||
-                                   !may_start_here(backend, APR_NO_KEY)))) {
+        (backend->unresponsive &&
+         (AprBackend_CountCalls(backend) > 0 ||
+          !AprBackend_MayStartHere(backend, APR_NO_KEY)))) {
         failure->error = APR_CALL_NO_BACKEND;
         return false;
     }
@@ -845,7 +817,7 @@
         failure->error = APR_CALL_NOT_OWNER;
         return false;
     }
-    return check_key_startable(backend, head->key, failure);
+    return AprBackend_CheckKeyStartable(backend, head->key, failure);
 }
 
 /* Creates a queued call with copies of `head` and `data`. Returns NULL when
@@ -915,11 +887,11 @@
 settle_grant_wait(AprBackend_t *backend, int index, int64_t now_ms)
 {
     AprGrantWait_t wait = backend->grant_waits.entries[index];
-    AprBackendCall_t *call = find_call(backend, wait.request.id);
+    AprBackendCall_t *call = AprBackend_FindCall(backend, wait.request.id);
     AprCallFailure_t failure = {APR_CALL_FULL, true, 0};
     AprAdmissionDecision_t decision;
 
-    if (check_key_held(backend, wait.key, &failure)) {
+    if (AprBackend_CheckKeyHeld(backend, wait.key, &failure)) {
         if (!AprOwnership_AreGrantsSettled(backend->gateway->ownership)) {
             return false;
         }
@@ -946,15 +918,15 @@
     AprGateway_IncrementCounter(backend->gateway, "grant_waits_total",
                                 "result=\"ended\"");
     if (call != NULL) {
-        fail_call(call, &failure);
+        AprBackend_FailCall(call, &failure);
     }
     return true;
 }
 
 /* Queues the requests whose keys have been granted, and refuses those that can
    no longer be served in time or whose keys have another owner. */
-static void
-settle_grant_waits(AprBackend_t *backend, int64_t now_ms)
+void
+AprBackend_SettleGrantWaits(AprBackend_t *backend, int64_t now_ms)
 {
     int index = 0;
 
@@ -999,7 +971,7 @@
     decision =
         granted ? AprAdmission_Offer(&backend->admission, &request, now_ms)
                 : offer_to_grant_waits(backend, &request, head->key, now_ms);
-    add_demand(backend, request.expected_service_ms, now_ms);
+    AprBackend_AddDemand(backend, request.expected_service_ms, now_ms);
     AprOwnership_AddDemand(backend->gateway->ownership, head->key,
                            request.expected_service_ms);
     if (!decision.admitted) {
@@ -1065,7 +1037,7 @@
 static void
 limit_deadline(AprBackend_t *backend, AprAdmissionRequest_t *request)
 {
-    AprBackendCall_t *call = find_call(backend, request->id);
+    AprBackendCall_t *call = AprBackend_FindCall(backend, request->id);
 
     request->deadline_ms =
         AprGateway_LimitDeadline(backend->gateway, request->deadline_ms);
@@ -1137,7 +1109,7 @@
 {
     return backend->unresponsive && AprBackend_IsOpen(backend) &&
            AprBackend_CountCalls(backend) == 0 &&
-           may_start_here(backend, APR_NO_KEY);
+           AprBackend_MayStartHere(backend, APR_NO_KEY);
 }
 
 /* Returns whether the backend server has refused several connections in a row
@@ -1208,7 +1180,7 @@
 
     for (int i = 0; i < backend->admission.queue_count; i++) {
         uint64_t queued_id = backend->admission.queue[i].id;
-        const AprBackendCall_t *call = find_call(backend, queued_id);
+        const AprBackendCall_t *call = AprBackend_FindCall(backend, queued_id);
         AprMemoryHolder_t holder = {0};
         double score;
 
@@ -1230,11 +1202,11 @@
 void
 AprBackend_RefuseQueued(AprBackend_t *backend, uint64_t id)
 {
-    AprBackendCall_t *call = find_call(backend, id);
+    AprBackendCall_t *call = AprBackend_FindCall(backend, id);
     AprCallFailure_t failure = {APR_CALL_FULL, true, 0};
 
     if (call != NULL && AprAdmission_RemoveQueued(&backend->admission, id)) {
-        fail_call(call, &failure);
+        AprBackend_FailCall(call, &failure);
     }
 }
 
@@ -1276,7 +1248,7 @@
     load->load_permille = (int)(AprBackend_RelativeDemand(backend) * 1000);
     load->accepts_calls = AprBackend_IsOpen(backend) &&
                           !backend->unresponsive &&
-                          may_start_here(backend, APR_NO_KEY);
+                          AprBackend_MayStartHere(backend, APR_NO_KEY);
     load->has_work = backend->admission.costs != NULL;
     if (load->has_work) {
         int64_t now_ms = AprGateway_NowMs(backend->gateway);
@@ -1314,7 +1286,7 @@
     int64_t now_ms = AprGateway_NowMs(backend->gateway);
     AprBackendCall_t *call;
 
-    update_cost_model(backend);
+    AprBackend_UpdateCostModel(backend);
     while ((call = g_hash_table_find(backend->calls, is_overdue, &now_ms)) !=
            NULL) {
         AprBackendConn_t *conn = call->conn;
@@ -1322,24 +1294,24 @@
 
         conn->call = NULL;
         call->conn = NULL;
-        remove_conn(conn);
-        fail_call(call, &failure);
+        AprBackend_RemoveConn(conn);
+        AprBackend_FailCall(call, &failure);
     }
     for (AprBackendConn_t *conn = backend->conns; conn != NULL;) {
         AprBackendConn_t *next = conn->next;
 
         if (AprBackendConn_IsExpired(conn, now_ms)) {
-            remove_conn(conn);
+            AprBackend_RemoveConn(conn);
         }
         conn = next;
     }
     AprBackendCold_Refresh(&backend->cold);
     AprHealthProbe_Tick(backend->health_probe);
     detect_unresponsive_server(backend, now_ms);
-    refuse_evacuated_calls(backend);
-    settle_grant_waits(backend, now_ms);
-    start_queued_calls(backend);
-    update_load_metrics(backend);
+    AprBackend_RefuseEvacuatedCalls(backend);
+    AprBackend_SettleGrantWaits(backend, now_ms);
+    AprBackend_StartQueuedCalls(backend);
+    AprBackend_UpdateLoadMetrics(backend);
 }
 
 /* Closes all connections and frees the state. No call gets a callback. */
