--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -1,4 +1,4 @@
-/* Calls to the local backend server: admission, dispatch and responses. */
+/* The local backend server: heartbeats, availability and its connections. */
 
 #include <glib.h>
 #include <stdlib.h>
--- a/tests/test_key_warmup.c
+++ b/tests/test_key_warmup.c
@@ -72,6 +72,9 @@
                      10);
     assert_true(AprKeyWarmup_IsSlow(&warmup, 10, WARM_MS + 899));
     AprKeyWarmup_Reset(&warmup);
+    AprKeyWarmup_AddGrants(&warmup, all, 1, INT64_MAX, 1000);
+    assert_false(AprKeyWarmup_IsSlow(&warmup, 0, 1000 + 10 * 60 * 1000));
+    AprKeyWarmup_Reset(&warmup);
     assert_int_equal(AprKeyWarmup_AddGrants(&warmup, all, 2, 0, 1000), 0);
     assert_false(AprKeyWarmup_IsSlow(&warmup, 10, 1000));
 }
