Split AprBackend_OnConnDone()

The completion of a call and the kind of its failure are functions of their own; the behaviour is the same. test_cold_backend, test_hostile_backend, test_backend_limit, test_backend_leaving, test_gateway_flow and test_gateway_parts pass.

--- a/src/gateway/backend_dispatch.c
+++ b/src/gateway/backend_dispatch.c
@@ -86,41 +86,15 @@
     }
 }
 
-/* Handles the end of a connection's current call or of the connection itself.
-   Frees the connection unless the outcome is APR_CONN_REUSABLE. */
-void
-AprBackend_OnConnDone(AprBackendConn_t *conn, AprConnOutcome_t outcome)
+/* Returns how a call failed whose connection ended without a complete
+   response. */
+static AprCallFailure_t
+find_failure(const AprBackendCall_t *call, AprConnOutcome_t outcome)
 {
-    AprBackend_t *backend = conn->backend;
-    AprBackendCall_t *call = conn->call;
+    const AprBackend_t *backend = call->backend;
     AprCallFailure_t failure = {APR_CALL_BROKEN, false, 0};
-    bool answered = conn->response_started;
-    bool first_use = !conn->reused;
 
-    if (call != NULL) {
-        call->conn = NULL;
-    }
-    conn->call = NULL;
-    if (outcome != APR_CONN_REUSABLE) {
-        AprBackend_RemoveConn(conn);
-    }
-    AprBackend_TrackRefusedConnects(backend, outcome);
-    if (call == NULL) {
-        return;
-    }
     switch (outcome) {
-    case APR_CONN_REUSABLE:
-    case APR_CONN_CLOSED: {
-        AprCallHandlers_t handlers = call->handlers;
-        void *context = call->context;
-        bool detached = call->detached;
-
-        AprBackend_FinishCall(call, true);
-        if (!detached) {
-            handlers.on_end(context);
-        }
-        return;
-    }
     case APR_CONN_NOT_RUN:
         failure.error = APR_CALL_SHED;
         failure.not_run = true;
@@ -144,6 +118,49 @@
     default:
         break;
     }
+    return failure;
+}
+
+/* Ends a call whose response is complete. */
+static void
+complete_call(AprBackendCall_t *call)
+{
+    AprCallHandlers_t handlers = call->handlers;
+    void *context = call->context;
+    bool detached = call->detached;
+
+    AprBackend_FinishCall(call, true);
+    if (!detached) {
+        handlers.on_end(context);
+    }
+}
+
+/* Handles the end of a connection's current call or of the connection itself.
+   Frees the connection unless the outcome is APR_CONN_REUSABLE. */
+void
+AprBackend_OnConnDone(AprBackendConn_t *conn, AprConnOutcome_t outcome)
+{
+    AprBackend_t *backend = conn->backend;
+    AprBackendCall_t *call = conn->call;
+    AprCallFailure_t failure;
+    bool answered = conn->response_started;
+    bool first_use = !conn->reused;
+
+    if (call != NULL) {
+        call->conn = NULL;
+    }
+    conn->call = NULL;
+    if (outcome != APR_CONN_REUSABLE) {
+        AprBackend_RemoveConn(conn);
+    }
+    AprBackend_TrackRefusedConnects(backend, outcome);
+    if (call == NULL) {
+        return;
+    }
+    if (outcome == APR_CONN_REUSABLE || outcome == APR_CONN_CLOSED) {
+        complete_call(call);
+        return;
+    }
     /* The backend server may close a kept connection while a request is sent
        on it, most likely without having read the request. An idempotent one
        is resent once, but not in an evacuated failure domain. */
@@ -156,6 +173,7 @@
         AprBackend_SendOnConn(call);
         return;
     }
+    failure = find_failure(call, outcome);
     AprBackend_FailCall(call, &failure);
 }
 
