--- a/internal/backend_conn.h
+++ b/internal/backend_conn.h
@@ -42,6 +42,7 @@
     bool body_buffered; /* `body` holds the whole body, for a resend */
     bool resent;        /* sent a second time after a kept connection broke */
     bool detached;      /* the caller is gone; the response is discarded */
+    bool key_slow;      /* its key was slow when it left the queue */
     int64_t submitted_ms;
     int64_t started_ms;     /* when it left the queue */
     AprBackendConn_t *conn; /* NULL while queued */
@@ -90,7 +91,11 @@
 bool AprBackendConn_IsIdle(const AprBackendConn_t *conn, int64_t now_ms);
 bool AprBackendConn_IsExpired(const AprBackendConn_t *conn, int64_t now_ms);
 
-/* Implemented in backend.c; AprBackend_OnConnDone() may free `conn`. */
+void AprBackendNotice_ReadLoad(AprBackendNotice_t *notice,
+                               const AprHeaderNames_t *names,
+                               const AprHttpHead_t *head);
+
+/* Implemented beside backend.c; AprBackend_OnConnDone() may free `conn`. */
 void AprBackend_OnConnDone(AprBackendConn_t *conn, AprConnOutcome_t outcome);
 void AprBackend_SendOnConn(AprBackendCall_t *call);
 void AprBackend_RecordOutcome(AprBackend_t *backend, const AprCallHead_t *head,
@@ -98,5 +103,9 @@
 void AprBackend_RecordResponse(AprBackend_t *backend,
                                const AprBackendIncarnation_t *sender,
                                const AprBackendNotice_t *notice);
+void AprBackend_RecordProbedLoad(AprBackend_t *backend,
+                                 const AprBackendIncarnation_t *sender,
+                                 const AprBackendNotice_t *notice,
+                                 int64_t sent_ms);
 
 #endif
--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -50,6 +50,9 @@
     bool attempt_id_echoed;
     /* In a response to a health probe: remaining cold time in milliseconds. */
     const char *cold_left;
+    /* In a response to a health probe: id of the incarnation that sent it.
+       NULL: none. */
+    const char *incarnation;
 } AprHeaderNames_t;
 
 typedef struct AprGateway_t AprGateway_t;
@@ -183,7 +186,8 @@
    "descriptors". */
 void AprResources_CountClosed(AprGateway_t *gateway, const char *reason);
 
-/* The local backend server: its queue, connections and load (backend.c). */
+/* The local backend server: its queue, connections and load (backend.c and
+   backend_*.c). */
 AprBackend_t *AprBackend_New(AprGateway_t *gateway);
 void AprBackend_Free(AprBackend_t *backend);
 bool AprBackend_Submit(AprBackend_t *backend, const AprCallHead_t *head,
@@ -345,6 +349,7 @@
 AprKeyStatus_t AprOwnership_CheckKey(AprOwnership_t *ownership, int key,
                                      int64_t *wait_ms);
 int64_t AprOwnership_ExpectedGrantMs(AprOwnership_t *ownership, int key);
+bool AprOwnership_IsKeySlow(const AprOwnership_t *ownership, int key);
 bool AprOwnership_AreGrantsSettled(const AprOwnership_t *ownership);
 void AprOwnership_OnHeartbeat(AprOwnership_t *ownership,
                               const AprHeartbeat_t *heartbeat,
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -1,28 +1,16 @@
-/* Calls to the local backend server: admission, dispatch and responses. */
+/* The local backend server: heartbeats, availability and its connections. */
 
 #include <glib.h>
-#include <stddef.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
-#include "apricot/admission.h"
-#include "apricot/error.h"
-#include "apricot/grant_waits.h"
 #include "apricot/log.h"
-#include "internal/backend_cold.h"
-#include "internal/backend_conn.h"
-#include "internal/gateway.h"
-#include "internal/health_probe.h"
+#include "internal/backend_state.h"
 
 /* A backend server may respond at the deadline itself. The response may take
    this much longer to arrive. */
 #define RESPONSE_GRACE_MS 150
 
-/* The demand is averaged over about this time and decays to zero within it. */
-#define DEMAND_WINDOW_MS 2000.0
-
 /* Concurrency limit of a backend server before its first heartbeat. */
 #define DEFAULT_SLOTS 4
 
@@ -50,49 +38,6 @@
    gets one request at a time until it responds again. */
 #define UNRESPONSIVE_MIN_CALLS 2
 
-/* Shortest interval of the checks of requests that wait for a grant. Each
-   compares all of them with the grants. */
-#define GRANT_CHECK_INTERVAL_MS 20
-
-struct AprBackend_t {
-    AprGateway_t *gateway;
-    AprAdmission_t admission;
-    AprBackendCold_t cold;
-    AprHealthProbe_t *health_probe;
-    AprGrantWaits_t grant_waits;
-    int64_t next_settle_ms;              /* next check of grant_waits */
-    AprCostModel_t costs;                /* used while balancing is adaptive */
-    AprRecentFailures_t failures;        /* of runs */
-    AprBackendIncarnation_t incarnation; /* empty id: no heartbeat yet */
-    bool leaving;
-    int64_t leaving_since_ms;
-    bool unreachable;
-    bool unresponsive;
-    AprBackendNotice_t notice; /* of the last response */
-    bool notice_known;         /* this incarnation has responded */
-    int64_t sent_requests;     /* to this incarnation, with resends */
-    int64_t last_response_ms;  /* arrival of the last response head */
-    int consecutive_refusals;  /* refused connections */
-    int64_t first_refusal_ms;
-    uint64_t next_id;
-    GHashTable *calls; /* by id */
-    AprBackendConn_t *conns;
-    double demand_ms; /* decaying sum of the expected service times */
-    int64_t demand_updated_ms;
-    bool starting_calls;      /* start_queued_calls() is on the stack */
-    ev_timer allowance_timer; /* fires when the limit allows the next start */
-};
-
-/* Returns a non-zero hash of the route: requests of one route take similar
-   time. */
-static uint32_t
-request_kind(const AprCallHead_t *head)
-{
-    uint32_t hash = (uint32_t)XXH3_64bits(head->route, strlen(head->route));
-
-    return hash == 0 ? 1 : hash;
-}
-
 static void
 destroy_call(gpointer data)
 {
@@ -103,9 +48,6 @@
     free(call);
 }
 
-static void on_allowance_timer(struct ev_loop *loop, ev_timer *timer,
-                               int events);
-
 /* Creates the state; the backend server is unknown until its first heartbeat.
    Returns NULL when out of memory. */
 AprBackend_t *
@@ -120,7 +62,8 @@
         AprBackendCold_Init(&backend->cold, gateway, &backend->admission);
         AprCostModel_Init(&backend->costs, AprGateway_NowMs(gateway));
         backend->notice.request_limit = APR_NO_REQUEST_LIMIT;
-        ev_timer_init(&backend->allowance_timer, on_allowance_timer, 0.0, 0.0);
+        ev_timer_init(&backend->allowance_timer, AprBackend_OnAllowanceTimer,
+                      0.0, 0.0);
         backend->allowance_timer.data = backend;
         backend->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal,
                                                NULL, destroy_call);
@@ -133,69 +76,9 @@
     return backend;
 }
 
-static void
-free_call(AprBackendCall_t *call)
-{
-    g_hash_table_remove(call->backend->calls, &call->id);
-}
-
-static void start_queued_calls(AprBackend_t *backend);
-
-/* Frees a call and its slot and starts queued calls. `measured` tells whether
-   its duration updates the expected service time. */
-static void
-finish_call(AprBackendCall_t *call, bool measured)
-{
-    AprBackend_t *backend = call->backend;
-
-    AprAdmission_Finish(&backend->admission, (uint64_t)call->id,
-                        AprGateway_NowMs(backend->gateway), measured);
-    if (measured) {
-        AprBackendCold_AddServiceTime(&backend->cold, call->started_ms);
-    }
-    free_call(call);
-    start_queued_calls(backend);
-}
-
-/* Records whether the backend server answered a request. A failure counts with
-   the time left until the objective, as if the answer came then. */
-void
-AprBackend_RecordOutcome(AprBackend_t *backend, const AprCallHead_t *head,
-                         bool answered)
-{
-    int64_t now_ms = AprGateway_NowMs(backend->gateway);
-
-    AprRecentFailures_Add(&backend->failures,
-                          answered ? 0 : (double)(head->objective_ms - now_ms),
-                          now_ms);
-}
-
-/* Frees a call and reports its failure, unless its caller is gone. */
-static void
-fail_call(AprBackendCall_t *call, const AprCallFailure_t *failure)
-{
-    AprCallHandlers_t handlers = call->handlers;
-    void *context = call->context;
-    bool detached = call->detached;
-
-    AprLog_Write(APR_LOG_INFO, "backend_fail",
-                 "request=%s route=%s error=%s not_run=%d waited_ms=%lld",
-                 call->head.id, call->head.route,
-                 AprCallError_Name(failure->error), failure->not_run,
-                 (long long)(AprGateway_NowMs(call->backend->gateway) -
-                             call->submitted_ms));
-    if (!failure->not_run || failure->error == APR_CALL_UNREACHABLE) {
-        AprBackend_RecordOutcome(call->backend, &call->head, false);
-    }
-    finish_call(call, false);
-    if (!detached) {
-        handlers.on_failure(context, failure);
-    }
-}
-
 /* Removes a connection from the list, closes and frees it. */
-static void
-remove_conn(AprBackendConn_t *conn)
+void
+AprBackend_RemoveConn(AprBackendConn_t *conn)
 {
     AprBackendConn_t **at = &conn->backend->conns;
 
@@ -210,8 +93,9 @@
 
 /* Counts consecutive refused connections and marks the backend server as
    unreachable. */
-static void
-track_refused_connects(AprBackend_t *backend, AprConnOutcome_t outcome)
+void
+AprBackend_TrackRefusedConnects(AprBackend_t *backend,
+                                AprConnOutcome_t outcome)
 {
     int64_t now_ms = AprGateway_NowMs(backend->gateway);
 
@@ -233,151 +117,12 @@
     }
 }
 
-static AprBackendCall_t *
-find_call(AprBackend_t *backend, uint64_t work_id)
-{
-    gint64 id = (gint64)work_id;
-
-    return g_hash_table_lookup(backend->calls, &id);
-}
-
-static void
-log_notice_changes(AprBackend_t *backend, const AprBackendNotice_t *notice)
-{
-    if (notice->request_limit != backend->notice.request_limit) {
-        AprLog_Write(APR_LOG_INFO, "backend_limit",
-                     "id=%s per_s=%g earlier=%g sent=%lld",
-                     backend->incarnation.id, notice->request_limit,
-                     backend->notice.request_limit,
-                     (long long)backend->sent_requests);
-    }
-    if (notice->leaving && !backend->notice.leaving) {
-        AprLog_Write(APR_LOG_INFO, "backend_answers_leaving",
-                     "id=%s known=%d first_response=%d",
-                     backend->incarnation.id, backend->leaving,
-                     !backend->notice_known);
-    }
-}
-
-/* Acts on what the present incarnation tells about itself. If its first
-   response to this process says that it leaves, an earlier process may have
-   been told so long ago, and the drain time counts as over. */
-static void
-apply_notice(AprBackend_t *backend, const AprBackendNotice_t *notice)
-{
-    log_notice_changes(backend, notice);
-    if (notice->request_limit != backend->notice.request_limit) {
-        AprBackendCold_SetNoticeLimit(&backend->cold, notice->request_limit);
-    }
-    if (notice->leaving && !backend->notice.leaving) {
-        AprOwnership_OnBackendLeaving(backend->gateway->ownership,
-                                      backend->incarnation.id);
-        if (!backend->notice_known) {
-            AprBackend_EndDrain(backend);
-        }
-    }
-    if (notice->load_invalid) {
-        AprGateway_IncrementCounter(backend->gateway,
-                                    "backend_load_invalid_total", "");
-    }
-    if (notice->load.pace != 0) {
-        AprCostModel_ReportPace(&backend->costs, notice->load.pace,
-                                AprGateway_NowMs(backend->gateway));
-    }
-    backend->notice = *notice;
-    backend->notice_known = true;
-}
-
-/* Records a response head, which ends the unresponsive state, and what the
-   backend server tells about itself in it. A late response of an earlier
-   incarnation tells nothing about the present one. */
-void
-AprBackend_RecordResponse(AprBackend_t *backend,
-                          const AprBackendIncarnation_t *sender,
-                          const AprBackendNotice_t *notice)
-{
-    backend->last_response_ms = AprGateway_NowMs(backend->gateway);
-    if (AprBackendIncarnation_Equal(sender, &backend->incarnation)) {
-        apply_notice(backend, notice);
-    }
-    if (backend->unresponsive) {
-        backend->unresponsive = false;
-        AprLog_Write(APR_LOG_INFO, "backend_answers", "id=%s",
-                     backend->incarnation.id);
-    }
-}
-
-/* Lets the cost model decide while balancing is adaptive. */
-static void
-update_cost_model(AprBackend_t *backend)
-{
-    bool adaptive = AprGateway_IsBalancingAdaptive(backend->gateway);
-
-    if (adaptive != (backend->admission.costs != NULL)) {
-        AprAdmission_SetCostModel(&backend->admission,
-                                  adaptive ? &backend->costs : NULL);
-        AprLog_Write(APR_LOG_INFO, "admission_mode", "adaptive=%d", adaptive);
-    }
-}
-
-/* Exports the pace and the remaining work while balancing is adaptive. */
-static void
-update_load_metrics(AprBackend_t *backend)
-{
-    AprMetrics_t *metrics = backend->gateway->metrics;
-    AprHostLoad_t load = {0};
-    AprMetric_t *pace;
-    AprMetric_t *work;
-
-    if (backend->admission.costs == NULL) {
-        return;
-    }
-    AprBackend_GetLoad(backend, &load);
-    pace = AprMetrics_RegisterGauge(metrics, "backend_pace_percent", "",
-                                    "100: work takes as long as usual");
-    work = AprMetrics_RegisterGauge(metrics, "backend_work_ms", "",
-                                    "remaining service time, over all slots");
-    if (pace != NULL && work != NULL) {
-        AprMetric_Set(pace, load.pace);
-        AprMetric_Set(work, load.work_ms);
-    }
-}
-
-/* Counts a call that a running request makes. */
-void
-AprBackend_RecordNestedCall(AprBackend_t *backend, const AprCallHead_t *parent)
-{
-    const AprBackendCall_t *call =
-        (const AprBackendCall_t *)((const char *)parent -
-                                   offsetof(AprBackendCall_t, head));
-
-    AprAdmission_CountNestedCall(&backend->admission, (uint64_t)call->id);
-}
-
-/* Fails all queued calls. */
-static void
-refuse_queued_calls(AprBackend_t *backend)
-{
-    while (backend->admission.queue_count > 0) {
-        AprAdmissionRequest_t request = backend->admission.queue[0];
-        AprBackendCall_t *call = find_call(backend, request.id);
-        AprCallFailure_t failure = {
-            APR_CALL_NO_BACKEND, true,
-            (int64_t)(backend->gateway->settings.heartbeat_s * 500)};
-
-        AprAdmission_RemoveQueued(&backend->admission, request.id);
-        if (call != NULL) {
-            fail_call(call, &failure);
-        }
-    }
-}
-
 /* Returns whether the head of the response to a running call has arrived. Its
    end may take long only because the caller reads slowly. */
 static bool
 has_response(AprBackend_t *backend, uint64_t id)
 {
-    const AprBackendCall_t *call = find_call(backend, id);
+    const AprBackendCall_t *call = AprBackend_FindCall(backend, id);
 
     return call != NULL && call->conn != NULL && call->conn->response_started;
 }
@@ -409,14 +154,14 @@
                      "id=%s running=%d answer_age_ms=%lld",
                      backend->incarnation.id, admission->running_count,
                      (long long)(now_ms - since_ms));
-        refuse_queued_calls(backend);
+        AprBackend_RefuseQueuedCalls(backend);
     }
 }
 
 /* Returns whether the failure domain of this host lets requests with a key, or
    without one (APR_NO_KEY), be sent to the backend server. */
-static bool
-may_start_here(const AprBackend_t *backend, int key)
+bool
+AprBackend_MayStartHere(const AprBackend_t *backend, int key)
 {
     const AprGatewaySettings_t *settings = &backend->gateway->settings;
 
@@ -424,576 +169,6 @@
                                  settings->backend_service, key != APR_NO_KEY);
 }
 
-/* Handles the end of a connection's current call or of the connection itself.
-   Frees the connection unless the outcome is APR_CONN_REUSABLE. */
-void
-AprBackend_OnConnDone(AprBackendConn_t *conn, AprConnOutcome_t outcome)
-{
-    AprBackend_t *backend = conn->backend;
-    AprBackendCall_t *call = conn->call;
-    AprCallFailure_t failure = {APR_CALL_BROKEN, false, 0};
-    bool answered = conn->response_started;
-    bool first_use = !conn->reused;
-
-    if (call != NULL) {
-        call->conn = NULL;
-    }
-    conn->call = NULL;
-    if (outcome != APR_CONN_REUSABLE) {
-        remove_conn(conn);
-    }
-    track_refused_connects(backend, outcome);
-    if (call == NULL) {
-        return;
-    }
-    switch (outcome) {
-    case APR_CONN_REUSABLE:
-    case APR_CONN_CLOSED: {
-        AprCallHandlers_t handlers = call->handlers;
-        void *context = call->context;
-        bool detached = call->detached;
-
-        finish_call(call, true);
-        if (!detached) {
-            handlers.on_end(context);
-        }
-        return;
-    }
-    case APR_CONN_NOT_RUN:
-        failure.error = APR_CALL_SHED;
-        failure.not_run = true;
-        failure.retry_after_ms =
-            AprAdmission_ExpectedWaitMs(&backend->admission, call->head.rank,
-                                        AprGateway_NowMs(backend->gateway));
-        break;
-    case APR_CONN_REFUSED:
-        failure.error = APR_CALL_UNREACHABLE;
-        failure.not_run = true;
-        failure.retry_after_ms =
-            (int64_t)(backend->gateway->settings.heartbeat_s * 1000);
-        break;
-    case APR_CONN_CONNECT_FAILED:
-        failure.error = APR_CALL_SHED;
-        failure.not_run = true;
-        break;
-    case APR_CONN_MALFORMED:
-        failure.error = APR_CALL_BAD_ANSWER;
-        break;
-    default:
-        break;
-    }
-    /* The backend server may close a kept connection while a request is sent
-       on it, most likely without having read the request. An idempotent one
-       is resent once, but not in an evacuated failure domain. */
-    if (outcome == APR_CONN_BROKEN && !answered && !first_use &&
-        call->head.idempotent && !call->resent && !call->detached &&
-        call->body_buffered && may_start_here(backend, call->head.key) &&
-        AprBackendCold_MayStart(&backend->cold)) {
-        call->resent = true;
-        AprBackend_SendOnConn(call);
-        return;
-    }
-    fail_call(call, &failure);
-}
-
-/* Sends an admitted call on an idle or a new connection. Fails the call when
-   no connection can be opened. */
-void
-AprBackend_SendOnConn(AprBackendCall_t *call)
-{
-    AprBackend_t *backend = call->backend;
-    AprCallFailure_t failure = {APR_CALL_UNREACHABLE, true, 0};
-    AprBackendConn_t *conn = backend->conns;
-    int64_t now_ms = AprGateway_NowMs(backend->gateway);
-
-    while (conn != NULL && !AprBackendConn_IsIdle(conn, now_ms)) {
-        conn = conn->next;
-    }
-    if (conn == NULL) {
-        conn = AprBackendConn_Open(backend, backend->gateway);
-        if (conn == NULL) {
-            fail_call(call, &failure);
-            return;
-        }
-        conn->next = backend->conns;
-        backend->conns = conn;
-        AprGateway_IncrementCounter(backend->gateway,
-                                    "backend_connections_total", "");
-    }
-    backend->sent_requests++;
-    AprBackendCold_CountSent(&backend->cold);
-    AprGateway_IncrementCounter(backend->gateway, "backend_requests_total",
-                                "");
-    AprBackendConn_SendRequest(conn, call, &backend->incarnation, now_ms);
-}
-
-/* Fails queued calls that are no longer expected to be answered in time. */
-static void
-refuse_unmeetable_calls(AprBackend_t *backend, int64_t now_ms)
-{
-    AprAdmissionDecision_t decision;
-    AprAdmissionRequest_t request;
-
-    while (AprAdmission_ShedNext(&backend->admission, now_ms, &request,
-                                 &decision)) {
-        AprBackendCall_t *call = find_call(backend, request.id);
-        AprCallFailure_t failure = {APR_CALL_FULL, true,
-                                    decision.retry_after_ms};
-
-        AprBackendCold_CountRefused(&backend->cold);
-        if (call != NULL) {
-            fail_call(call, &failure);
-        }
-    }
-}
-
-/* Returns whether the backend server holds a key. Requests without a key may
-   run anywhere. Fills in the failure otherwise, except not_run. */
-static bool
-check_key_held(AprBackend_t *backend, int key, AprCallFailure_t *failure)
-{
-    int64_t wait_ms = 0;
-
-    if (key == APR_NO_KEY) {
-        return true;
-    }
-    switch (
-        AprOwnership_CheckKey(backend->gateway->ownership, key, &wait_ms)) {
-    case APR_KEY_GRANTED:
-        return true;
-    case APR_KEY_GRANT_PENDING:
-        failure->error = APR_CALL_FULL;
-        failure->retry_after_ms = wait_ms;
-        return false;
-    default:
-        failure->error = APR_CALL_NOT_OWNER;
-        return false;
-    }
-}
-
-/* Returns whether a call may be sent to the backend server as far as its key
-   and an evacuation of the failure domain decide it. Fills in the failure
-   otherwise, except not_run. A key that has moved away is reported as such, so
-   that the request is sent to its new owner. */
-static bool
-check_key_startable(AprBackend_t *backend, int key, AprCallFailure_t *failure)
-{
-    if (!check_key_held(backend, key, failure)) {
-        return false;
-    }
-    if (!may_start_here(backend, key)) {
-        failure->error = APR_CALL_LEAVING;
-        return false;
-    }
-    return true;
-}
-
-/* Refuses the queued calls that may not start because the failure domain is
-   evacuated. */
-static void
-refuse_evacuated_calls(AprBackend_t *backend)
-{
-    const AprGateway_t *gateway = backend->gateway;
-    int i = 0;
-
-    if (!AprGateway_IsEvacuated(gateway, gateway->settings.failure_domain)) {
-        return;
-    }
-    while (i < backend->admission.queue_count) {
-        uint64_t id = backend->admission.queue[i].id;
-        AprBackendCall_t *call = find_call(backend, id);
-        AprCallFailure_t failure = {
-            APR_CALL_LEAVING, true,
-            (int64_t)(gateway->settings.heartbeat_s * 500)};
-
-        if (call == NULL || may_start_here(backend, call->head.key)) {
-            i++;
-            continue;
-        }
-        check_key_held(backend, call->head.key, &failure);
-        AprAdmission_RemoveQueued(&backend->admission, id);
-        fail_call(call, &failure);
-        /* Other calls may have been started or refused meanwhile. */
-        i = 0;
-    }
-}
-
-/* Returns whether a queued call may still be sent to the backend server: its
-   key may have been assigned to another host while it was queued. */
-static bool
-check_startable(AprBackend_t *backend, AprBackendCall_t *call,
-                AprCallFailure_t *failure)
-{
-    if (!AprBackend_AcceptsCalls(backend)) {
-        failure->error = APR_CALL_LEAVING;
-        return false;
-    }
-    if (backend->unresponsive && backend->admission.running_count > 1) {
-        failure->error = APR_CALL_NO_BACKEND;
-        return false;
-    }
-    return check_key_startable(backend, call->head.key, failure);
-}
-
-static void
-on_allowance_timer(struct ev_loop *loop, ev_timer *timer, int events)
-{
-    (void)loop;
-    (void)events;
-    start_queued_calls(timer->data);
-}
-
-/* Sets the timer for the next call that waits only for the limit of the
-   backend server. */
-static void
-schedule_next_start(AprBackend_t *backend, int64_t now_ms)
-{
-    const AprAdmission_t *admission = &backend->admission;
-    int64_t wait_ms = AprAdmission_AllowanceWaitMs(admission, now_ms);
-
-    ev_timer_stop(backend->gateway->loop, &backend->allowance_timer);
-    if (wait_ms > 0 && admission->queue_count > 0 &&
-        admission->running_count < admission->slots) {
-        ev_timer_set(&backend->allowance_timer, (double)wait_ms / 1000.0, 0.0);
-        ev_timer_start(backend->gateway->loop, &backend->allowance_timer);
-    }
-}
-
-/* Starts queued calls while slots are free. Does nothing when called again
-   from within, as finished calls do. */
-static void
-start_queued_calls(AprBackend_t *backend)
-{
-    int64_t now_ms = AprGateway_NowMs(backend->gateway);
-    AprAdmissionRequest_t request;
-
-    if (backend->starting_calls) {
-        return;
-    }
-    backend->starting_calls = true;
-    while (AprBackendCold_MayStart(&backend->cold) &&
-           AprAdmission_StartNext(&backend->admission, now_ms, &request)) {
-        AprBackendCall_t *call = find_call(backend, request.id);
-        AprCallFailure_t failure = {APR_CALL_FULL, true, 0};
-
-        if (call == NULL) {
-            AprAdmission_Finish(&backend->admission, request.id, now_ms,
-                                false);
-        }
-        else if (!check_startable(backend, call, &failure)) {
-            fail_call(call, &failure);
-        }
-        else {
-            call->started_ms = now_ms;
-            AprBackend_SendOnConn(call);
-        }
-    }
-    if (backend->admission.queue_count > 0) {
-        refuse_unmeetable_calls(backend, now_ms);
-    }
-    schedule_next_start(backend, now_ms);
-    backend->starting_calls = false;
-}
-
-static void
-write_request_body(void *context, const char *data, size_t size, bool end)
-{
-    AprBackendCall_t *call = context;
-
-    call->body_complete = end;
-    if (call->conn != NULL) {
-        AprBackendConn_WriteBody(call->conn, data, size, end);
-    }
-    else {
-        AprBuffer_Append(&call->body, data, size);
-    }
-}
-
-static void
-acknowledge_response(void *context, size_t size)
-{
-    AprBackendCall_t *call = context;
-
-    if (call->conn != NULL) {
-        AprBackendConn_AcknowledgeResponse(call->conn, size);
-    }
-}
-
-/* Ends a call whose caller is gone. */
-static void
-cancel_call(void *context)
-{
-    AprBackendCall_t *call = context;
-    AprBackend_t *backend = call->backend;
-
-    if (AprAdmission_RemoveQueued(&backend->admission, (uint64_t)call->id) ||
-        AprGrantWaits_Remove(&backend->grant_waits, (uint64_t)call->id)) {
-        free_call(call);
-        return;
-    }
-    if (!call->head.idempotent && call->body_complete) {
-        /* The request may change state. Closing the connection would leave
-           its outcome unknown, so it runs to its end. */
-        call->detached = true;
-        if (call->conn != NULL) {
-            AprBackendConn_OnDetached(call->conn);
-        }
-        return;
-    }
-    if (call->conn != NULL) {
-        AprBackendConn_t *conn = call->conn;
-
-        conn->call = NULL;
-        call->conn = NULL;
-        remove_conn(conn);
-    }
-    finish_call(call, false);
-}
-
-static const AprCallOps_t call_ops = {write_request_body, acknowledge_response,
-                                      cancel_call};
-
-/* Returns the demand, decayed linearly over DEMAND_WINDOW_MS, in milliseconds
-   of service time. */
-static double
-decayed_demand(const AprBackend_t *backend, int64_t now_ms)
-{
-    double age =
-        (double)(now_ms - backend->demand_updated_ms) / DEMAND_WINDOW_MS;
-
-    return backend->demand_ms * (age < 1 ? 1 - age : 0);
-}
-
-static void
-add_demand(AprBackend_t *backend, double cost_ms, int64_t now_ms)
-{
-    backend->demand_ms = decayed_demand(backend, now_ms) + cost_ms;
-    backend->demand_updated_ms = now_ms;
-}
-
-/* Returns the decayed demand as a fraction of the capacity of all slots. */
-double
-AprBackend_RelativeDemand(const AprBackend_t *backend)
-{
-    return decayed_demand(backend, AprGateway_NowMs(backend->gateway)) /
-           (DEMAND_WINDOW_MS * AprBackendCold_UsableSlots(&backend->cold));
-}
-
-/* Multiplies the demand by a factor, to remove the part of keys that move to
-   other hosts. */
-void
-AprBackend_ScaleDemand(AprBackend_t *backend, double factor)
-{
-    backend->demand_ms *= factor;
-}
-
-/* Returns whether a call may be queued. Fills in the failure otherwise. */
-static bool
-check_accepts_call(AprBackend_t *backend, const AprCallHead_t *head,
-                   AprCallFailure_t *failure)
-{
-    failure->not_run = true;
-    failure->retry_after_ms =
-        (int64_t)(backend->gateway->settings.heartbeat_s * 500);
-    if (backend->incarnation.id[0] == '\0' || backend->unreachable ||
-        AprBackendCold_IsLimitUnknown(&backend->cold) ||
-        (backend->unresponsive && (AprBackend_CountCalls(backend) > 0 ||
-                                   !may_start_here(backend, APR_NO_KEY)))) {
-        failure->error = APR_CALL_NO_BACKEND;
-        return false;
-    }
-    if (!AprBackend_AcceptsCalls(backend)) {
-        failure->error = APR_CALL_LEAVING;
-        return false;
-    }
-    if (strcmp(head->service, backend->gateway->settings.backend_service) !=
-        0) {
-        failure->error = APR_CALL_NOT_OWNER;
-        return false;
-    }
-    return check_key_startable(backend, head->key, failure);
-}
-
-/* Creates a queued call with copies of `head` and `data`. Returns NULL when
-   out of memory. */
-static AprBackendCall_t *
-create_call(AprBackend_t *backend, const AprCallHead_t *head, const char *data,
-            size_t size, bool end)
-{
-    AprBackendCall_t *call = calloc(1, sizeof(*call));
-
-    if (call == NULL) {
-        return NULL;
-    }
-    if (AprCallHead_Copy(&call->head, head) != APR_OK ||
-        AprBuffer_Append(&call->body, data, size) != APR_OK) {
-        AprCallHead_Clear(&call->head);
-        free(call);
-        return NULL;
-    }
-    call->head.deadline_ms =
-        AprGateway_LimitDeadline(backend->gateway, head->deadline_ms);
-    call->backend = backend;
-    call->id = (gint64)++backend->next_id;
-    call->submitted_ms = AprGateway_NowMs(backend->gateway);
-    call->body_complete = end;
-    call->body_buffered = end;
-    g_hash_table_insert(backend->calls, &call->id, call);
-    return call;
-}
-
-/* Returns whether a refused request is for a key whose grant may be waited
-   for. */
-static bool
-may_wait_for_grant(const AprBackend_t *backend,
-                   const AprCallFailure_t *failure)
-{
-    return failure->error == APR_CALL_FULL &&
-           AprGateway_IsBalancingAdaptive(backend->gateway);
-}
-
-/* Lets a request wait for the grant of its key if it can be answered in time
-   then. Sets its expected service time. */
-static AprAdmissionDecision_t
-offer_to_grant_waits(AprBackend_t *backend, AprAdmissionRequest_t *request,
-                     int key, int64_t now_ms)
-{
-    AprAdmissionDecision_t decision;
-
-    request->expected_service_ms = AprAdmission_ExpectedServiceMs(
-        &backend->admission, request->kind,
-        request->objective_ms - request->arrived_ms);
-    decision = AprGrantWaits_Offer(
-        &backend->grant_waits, request, key, backend->admission.slots,
-        AprAdmission_ExpectedWaitMs(&backend->admission, request->rank,
-                                    now_ms),
-        AprOwnership_ExpectedGrantMs(backend->gateway->ownership, key),
-        now_ms);
-    AprGateway_IncrementCounter(backend->gateway, "grant_waits_total",
-                                decision.admitted ? "result=\"waits\""
-                                                  : "result=\"refused\"");
-    return decision;
-}
-
-/* Moves a request whose key is granted to the queue, or refuses it. Returns
-   false if it is to wait on. */
-static bool
-settle_grant_wait(AprBackend_t *backend, int index, int64_t now_ms)
-{
-    AprGrantWait_t wait = backend->grant_waits.entries[index];
-    AprBackendCall_t *call = find_call(backend, wait.request.id);
-    AprCallFailure_t failure = {APR_CALL_FULL, true, 0};
-    AprAdmissionDecision_t decision;
-
-    if (check_key_held(backend, wait.key, &failure)) {
-        if (!AprOwnership_AreGrantsSettled(backend->gateway->ownership)) {
-            return false;
-        }
-        decision =
-            AprAdmission_Offer(&backend->admission, &wait.request, now_ms);
-        failure.error = APR_CALL_FULL;
-        failure.retry_after_ms = decision.retry_after_ms;
-        AprGrantWaits_Remove(&backend->grant_waits, wait.request.id);
-        if (decision.admitted) {
-            return true;
-        }
-    }
-    else if (failure.error == APR_CALL_FULL &&
-             AprGrantWaits_IsWorthWaiting(
-                 &backend->grant_waits, index, backend->admission.slots,
-                 AprOwnership_ExpectedGrantMs(backend->gateway->ownership,
-                                              wait.key),
-                 now_ms)) {
-        return false;
-    }
-    else {
-        AprGrantWaits_Remove(&backend->grant_waits, wait.request.id);
-    }
-    AprGateway_IncrementCounter(backend->gateway, "grant_waits_total",
-                                "result=\"ended\"");
-    if (call != NULL) {
-        fail_call(call, &failure);
-    }
-    return true;
-}
-
-/* Queues the requests whose keys have been granted, and refuses those that can
-   no longer be served in time or whose keys have another owner. */
-static void
-settle_grant_waits(AprBackend_t *backend, int64_t now_ms)
-{
-    int index = 0;
-
-    if (now_ms < backend->next_settle_ms) {
-        return;
-    }
-    backend->next_settle_ms = now_ms + GRANT_CHECK_INTERVAL_MS;
-    while (index < backend->grant_waits.count) {
-        index += settle_grant_wait(backend, index, now_ms) ? 0 : 1;
-    }
-}
-
-/* Queues a request for the local backend server. `head`, `data` and `handlers`
-   are copied. Returns false and fills in `failure` when the request is refused
-   at once; otherwise fills in `ref`, and the handlers are called from the
-   event loop. */
-bool
-AprBackend_Submit(AprBackend_t *backend, const AprCallHead_t *head,
-                  const char *data, size_t size, bool end,
-                  const AprCallHandlers_t *handlers, void *context,
-                  AprCallRef_t *ref, AprCallFailure_t *failure)
-{
-    int64_t now_ms = AprGateway_NowMs(backend->gateway);
-    AprAdmissionDecision_t decision;
-    AprBackendCall_t *call;
-    AprAdmissionRequest_t request = {0};
-    bool granted = check_accepts_call(backend, head, failure);
-
-    if (!granted && !may_wait_for_grant(backend, failure)) {
-        return false;
-    }
-    request.id = backend->next_id + 1;
-    request.kind = request_kind(head);
-    request.rank = head->rank;
-    request.nested = head->nested;
-    request.size_class = AprCostModel_SizeClass(end || head->has_length,
-                                                end ? size : head->length);
-    request.arrived_ms = head->arrived_ms;
-    request.deadline_ms =
-        AprGateway_LimitDeadline(backend->gateway, head->deadline_ms);
-    request.objective_ms = MIN(head->objective_ms, request.deadline_ms);
-    decision =
-        granted ? AprAdmission_Offer(&backend->admission, &request, now_ms)
-                : offer_to_grant_waits(backend, &request, head->key, now_ms);
-    add_demand(backend, request.expected_service_ms, now_ms);
-    AprOwnership_AddDemand(backend->gateway->ownership, head->key,
-                           request.expected_service_ms);
-    if (!decision.admitted) {
-        AprBackendCold_CountRefused(&backend->cold);
-        failure->error = APR_CALL_FULL;
-        failure->not_run = true;
-        failure->retry_after_ms = decision.retry_after_ms;
-        return false;
-    }
-    call = create_call(backend, head, data, size, end);
-    if (call == NULL) {
-        AprAdmission_RemoveQueued(&backend->admission, request.id);
-        AprGrantWaits_Remove(&backend->grant_waits, request.id);
-        failure->error = APR_CALL_FULL;
-        failure->not_run = true;
-        return false;
-    }
-    call->handlers = *handlers;
-    call->context = context;
-    ref->ops = &call_ops;
-    ref->call = call;
-    /* The call starts from the event loop, after the caller has received its
-       reference. */
-    ev_feed_event(backend->gateway->loop, &backend->gateway->start_calls_timer,
-                  EV_TIMER);
-    return true;
-}
-
 /* Processes a heartbeat of the backend server, which may be a new
    incarnation. */
 void
@@ -1028,32 +203,6 @@
     }
 }
 
-static void
-limit_deadline(AprBackend_t *backend, AprAdmissionRequest_t *request)
-{
-    AprBackendCall_t *call = find_call(backend, request->id);
-
-    request->deadline_ms =
-        AprGateway_LimitDeadline(backend->gateway, request->deadline_ms);
-    request->objective_ms = MIN(request->objective_ms, request->deadline_ms);
-    if (call != NULL) {
-        call->head.deadline_ms = request->deadline_ms;
-    }
-}
-
-/* Applies the limit that a planned stop sets on deadlines to the calls that
-   wait. Those that can't be answered by then are refused as not run. */
-void
-AprBackend_LimitDeadlines(AprBackend_t *backend)
-{
-    for (int i = 0; i < backend->admission.queue_count; i++) {
-        limit_deadline(backend, &backend->admission.queue[i]);
-    }
-    for (int i = 0; i < backend->grant_waits.count; i++) {
-        limit_deadline(backend, &backend->grant_waits.entries[i].request);
-    }
-}
-
 /* Starts the drain time of the backend server, unless it has started. */
 void
 AprBackend_StartDrain(AprBackend_t *backend)
@@ -1103,7 +252,7 @@
 {
     return backend->unresponsive && AprBackend_IsOpen(backend) &&
            AprBackend_CountCalls(backend) == 0 &&
-           may_start_here(backend, APR_NO_KEY);
+           AprBackend_MayStartHere(backend, APR_NO_KEY);
 }
 
 /* Returns whether the backend server has refused several connections in a row
@@ -1164,46 +313,6 @@
     return sum;
 }
 
-/* Returns the highest AprMemoryHolder_Score() of a queued request, and its id
-   in `*id`; 0 when none holds enough. */
-double
-AprBackend_FindLargestQueued(AprBackend_t *backend, int64_t now_ms,
-                             uint64_t *id)
-{
-    double highest = 0;
-
-    for (int i = 0; i < backend->admission.queue_count; i++) {
-        uint64_t queued_id = backend->admission.queue[i].id;
-        const AprBackendCall_t *call = find_call(backend, queued_id);
-        AprMemoryHolder_t holder = {0};
-        double score;
-
-        if (call == NULL) {
-            continue;
-        }
-        holder.held = call->body.capacity;
-        holder.mark_ms = call->submitted_ms;
-        score = AprMemoryHolder_Score(&holder, now_ms);
-        if (score > highest) {
-            highest = score;
-            *id = queued_id;
-        }
-    }
-    return highest;
-}
-
-/* Refuses a queued request as not run. */
-void
-AprBackend_RefuseQueued(AprBackend_t *backend, uint64_t id)
-{
-    AprBackendCall_t *call = find_call(backend, id);
-    AprCallFailure_t failure = {APR_CALL_FULL, true, 0};
-
-    if (call != NULL && AprAdmission_RemoveQueued(&backend->admission, id)) {
-        fail_call(call, &failure);
-    }
-}
-
 /* Returns the head of the running request with an attempt id, or NULL. `id`
    need not be terminated. The head is valid while the request runs. */
 const AprCallHead_t *
@@ -1222,43 +331,6 @@
     return NULL;
 }
 
-/* Returns the number of slots that requests can use: fewer while the backend
-   server is cold. */
-int
-AprBackend_CountUsableSlots(const AprBackend_t *backend)
-{
-    return AprBackendCold_UsableSlots(&backend->cold);
-}
-
-/* Fills in the load of the backend server; other members of `load` stay. */
-void
-AprBackend_GetLoad(const AprBackend_t *backend, AprHostLoad_t *load)
-{
-    load->running = backend->admission.running_count;
-    load->queued = backend->admission.queue_count;
-    load->slots = AprBackendCold_UsableSlots(&backend->cold);
-    load->wait_ms = AprAdmission_ExpectedWaitMs(
-        &backend->admission, 0, AprGateway_NowMs(backend->gateway));
-    load->load_permille = (int)(AprBackend_RelativeDemand(backend) * 1000);
-    load->accepts_calls = AprBackend_IsOpen(backend) &&
-                          !backend->unresponsive &&
-                          may_start_here(backend, APR_NO_KEY);
-    load->has_work = backend->admission.costs != NULL;
-    if (load->has_work) {
-        int64_t now_ms = AprGateway_NowMs(backend->gateway);
-
-        /* Failures of the backend server that come too early for an answer
-           count as work, so that it does not look idle to other hosts. */
-        load->work_ms = (int64_t)(AprAdmission_RemainingWorkMs(
-                                      &backend->admission, now_ms) +
-                                  backend->admission.slots *
-                                      AprRecentFailures_PenaltyMs(
-                                          &backend->failures, now_ms));
-        load->pace = (int)(AprCostModel_Pace(&backend->costs, now_ms) * 100);
-        load->pace = load->pace < 1 ? 1 : load->pace;
-    }
-}
-
 /* Returns whether the response to a sent call is not complete in time. */
 static gboolean
 is_overdue(gpointer key, gpointer value, gpointer data)
@@ -1280,7 +352,7 @@
     int64_t now_ms = AprGateway_NowMs(backend->gateway);
     AprBackendCall_t *call;
 
-    update_cost_model(backend);
+    AprBackend_UpdateCostModel(backend);
     while ((call = g_hash_table_find(backend->calls, is_overdue, &now_ms)) !=
            NULL) {
         AprBackendConn_t *conn = call->conn;
@@ -1288,24 +360,24 @@
 
         conn->call = NULL;
         call->conn = NULL;
-        remove_conn(conn);
-        fail_call(call, &failure);
+        AprBackend_RemoveConn(conn);
+        AprBackend_FailCall(call, &failure);
     }
     for (AprBackendConn_t *conn = backend->conns; conn != NULL;) {
         AprBackendConn_t *next = conn->next;
 
         if (AprBackendConn_IsExpired(conn, now_ms)) {
-            remove_conn(conn);
+            AprBackend_RemoveConn(conn);
         }
         conn = next;
     }
     AprBackendCold_Refresh(&backend->cold);
     AprHealthProbe_Tick(backend->health_probe);
     detect_unresponsive_server(backend, now_ms);
-    refuse_evacuated_calls(backend);
-    settle_grant_waits(backend, now_ms);
-    start_queued_calls(backend);
-    update_load_metrics(backend);
+    AprBackend_RefuseEvacuatedCalls(backend);
+    AprBackend_SettleGrantWaits(backend, now_ms);
+    AprBackend_StartQueuedCalls(backend);
+    AprBackend_UpdateLoadMetrics(backend);
 }
 
 /* Closes all connections and frees the state. No call gets a callback. */
