Drop the runs of a killed backend server in tests

A run of a stand-in backend server ended by a timer that replied to a call which the end of the server had freed.

--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -107,6 +107,7 @@
     /* Called for each request that the backend server gets; may be NULL. */
     void (*on_request)(ClusterHost_t *host, const char *path);
     int gateway_generation; /* incremented when the gateway is killed */
+    int backend_generation; /* incremented when the backend server is killed */
 };
 
 /* A cluster and the counts of what its callers and backend servers saw. */
@@ -753,10 +754,14 @@
 /* A request that a backend server runs. */
 typedef struct BackendRun_t {
     ev_timer timer;
+    const ClusterHost_t *host;
+    int backend_generation; /* of the backend server that runs the request */
     AprHttpCall_t *call;
     int response_size;
 } BackendRun_t;
 
+/* Replies to a request, unless the backend server was killed, which has freed
+   the call. */
 static void
 host_on_run_end(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -764,6 +769,10 @@
 
     (void)loop;
     (void)events;
+    if (run->backend_generation != run->host->backend_generation) {
+        free(run);
+        return;
+    }
     if (run->response_size > 0) {
         char *body = malloc((size_t)run->response_size);
 
@@ -828,6 +837,8 @@
     }
     run = calloc(1, sizeof(*run));
     run->call = call;
+    run->host = host;
+    run->backend_generation = host->backend_generation;
     run->response_size = host->response_size;
     ev_timer_init(&run->timer, host_on_run_end, CLUSTER_SERVICE_TIME_S, 0.0);
     run->timer.data = run;
@@ -1046,11 +1057,12 @@
     host->held_count = 0;
 }
 
-static inline void
+static void
 host_kill_backend(ClusterHost_t *host)
 {
     AprHttpServer_Free(host->backend);
     host->backend = NULL;
+    host->backend_generation++;
 }
 
 /* Writes an unused loopback address to a buffer of APR_ADDRESS_SIZE. */
@@ -1205,7 +1217,7 @@
         if (cluster->hosts[i].gateway != NULL) {
             host_kill_gateway(&cluster->hosts[i]);
         }
-        AprHttpServer_Free(cluster->hosts[i].backend);
+        host_kill_backend(&cluster->hosts[i]);
     }
     cluster_run_for(cluster, 0.1);
 }
