Answer long paths with 414, and keep 408 behind earlier responses

A request target over the limit got 431, and a long or incomplete head behind a request that was still running got no status, or a 408 ahead of the response to that request, which was then cut off. A connection now has a final status, which is sent after the responses to all of its requests; what arrives after it is discarded. 414 tells of a target that is too long by itself, 431 of other heads. The time in which a connection is not read no longer counts towards the time limit of a head, and a request that is answered before its body is complete ends its connection also when it is not the first one. The 408 for an incomplete body carries Connection: close.

--- a/internal/exchange.h
+++ b/internal/exchange.h
@@ -22,6 +22,9 @@
         parsing; /* a parser callback or a start of requests is on the stack */
     bool read_paused;
     bool closed; /* freed when the parser returns */
+    /* Status of the response after those to all requests, with which the
+       connection closes; what arrives later is discarded. 0: none. */
+    int final_status;
     int64_t idle_since_ms;
     int64_t last_read_ms;
     int64_t head_since_ms;        /* start of an incomplete head; 0: none */
--- a/internal/http_message.h
+++ b/internal/http_message.h
@@ -51,6 +51,7 @@
 void AprHttpParser_Reset(AprHttpParser_t *parser);
 int AprHttpParser_Execute(AprHttpParser_t *parser, const char *data,
                           size_t size, size_t *used);
+int AprHttpParser_RejectionStatus(const AprHttpParser_t *parser, int error);
 int AprHttpParser_OnConnectionEnd(AprHttpParser_t *parser);
 bool AprHttpParser_IsInMessage(const AprHttpParser_t *parser);
 bool AprHttpParser_IsInHead(const AprHttpParser_t *parser);
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -123,7 +123,7 @@
     }
     exchange->response_started = true;
     exchange->status = status;
-    exchange->close_after = should_close(exchange);
+    exchange->close_after |= should_close(exchange);
     AprBuffer_AppendFormat(&text, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n",
                            status, AprHttp_ReasonPhrase(status));
     if (retry_after_ms > 0) {
--- a/src/gateway/ingress.c
+++ b/src/gateway/ingress.c
@@ -131,16 +131,41 @@
     }
 }
 
+/* Sends the response with which the connection closes, if there is one and the
+   responses to all requests were sent. Returns whether the connection was
+   closed. */
+static bool
+send_final_response(AprCallerConn_t *caller)
+{
+    if (caller->final_status == 0 || caller->first_exchange != NULL) {
+        return false;
+    }
+    AprExchange_WriteError(caller->stream, caller->final_status);
+    close_caller(caller, false);
+    return true;
+}
+
+/* Ends a connection with a response of its own after those to the requests
+   that are in progress. Returns whether the connection was closed. */
+static bool
+end_with_status(AprCallerConn_t *caller, int status)
+{
+    caller->final_status = status;
+    return send_final_response(caller);
+}
+
 /* Frees the completed requests at the head of the queue. Returns false when
    the connection was closed. */
 static bool
 free_finished_exchanges(AprCallerConn_t *caller)
 {
     while (caller->first_exchange != NULL &&
-           caller->first_exchange->response_complete &&
-           caller->first_exchange != caller->reading_exchange) {
+           caller->first_exchange->response_complete) {
         AprExchange_t *exchange = caller->first_exchange;
-        bool close = exchange->close_after;
+        /* The rest of an incomplete body cannot be told from the next
+           request. */
+        bool close =
+            exchange->close_after || exchange == caller->reading_exchange;
 
         caller->first_exchange = exchange->next;
         if (caller->first_exchange == NULL) {
@@ -158,7 +183,7 @@
         }
     }
     caller->idle_since_ms = AprGateway_NowMs(caller->ingress->gateway);
-    return true;
+    return !send_final_response(caller);
 }
 
 /* Returns the memory that a connection holds in buffers, with request body
@@ -264,6 +289,10 @@
     if (caller->closed || caller->stream == NULL) {
         return;
     }
+    if (caller->read_paused) {
+        /* See is_head_overdue(). */
+        caller->last_read_ms = AprGateway_NowMs(caller->ingress->gateway);
+    }
     caller->read_paused = should_pause_reading(caller);
     AprStream_SetReadPaused(caller->stream, caller->read_paused);
 }
@@ -274,18 +303,9 @@
 void
 AprEntry_OnExchangeDone(AprCallerConn_t *caller)
 {
-    AprExchange_t *first = caller->first_exchange;
-
     if (caller->closed || caller->parsing) {
         return;
     }
-    if (first != NULL && first->response_complete &&
-        first == caller->reading_exchange) {
-        /* The response is complete but the request body is not: its rest
-           cannot be told from the next request, so the connection closes. */
-        first->close_after = true;
-        caller->reading_exchange = NULL;
-    }
     if (free_finished_exchanges(caller)) {
         AprEntry_UpdateReading(caller);
         start_waiting_exchanges(caller);
@@ -367,25 +387,20 @@
 static bool
 reject_malformed(AprCallerConn_t *caller, int result)
 {
-    bool too_large = result == APR_E_TOO_LARGE;
-
     AprLog_Write(APR_LOG_INFO, "request_malformed", "step=entry error=%s",
                  AprError_Name(result));
     if (caller->reading_exchange != NULL &&
-        !caller->reading_exchange->response_complete) {
+        caller->reading_exchange->response_complete) {
+        return true; /* its response ends the connection */
+    }
+    if (caller->reading_exchange != NULL) {
         caller->parsing = true;
         AprExchange_Reject(caller->reading_exchange, 400, "malformed body");
         caller->parsing = false;
         return true;
     }
-    if (caller->first_exchange == NULL) {
-        AprExchange_WriteError(caller->stream, too_large ? 431 : 400);
-        close_caller(caller, false);
-        return false;
-    }
-    /* Earlier requests still wait for their responses. */
-    caller->last_exchange->close_after = true;
-    return true;
+    return !end_with_status(
+        caller, AprHttpParser_RejectionStatus(caller->parser, result));
 }
 
 static void
@@ -396,6 +411,9 @@
     int result;
 
     caller->last_read_ms = AprGateway_NowMs(caller->ingress->gateway);
+    if (caller->final_status != 0) {
+        return;
+    }
     caller->parsing = true;
     AprHttpParser_SetMaxHeadBytes(
         caller->parser, caller_limits(caller->ingress)->max_head_bytes);
@@ -754,6 +772,18 @@
     }
 }
 
+/* Returns whether a caller has sent nothing for too long while a request head
+   is incomplete. The time in which its connection is not read does not
+   count. */
+static bool
+is_head_overdue(const AprCallerConn_t *caller, const AprCallerLimits_t *limits,
+                int64_t now_ms)
+{
+    return caller->final_status == 0 && !caller->read_paused &&
+           AprHttpParser_IsInHead(caller->parser) &&
+           now_ms - caller->last_read_ms > limits->head_timeout_ms;
+}
+
 /* Closes connections that have been idle for too long or that have sent
    nothing for too long while a request head is incomplete. */
 void
@@ -775,10 +805,8 @@
                 close_caller(caller, false);
             }
         }
-        else if (AprHttpParser_IsInHead(caller->parser) &&
-                 now_ms - caller->last_read_ms > limits->head_timeout_ms) {
-            AprExchange_WriteError(caller->stream, 408);
-            close_caller(caller, false);
+        else if (is_head_overdue(caller, limits, now_ms)) {
+            end_with_status(caller, 408);
         }
         caller = next;
     }
--- a/src/transport/http_message.c
+++ b/src/transport/http_message.c
@@ -249,6 +249,18 @@
     }
 }
 
+/* Returns the status with which a server answers a request that
+   AprHttpParser_Execute() has rejected with `error`: 414 when the request
+   target is too long by itself, 431 when the head is, otherwise 400. */
+int
+AprHttpParser_RejectionStatus(const AprHttpParser_t *parser, int error)
+{
+    if (error != APR_E_TOO_LARGE) {
+        return 400;
+    }
+    return parser->head.header_count == 0 ? 414 : 431;
+}
+
 /* Reports the end of the connection to the parser. Completes a response whose
    body ends with the connection. Returns APR_E_PARSE when the current message
    is truncated. */
