Limit what the backend server and the store make a gateway hold

Callers and links had limits of their own within the memory budget; the backend server and the store had none. Response bytes of the backend server that callers have not taken may now hold half of the budget, incomplete responses of the store half and at least 16 MiB. At its limit a kind is not read until less than 0.8 of it is held; the other kinds go on. The limits follow from limits.memory_mb. 16 full windows at 48 MB, and two responses of the store with an item of 4 MiB, stay below them (test_memory_budget). New: memory_received_bytes, memory_received_limit_bytes, memory_read_pauses_total, event=kind_limit_reached.

--- a/include/apricot/memory_budget.h
+++ b/include/apricot/memory_budget.h
@@ -19,7 +19,8 @@
     APR_MEMORY_CALLERS,
     APR_MEMORY_BACKEND, /* the local backend server */
     APR_MEMORY_PEERS,   /* gateways of other hosts */
-    APR_MEMORY_OTHER,   /* the store, and what is read from it */
+    APR_MEMORY_STORE,   /* responses of the store that are not complete */
+    APR_MEMORY_OTHER,   /* anything else, such as what was read */
     APR_MEMORY_KIND_COUNT
 } AprMemoryKind_t;
 
@@ -37,6 +38,8 @@
     size_t held;   /* bytes in buffers */
     size_t unread; /* bytes that the kernel holds on paused connections */
     size_t held_by_kind[APR_MEMORY_KIND_COUNT];
+    /* Peers of the kind are not read, as the kind is at its limit. */
+    bool kind_paused[APR_MEMORY_KIND_COUNT];
     int holder_count;        /* connections that hold more than a small part */
     int pipelined_in_flight; /* requests in progress behind another one */
     int socket_limit;
@@ -54,6 +57,10 @@
 bool AprMemoryBudget_MayAccept(const AprMemoryBudget_t *budget, size_t held);
 bool AprMemoryBudget_MayAcceptCall(const AprMemoryBudget_t *budget,
                                    size_t link_held, bool body_complete);
+size_t AprMemoryBudget_KindLimit(const AprMemoryBudget_t *budget,
+                                 AprMemoryKind_t kind);
+bool AprMemoryBudget_UpdateKind(AprMemoryBudget_t *budget,
+                                AprMemoryKind_t kind, size_t received);
 bool AprMemoryBudget_MustShed(const AprMemoryBudget_t *budget);
 bool AprMemoryBudget_MayAcceptSocket(const AprMemoryBudget_t *budget,
                                      int open_sockets);
--- a/internal/stream.h
+++ b/internal/stream.h
@@ -56,11 +56,20 @@
        stream. NULL: none. */
     void (*make_room)(void *context);
     void *make_room_context;
+    /* Bytes from streams of a kind that their owners hold; see
+       AprStreamSet_AddReceived(). */
+    size_t received_by_kind[APR_MEMORY_KIND_COUNT];
+    bool kind_paused[APR_MEMORY_KIND_COUNT]; /* these streams are not read */
 } AprStreamSet_t;
 
 void AprStreamSet_Init(AprStreamSet_t *set, struct ev_loop *loop);
 void AprStreamSet_Flush(AprStreamSet_t *set);
 
+void AprStreamSet_AddReceived(AprStreamSet_t *set, AprMemoryKind_t kind,
+                              size_t before, size_t now);
+void AprStreamSet_SetKindPaused(AprStreamSet_t *set, AprMemoryKind_t kind,
+                                bool pause);
+
 int AprStream_Listen(const char *address);
 AprStream_t *AprStream_Open(AprStreamSet_t *set, int fd,
                             const AprStreamHandler_t *handler, void *context);
@@ -72,6 +81,7 @@
                                int64_t min_ms);
 AprStream_t *AprStreamSet_FindDraining(AprStreamSet_t *set, int64_t now_ms,
                                        double *score);
+void AprStream_SetKind(AprStream_t *stream, AprMemoryKind_t kind);
 size_t AprStream_HeldBytes(const AprStream_t *stream);
 size_t AprStream_UnsentBytes(const AprStream_t *stream);
 size_t AprStream_CountUnread(const AprStream_t *stream);
--- a/src/gateway/backend_conn.c
+++ b/src/gateway/backend_conn.c
@@ -197,6 +197,14 @@
     return forward_response_head(conn, head);
 }
 
+static void
+set_undelivered(AprBackendConn_t *conn, size_t size)
+{
+    AprStreamSet_AddReceived(conn->gateway->streams, APR_MEMORY_BACKEND,
+                             conn->undelivered_bytes, size);
+    conn->undelivered_bytes = size;
+}
+
 /* Stops or resumes reading by the response bytes that the caller has not
    taken. Reading goes on when half of the window is free. Nothing is
    undelivered on a connection without a call, or when the caller has left. */
@@ -228,7 +236,7 @@
     if (conn->discard_response || conn->not_run) {
         return discard_bytes(conn, size);
     }
-    conn->undelivered_bytes += size;
+    set_undelivered(conn, conn->undelivered_bytes + size);
     update_reading(conn);
     call->handlers.on_data(call->context, data, size);
     return conn->free_after_parse ? 1 : 0;
@@ -267,7 +275,7 @@
         AprHttpParser_SetPaused(conn->parser, false);
         AprHttpParser_Reset(conn->parser);
         /* The link or the caller's connection holds what is undelivered. */
-        conn->undelivered_bytes = 0;
+        set_undelivered(conn, 0);
         update_reading(conn);
     }
     AprBackend_OnConnDone(conn, outcome);
@@ -372,6 +380,7 @@
         AprBackendConn_Free(conn);
         return NULL;
     }
+    AprStream_SetKind(conn->stream, APR_MEMORY_BACKEND);
     return conn;
 }
 
@@ -388,6 +397,7 @@
         conn->free_after_parse = true;
         return;
     }
+    set_undelivered(conn, 0);
     AprHttpParser_Free(conn->parser);
     free(conn);
 }
@@ -445,7 +455,7 @@
     conn->discarded_bytes = 0;
     conn->not_run = false;
     conn->request_sent = false;
-    conn->undelivered_bytes = 0;
+    set_undelivered(conn, 0);
     conn->unwritten_body_bytes = 0;
     conn->request_chunked = !head->has_length && has_body(call);
     AprHttpParser_SetBodyOmitted(conn->parser,
@@ -489,16 +499,17 @@
 void
 AprBackendConn_AcknowledgeResponse(AprBackendConn_t *conn, size_t size)
 {
-    conn->undelivered_bytes -=
-        size < conn->undelivered_bytes ? size : conn->undelivered_bytes;
+    set_undelivered(conn, conn->undelivered_bytes -
+                              MIN(size, conn->undelivered_bytes));
     update_reading(conn);
 }
 
-/* Reads the rest of the response of a call that was detached from its caller.
- */
+/* Reads the rest of the response of a call that was detached from its caller,
+   which is discarded. */
 void
 AprBackendConn_OnDetached(AprBackendConn_t *conn)
 {
+    set_undelivered(conn, 0);
     update_reading(conn);
 }
 
--- a/src/gateway/resource_limits.c
+++ b/src/gateway/resource_limits.c
@@ -14,6 +14,15 @@
    next bytes are read. */
 #define MIN_FREED_BYTES 4096
 
+/* The kinds of peers that are not read at a limit, and how logs and metrics
+   name them. */
+static const struct {
+    AprMemoryKind_t kind;
+    const char *name;
+    const char *label;
+} limited_kinds[] = {{APR_MEMORY_BACKEND, "backend", "kind=\"backend\""},
+                     {APR_MEMORY_STORE, "store", "kind=\"store\""}};
+
 static void make_room(void *context);
 
 /* Derives the limits from the settings, and the descriptors also from what the
@@ -55,6 +64,28 @@
         AprBuffer_TotalCapacity() + gateway->head_bytes;
 }
 
+/* Stops or resumes reading from the kinds of peers that are limited. */
+static void
+update_kinds(AprGateway_t *gateway)
+{
+    AprMemoryBudget_t *budget = &gateway->memory_budget;
+    AprStreamSet_t *streams = gateway->streams;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(limited_kinds); i++) {
+        AprMemoryKind_t kind = limited_kinds[i].kind;
+
+        if (!AprMemoryBudget_UpdateKind(budget, kind,
+                                        streams->received_by_kind[kind])) {
+            continue;
+        }
+        AprStreamSet_SetKindPaused(streams, kind, budget->kind_paused[kind]);
+        if (budget->kind_paused[kind]) {
+            AprGateway_IncrementCounter(gateway, "memory_read_pauses_total",
+                                        limited_kinds[i].label);
+        }
+    }
+}
+
 void
 AprResources_CountClosed(AprGateway_t *gateway, const char *reason)
 {
@@ -129,6 +160,7 @@
     AprMemoryBudget_t *budget = &gateway->memory_budget;
     size_t before;
 
+    update_kinds(gateway);
     AprResources_Update(gateway);
     while (AprMemoryBudget_MustShed(budget)) {
         before = AprMemoryBudget_Total(budget);
@@ -159,21 +191,32 @@
 {
     static const char *const labels[APR_MEMORY_KIND_COUNT] = {
         "kind=\"callers\"", "kind=\"backend\"", "kind=\"peers\"",
-        "kind=\"other\""};
+        "kind=\"store\"", "kind=\"other\""};
     AprMemoryBudget_t *budget = &gateway->memory_budget;
     size_t *by_kind = budget->held_by_kind;
     size_t known;
 
     by_kind[APR_MEMORY_BACKEND] = AprBackend_HeldBytes(gateway->backend);
     by_kind[APR_MEMORY_PEERS] = AprLinks_HeldBytes(gateway->links);
+    by_kind[APR_MEMORY_STORE] =
+        gateway->streams->received_by_kind[APR_MEMORY_STORE];
     known = by_kind[APR_MEMORY_CALLERS] + by_kind[APR_MEMORY_BACKEND] +
-            by_kind[APR_MEMORY_PEERS];
+            by_kind[APR_MEMORY_PEERS] + by_kind[APR_MEMORY_STORE];
     by_kind[APR_MEMORY_OTHER] =
         known < budget->held ? budget->held - known : 0;
     for (int i = 0; i < APR_MEMORY_KIND_COUNT; i++) {
         set_gauge(gateway, "memory_held_bytes", labels[i],
                   (int64_t)by_kind[i]);
     }
+    for (size_t i = 0; i < G_N_ELEMENTS(limited_kinds); i++) {
+        AprMemoryKind_t kind = limited_kinds[i].kind;
+
+        set_gauge(gateway, "memory_received_bytes", limited_kinds[i].label,
+                  (int64_t)gateway->streams->received_by_kind[kind]);
+        set_gauge(gateway, "memory_received_limit_bytes",
+                  limited_kinds[i].label,
+                  (int64_t)AprMemoryBudget_KindLimit(budget, kind));
+    }
     set_gauge(gateway, "memory_unread_bytes", "", (int64_t)budget->unread);
     set_gauge(gateway, "memory_limit_bytes", "", (int64_t)budget->limit);
     set_gauge(gateway, "sockets_open", "", gateway->streams->open_count);
@@ -206,6 +249,24 @@
     gateway->last_limit_log_ms = now_ms;
 }
 
+static void
+log_kinds(const AprGateway_t *gateway)
+{
+    const AprMemoryBudget_t *budget = &gateway->memory_budget;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(limited_kinds); i++) {
+        AprMemoryKind_t kind = limited_kinds[i].kind;
+
+        if (budget->kind_paused[kind]) {
+            AprLog_Write(APR_LOG_WARN, "kind_limit_reached",
+                         "kind=%s received=%zu limit=%zu",
+                         limited_kinds[i].name,
+                         gateway->streams->received_by_kind[kind],
+                         AprMemoryBudget_KindLimit(budget, kind));
+        }
+    }
+}
+
 /* Measures what is held, frees memory beyond the limit, and once a second
    updates the metrics and logs that a limit was reached. */
 void
@@ -219,6 +280,7 @@
     if (now_ms - gateway->last_limit_log_ms >= LOG_INTERVAL_MS) {
         gateway->last_limit_log_ms = now_ms;
         update_metrics(gateway);
+        log_kinds(gateway);
         log_limits(gateway, now_ms);
     }
 }
--- a/src/state/memory_budget.c
+++ b/src/state/memory_budget.c
@@ -25,6 +25,18 @@
 /* Part of the limit that one link may hold. */
 #define LINK_FRACTION 0.25
 
+/* Part of the limit that responses of the backend server may hold which their
+   callers have not taken, and that incomplete responses of the store may. */
+#define BACKEND_FRACTION 0.5
+#define STORE_FRACTION 0.5
+
+/* Least limit for the store: two responses with an item of 4 MiB, which takes
+   5.6 MB as base64 and up to a quarter more in a buffer that grows. */
+#define MIN_STORE_BYTES (16u * 1024 * 1024)
+
+/* Part of its limit below which a kind is read again. */
+#define RESUME_FRACTION 0.8
+
 /* A connection that holds less is not closed: it would free little. A parser
    keeps up to 4 KiB between two requests. */
 #define MIN_SHED_BYTES 8192
@@ -156,6 +168,41 @@
     return AprMemoryBudget_MayAccept(budget, link_held);
 }
 
+/* Returns the bytes that peers of a kind may make this process hold before
+   they are no longer read; 0: no limit of this form. Callers and links are
+   limited for each connection, see AprMemoryBudget_MayRead() and
+   AprMemoryBudget_MayAcceptCall(). */
+size_t
+AprMemoryBudget_KindLimit(const AprMemoryBudget_t *budget,
+                          AprMemoryKind_t kind)
+{
+    switch (kind) {
+    case APR_MEMORY_BACKEND:
+        return (size_t)(BACKEND_FRACTION * (double)budget->limit);
+    case APR_MEMORY_STORE:
+        return MAX((size_t)(STORE_FRACTION * (double)budget->limit),
+                   MIN_STORE_BYTES);
+    default:
+        return 0;
+    }
+}
+
+/* Decides whether peers of a kind are read while `received` bytes are held
+   that came from them, and records it in AprMemoryBudget_t.kind_paused.
+   Returns whether the decision has changed. */
+bool
+AprMemoryBudget_UpdateKind(AprMemoryBudget_t *budget, AprMemoryKind_t kind,
+                           size_t received)
+{
+    double limit = (double)AprMemoryBudget_KindLimit(budget, kind);
+    bool paused = budget->kind_paused[kind];
+
+    budget->kind_paused[kind] =
+        limit > 0 &&
+        (double)received >= (paused ? RESUME_FRACTION * limit : limit);
+    return budget->kind_paused[kind] != paused;
+}
+
 /* Returns whether a connection has to be closed now. */
 bool
 AprMemoryBudget_MustShed(const AprMemoryBudget_t *budget)
--- a/src/transport/stream.c
+++ b/src/transport/stream.c
@@ -54,6 +54,7 @@
     bool is_closed;    /* in the list AprStreamSet_t.closed_streams */
     bool close_after_flush;
     bool read_paused;
+    AprMemoryKind_t kind;
     bool write_ended;    /* see AprStream_EndWriting() */
     bool drop_abandoned; /* see AprStream_EnableDropAbandoned() */
     uint64_t sent_bytes;
@@ -243,6 +244,29 @@
     set->open_count--;
 }
 
+/* Returns whether a stream is not read, because its owner or its kind pauses.
+   One that its owner has closed is read until its peer closes. */
+static bool
+is_reading_paused(const AprStream_t *stream)
+{
+    return stream->read_paused ||
+           (stream->handler != NULL && stream->set->kind_paused[stream->kind]);
+}
+
+static void
+update_reader(AprStream_t *stream)
+{
+    if (stream->is_closed || stream->connecting) {
+        return;
+    }
+    if (is_reading_paused(stream)) {
+        ev_io_stop(stream->set->loop, &stream->reader);
+    }
+    else {
+        ev_io_start(stream->set->loop, &stream->reader);
+    }
+}
+
 /* Closes the socket. The stream is freed before the event loop polls again. */
 static void
 close_and_free_later(AprStream_t *stream)
@@ -377,7 +401,7 @@
     (void)events;
     if (stream->set->make_room != NULL) {
         stream->set->make_room(stream->set->make_room_context);
-        if (stream->is_closed) {
+        if (stream->is_closed || is_reading_paused(stream)) {
             return;
         }
     }
@@ -415,9 +439,7 @@
         stream->connecting = false;
         stream->set->unsent_bytes += AprBuffer_Size(&stream->unsent);
         ev_io_stop(loop, &stream->writer);
-        if (!stream->read_paused) {
-            ev_io_start(loop, &stream->reader);
-        }
+        update_reader(stream);
     }
     flush_stream(stream);
 }
@@ -485,6 +507,7 @@
     stream->fd = fd;
     stream->handler = handler;
     stream->context = context;
+    stream->kind = APR_MEMORY_OTHER;
     ev_io_init(&stream->reader, on_readable, fd, EV_READ);
     ev_io_init(&stream->writer, on_writable, fd, EV_WRITE);
     ev_timer_init(&stream->linger_timer, on_linger_timeout, CLOSE_LINGER_S,
@@ -588,8 +611,8 @@
 {
     int size = 0;
 
-    if (!stream->read_paused || stream->is_closed || stream->connecting ||
-        ioctl(stream->fd, FIONREAD, &size) != 0) {
+    if (!is_reading_paused(stream) || stream->is_closed ||
+        stream->connecting || ioctl(stream->fd, FIONREAD, &size) != 0) {
         return 0;
     }
     return (size_t)size;
@@ -679,11 +702,37 @@
         return;
     }
     stream->read_paused = pause;
-    if (pause) {
-        ev_io_stop(stream->set->loop, &stream->reader);
-    }
-    else if (!stream->connecting) {
-        ev_io_start(stream->set->loop, &stream->reader);
+    update_reader(stream);
+}
+
+/* Sets the kind of the peer; APR_MEMORY_OTHER unless it is set. */
+void
+AprStream_SetKind(AprStream_t *stream, AprMemoryKind_t kind)
+{
+    stream->kind = kind;
+    update_reader(stream);
+}
+
+/* Records that what an owner of a stream of a kind holds of the bytes received
+   on it has changed. */
+void
+AprStreamSet_AddReceived(AprStreamSet_t *set, AprMemoryKind_t kind,
+                         size_t before, size_t now)
+{
+    set->received_by_kind[kind] += now - before;
+}
+
+/* Stops or resumes reading from the streams of a kind. */
+void
+AprStreamSet_SetKindPaused(AprStreamSet_t *set, AprMemoryKind_t kind,
+                           bool pause)
+{
+    set->kind_paused[kind] = pause;
+    for (AprStream_t *stream = set->streams; stream != NULL;
+         stream = stream->next_open) {
+        if (stream->kind == kind && stream->handler != NULL) {
+            update_reader(stream);
+        }
     }
 }
 
--- a/tests/test_listeners.c
+++ b/tests/test_listeners.c
@@ -28,6 +28,8 @@
 }
 
 int
+/* The names of the parameters in the system's header are reserved. */
+/* NOLINTNEXTLINE(readability-inconsistent-declaration-parameter-name) */
 accept(int fd, __SOCKADDR_ARG address, socklen_t *restrict size)
 {
     attempts[local_port(fd)]++;
--- a/tests/test_memory_budget.c
+++ b/tests/test_memory_budget.c
@@ -209,6 +209,50 @@
     }
 }
 
+/* Guards against a limit for the backend server or the store that traffic
+   within the documented limits reaches, also at the smallest hosts: 16 full
+   windows, and two responses of the store with an item of 4 MiB. */
+static void
+test_documented_traffic_reaches_no_kind_limit(void **state)
+{
+    const size_t item_bytes = 4u * KB * KB / 3 * 4 * 5 / 4;
+    AprMemoryBudget_t budget;
+
+    (void)state;
+    AprMemoryBudget_Init(&budget, 48, 4096);
+    assert_false(AprMemoryBudget_UpdateKind(
+        &budget, APR_MEMORY_BACKEND,
+        16 * (size_t)(APR_CALL_WINDOW_BYTES + 32 * KB)));
+    assert_false(
+        AprMemoryBudget_UpdateKind(&budget, APR_MEMORY_STORE, 2 * item_bytes));
+}
+
+/* Guards against reading that stops and resumes with each read at the limit,
+   and against one kind that stops another one. */
+static void
+test_kind_at_its_limit_pauses(void **state)
+{
+    AprMemoryBudget_t budget;
+    size_t limit;
+
+    (void)state;
+    AprMemoryBudget_Init(&budget, 160, 4096);
+    limit = AprMemoryBudget_KindLimit(&budget, APR_MEMORY_BACKEND);
+    assert_in_range(limit, 1, budget.limit);
+    assert_true(
+        AprMemoryBudget_UpdateKind(&budget, APR_MEMORY_BACKEND, limit));
+    assert_true(budget.kind_paused[APR_MEMORY_BACKEND]);
+    assert_false(AprMemoryBudget_UpdateKind(&budget, APR_MEMORY_BACKEND,
+                                            limit * 9 / 10));
+    assert_false(AprMemoryBudget_UpdateKind(&budget, APR_MEMORY_STORE, 0));
+    assert_false(budget.kind_paused[APR_MEMORY_STORE]);
+    assert_true(
+        AprMemoryBudget_UpdateKind(&budget, APR_MEMORY_BACKEND, limit / 2));
+    assert_false(budget.kind_paused[APR_MEMORY_BACKEND]);
+    assert_false(
+        AprMemoryBudget_UpdateKind(&budget, APR_MEMORY_CALLERS, budget.limit));
+}
+
 int
 main(void)
 {
@@ -222,6 +266,8 @@
         cmocka_unit_test(test_slowest_reader_is_closed_first),
         cmocka_unit_test(test_idle_time_is_no_stall),
         cmocka_unit_test(test_callers_leave_descriptors),
+        cmocka_unit_test(test_documented_traffic_reaches_no_kind_limit),
+        cmocka_unit_test(test_kind_at_its_limit_pauses),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
