--- a/src/gateway/ingress.c
+++ b/src/gateway/ingress.c
@@ -1,15 +1,14 @@
 /* Callers' connections. Responses are sent in the order of the requests. */
 
-#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "apricot/error.h"
 #include "apricot/log.h"
 #include "internal/exchange.h"
+#include "internal/listener.h"
 
 /* Pipelined requests of one connection; reading pauses at this number. */
 #define MAX_PIPELINED_REQUESTS 16
@@ -34,9 +33,7 @@
     AprGateway_t *gateway;
     AprCallerConn_t *callers;
     int exchange_count;
-    int listen_fd;
-    ev_io listener;
-    bool accept_paused;
+    AprListener_t listener;
     bool visiting; /* closed callers are freed after the visit of the list */
     AprCallerConn_t *closed_callers;
 };
@@ -61,7 +58,6 @@
 
     if (ingress != NULL) {
         ingress->gateway = gateway;
-        ingress->listen_fd = -1;
     }
     return ingress;
 }
@@ -131,16 +127,41 @@
     }
 }
 
+/* Sends the response with which the connection closes, if there is one and the
+   responses to all requests were sent. Returns whether the connection was
+   closed. */
+static bool
+send_final_response(AprCallerConn_t *caller)
+{
+    if (caller->final_status == 0 || caller->first_exchange != NULL) {
+        return false;
+    }
+    AprExchange_WriteError(caller->stream, caller->final_status);
+    close_caller(caller, false);
+    return true;
+}
+
+/* Ends a connection with a response of its own after those to the requests
+   that are in progress. Returns whether the connection was closed. */
+static bool
+end_with_status(AprCallerConn_t *caller, int status)
+{
+    caller->final_status = status;
+    return send_final_response(caller);
+}
+
 /* Frees the completed requests at the head of the queue. Returns false when
    the connection was closed. */
 static bool
 free_finished_exchanges(AprCallerConn_t *caller)
 {
     while (caller->first_exchange != NULL &&
-           caller->first_exchange->response_complete &&
-           caller->first_exchange != caller->reading_exchange) {
+           caller->first_exchange->response_complete) {
         AprExchange_t *exchange = caller->first_exchange;
-        bool close = exchange->close_after;
+        /* The rest of an incomplete body cannot be told from the next
+           request. */
+        bool close =
+            exchange->close_after || exchange == caller->reading_exchange;
 
         caller->first_exchange = exchange->next;
         if (caller->first_exchange == NULL) {
@@ -158,7 +179,7 @@
         }
     }
     caller->idle_since_ms = AprGateway_NowMs(caller->ingress->gateway);
-    return true;
+    return !send_final_response(caller);
 }
 
 /* Returns the memory that a connection holds in buffers, with request body
@@ -264,6 +285,10 @@
     if (caller->closed || caller->stream == NULL) {
         return;
     }
+    if (caller->read_paused) {
+        /* See is_head_overdue(). */
+        caller->last_read_ms = AprGateway_NowMs(caller->ingress->gateway);
+    }
     caller->read_paused = should_pause_reading(caller);
     AprStream_SetReadPaused(caller->stream, caller->read_paused);
 }
@@ -274,18 +299,9 @@
 void
 AprEntry_OnExchangeDone(AprCallerConn_t *caller)
 {
-    AprExchange_t *first = caller->first_exchange;
-
     if (caller->closed || caller->parsing) {
         return;
     }
-    if (first != NULL && first->response_complete &&
-        first == caller->reading_exchange) {
-        /* The response is complete but the request body is not: its rest
-           cannot be told from the next request, so the connection closes. */
-        first->close_after = true;
-        caller->reading_exchange = NULL;
-    }
     if (free_finished_exchanges(caller)) {
         AprEntry_UpdateReading(caller);
         start_waiting_exchanges(caller);
@@ -367,25 +383,20 @@
 static bool
 reject_malformed(AprCallerConn_t *caller, int result)
 {
-    bool too_large = result == APR_E_TOO_LARGE;
-
     AprLog_Write(APR_LOG_INFO, "request_malformed", "step=entry error=%s",
                  AprError_Name(result));
     if (caller->reading_exchange != NULL &&
-        !caller->reading_exchange->response_complete) {
+        caller->reading_exchange->response_complete) {
+        return true; /* its response ends the connection */
+    }
+    if (caller->reading_exchange != NULL) {
         caller->parsing = true;
         AprExchange_Reject(caller->reading_exchange, 400, "malformed body");
         caller->parsing = false;
         return true;
     }
-    if (caller->first_exchange == NULL) {
-        AprExchange_WriteError(caller->stream, too_large ? 431 : 400);
-        close_caller(caller, false);
-        return false;
-    }
-    /* Earlier requests still wait for their responses. */
-    caller->last_exchange->close_after = true;
-    return true;
+    return !end_with_status(
+        caller, AprHttpParser_RejectionStatus(caller->parser, result));
 }
 
 static void
@@ -396,6 +407,9 @@
     int result;
 
     caller->last_read_ms = AprGateway_NowMs(caller->ingress->gateway);
+    if (caller->final_status != 0) {
+        return;
+    }
     caller->parsing = true;
     AprHttpParser_SetMaxHeadBytes(
         caller->parser, caller_limits(caller->ingress)->max_head_bytes);
@@ -444,8 +458,9 @@
 static const AprStreamHandler_t stream_handler = {on_data, on_close, on_drain};
 
 static void
-add_caller(AprIngress_t *ingress, int fd)
+on_accept(void *context, int fd)
 {
+    AprIngress_t *ingress = context;
     AprCallerConn_t *caller = calloc(1, sizeof(*caller));
 
     if (caller == NULL) {
@@ -588,8 +603,9 @@
 /* Returns whether a further connection may be accepted, and closes another one
    for it if necessary. */
 static bool
-make_room_for_caller(AprIngress_t *ingress)
+may_accept(void *context)
 {
+    AprIngress_t *ingress = context;
     AprGateway_t *gateway = ingress->gateway;
 
     return AprMemoryBudget_MayAcceptSocket(&gateway->memory_budget,
@@ -597,53 +613,25 @@
            close_replaceable(ingress);
 }
 
-/* Accepts connections until there is none. At the limit of descriptors,
-   accepting pauses until the next tick, as the listener would stay readable
-   and keep the event loop busy. */
 static void
-accept_callers(AprIngress_t *ingress)
+on_pause(void *context)
 {
-    int fd;
+    const AprIngress_t *ingress = context;
 
-    while (make_room_for_caller(ingress)) {
-        fd = accept(ingress->listen_fd, NULL, NULL);
-        if (fd >= 0) {
-            add_caller(ingress, fd);
-        }
-        else if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
-                 errno == ENOMEM) {
-            break;
-        }
-        else if (errno != EINTR && errno != ECONNABORTED) {
-            return;
-        }
-    }
-    ingress->accept_paused = true;
-    ev_io_stop(ingress->gateway->loop, &ingress->listener);
-    AprGateway_IncrementCounter(ingress->gateway, "accept_pauses_total", "");
+    AprGateway_IncrementCounter(ingress->gateway, "accept_pauses_total",
+                                "listener=\"callers\"");
 }
 
-static void
-on_accept(struct ev_loop *loop, ev_io *watcher, int events)
-{
-    (void)loop;
-    (void)events;
-    accept_callers(watcher->data);
-}
+static const AprListenerHandler_t listener_handler = {on_accept, may_accept,
+                                                      on_pause};
 
 /* Accepts callers at an IP:port. Returns APR_OK or the error of
    AprStream_Listen(). */
 int
 AprIngress_Listen(AprIngress_t *ingress, const char *address)
 {
-    ingress->listen_fd = AprStream_Listen(address);
-    if (ingress->listen_fd < 0) {
-        return ingress->listen_fd;
-    }
-    ev_io_init(&ingress->listener, on_accept, ingress->listen_fd, EV_READ);
-    ingress->listener.data = ingress;
-    ev_io_start(ingress->gateway->loop, &ingress->listener);
-    return APR_OK;
+    return AprListener_Open(&ingress->listener, ingress->gateway->loop,
+                            "callers", address, &listener_handler, ingress);
 }
 
 /* Closes the listener; open connections stay. Connections that the kernel has
@@ -652,12 +640,8 @@
 void
 AprIngress_StopListening(AprIngress_t *ingress)
 {
-    if (ingress->listen_fd >= 0) {
-        accept_callers(ingress);
-        ev_io_stop(ingress->gateway->loop, &ingress->listener);
-        close(ingress->listen_fd);
-        ingress->listen_fd = -1;
-    }
+    AprListener_AcceptAll(&ingress->listener);
+    AprListener_Close(&ingress->listener);
 }
 
 /* Returns whether a connection has no request and no part of one. */
@@ -748,10 +732,18 @@
     while (ingress->gateway->streams->open_count > budget->socket_limit &&
            close_replaceable(ingress)) {
     }
-    if (ingress->accept_paused && ingress->listen_fd >= 0) {
-        ingress->accept_paused = false;
-        ev_io_start(ingress->gateway->loop, &ingress->listener);
-    }
+}
+
+/* Returns whether a caller has sent nothing for too long while a request head
+   is incomplete. The time in which its connection is not read does not
+   count. */
+static bool
+is_head_overdue(const AprCallerConn_t *caller, const AprCallerLimits_t *limits,
+                int64_t now_ms)
+{
+    return caller->final_status == 0 && !caller->read_paused &&
+           AprHttpParser_IsInHead(caller->parser) &&
+           now_ms - caller->last_read_ms > limits->head_timeout_ms;
 }
 
 /* Closes connections that have been idle for too long or that have sent
@@ -775,10 +767,8 @@
                 close_caller(caller, false);
             }
         }
-        else if (AprHttpParser_IsInHead(caller->parser) &&
-                 now_ms - caller->last_read_ms > limits->head_timeout_ms) {
-            AprExchange_WriteError(caller->stream, 408);
-            close_caller(caller, false);
+        else if (is_head_overdue(caller, limits, now_ms)) {
+            end_with_status(caller, 408);
         }
         caller = next;
     }
