Split the links between gateways into three sources

Moves only: link_receive.c handles received frames, link_health.c has pings and time limits, links.c keeps the table, its connections and what is sent to other hosts.

--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -217,7 +217,8 @@
                                                    const char *id,
                                                    size_t id_size);
 
-/* Connections to the gateways of other hosts (links.c, link_calls.c). */
+/* Connections to the gateways of other hosts (links.c,
+   link_receive.c, link_health.c, link_calls.c). */
 AprLinks_t *AprLinks_New(AprGateway_t *gateway);
 void AprLinks_Free(AprLinks_t *links);
 int AprLinks_Listen(AprLinks_t *links, const char *address);
--- /dev/null
+++ b/src/gateway/link_health.c
@@ -0,0 +1,182 @@
+/* Checks of the links between gateways: pings, time limits and links on which
+   nothing arrives. */
+
+#include <stdlib.h>
+
+#include "apricot/log.h"
+#include "internal/links_state.h"
+
+/* A link with calls in flight is pinged when nothing arrived for this time. */
+#define BUSY_PING_INTERVAL_MS 300
+
+/* An outbound link that waits for a response or a pong is closed when nothing
+   arrived for this time. Two lost packets, or a host at a fifth of its speed,
+   stay within it. */
+#define PEER_TIMEOUT_MS 1500
+
+/* Ping interval of a link without calls. */
+#define IDLE_PING_INTERVAL_MS 4000
+
+/* Time limit for the TCP connect of a link. */
+#define CONNECT_TIMEOUT_MS 1000
+
+/* Time for which a stalled link may still resume after the host has answered
+   on a new connection. */
+#define STALLED_RESUME_MS 500
+
+/* Pings a host to find out whether it can be reached, at most once per
+   BUSY_PING_INTERVAL_MS. */
+void
+AprLinks_Ping(AprLinks_t *links, const char *host)
+{
+    AprGatewayLink_t *link = AprLinks_EnsureOutbound(links, host);
+    int64_t now_ms = AprLinks_NowMs(links);
+
+    if (link != NULL && now_ms - link->last_ping_ms >= BUSY_PING_INTERVAL_MS) {
+        link->last_ping_ms = now_ms;
+        AprGatewayLink_SendLoad(link, APR_LINK_PING, now_ms);
+    }
+}
+
+/* Handles an outbound link on which nothing arrives: the other host is paused
+   or cut off, or only this connection has died. Idempotent calls are failed,
+   so that they can be sent elsewhere. The others may be running and have no
+   other way to end well, so the link is kept for them, apart from the link
+   that the next call opens. */
+static void
+stall_link(AprGatewayLink_t *link, int64_t now_ms)
+{
+    AprLinks_t *links = link->links;
+    AprCallFailure_t failure = {APR_CALL_BROKEN, false, 0};
+
+    AprLog_Write(APR_LOG_INFO, "link_stalled", "peer=%s calls=%u", link->host,
+                 g_hash_table_size(link->calls));
+    link->stalled_ms = now_ms;
+    AprMembers_RecordUnreachable(links->gateway->members, link->host);
+    g_hash_table_remove(links->outbound_by_host, link->host);
+    AprGatewayLink_RemoveFrom(&links->outbound, link);
+    link->next = links->stalled;
+    links->stalled = link;
+    AprLinkCalls_FailIdempotent(link, &failure);
+}
+
+/* Returns whether a stalled link is of no more use: its calls have ended, or
+   the host answers on a new connection but not on this one. */
+static bool
+is_stalled_link_over(const AprGatewayLink_t *link, int64_t now_ms)
+{
+    const AprGatewayLink_t *newer =
+        AprLinks_FindOutbound(link->links, link->host);
+
+    return link->stream == NULL || g_hash_table_size(link->calls) == 0 ||
+           (link->last_received_ms < link->stalled_ms && newer != NULL &&
+            newer->established &&
+            now_ms - newer->established_ms > STALLED_RESUME_MS);
+}
+
+/* Ends the stalled links that are of no more use, and looks with a new one
+   whether the host answers again. */
+static void
+check_stalled_links(AprLinks_t *links, int64_t now_ms)
+{
+    AprGatewayLink_t *link = links->stalled;
+
+    while (link != NULL) {
+        AprGatewayLink_t *next = link->next;
+
+        if (is_stalled_link_over(link, now_ms)) {
+            AprGatewayLink_RemoveFrom(&links->stalled, link);
+            if (link->stream != NULL) {
+                AprGatewayLink_CloseOutbound(link, "replaced");
+            }
+            link->next = links->closed;
+            links->closed = link;
+        }
+        else {
+            AprLinks_EnsureOutbound(links, link->host);
+        }
+        link = next;
+    }
+}
+
+/* Closes a link that timed out; pings one without recent traffic. */
+static void
+check_outbound_link(AprGatewayLink_t *link, int64_t now_ms)
+{
+    int64_t silence_ms = now_ms - link->last_received_ms;
+    bool busy = g_hash_table_size(link->calls) > 0;
+
+    if (AprStream_IsConnecting(link->stream)) {
+        if (now_ms - link->opened_ms > CONNECT_TIMEOUT_MS) {
+            AprGatewayLink_CloseOutbound(link, "connect timeout");
+        }
+        return;
+    }
+    if ((busy || link->last_ping_ms > link->last_received_ms) &&
+        silence_ms > PEER_TIMEOUT_MS &&
+        now_ms - link->last_ping_ms > BUSY_PING_INTERVAL_MS) {
+        stall_link(link, now_ms);
+        return;
+    }
+    if (silence_ms > (busy ? BUSY_PING_INTERVAL_MS : IDLE_PING_INTERVAL_MS) &&
+        now_ms - link->last_ping_ms >
+            (busy ? BUSY_PING_INTERVAL_MS : IDLE_PING_INTERVAL_MS)) {
+        link->last_ping_ms = now_ms;
+        AprGatewayLink_SendLoad(link, APR_LINK_PING, now_ms);
+    }
+}
+
+static void
+resend_releases(AprLinks_t *links)
+{
+    AprReleaseNotice_t **at = &links->pending_releases;
+
+    while (*at != NULL) {
+        AprReleaseNotice_t *release = *at;
+
+        AprLinks_SendRelease(links, release);
+        if (--release->sends_left <= 0) {
+            *at = release->next;
+            free(release);
+        }
+        else {
+            at = &release->next;
+        }
+    }
+}
+
+/* Frees the closed inbound links. */
+void
+AprLinks_FreeClosed(AprLinks_t *links)
+{
+    while (links->closed != NULL) {
+        AprGatewayLink_t *link = links->closed;
+
+        links->closed = link->next;
+        AprGatewayLink_Free(link);
+    }
+}
+
+/* Pings outbound links without traffic, closes those that timed out, frees
+   closed inbound links and resends release notices. Called several times a
+   second. */
+void
+AprLinks_Tick(AprLinks_t *links)
+{
+    int64_t now_ms = AprLinks_NowMs(links);
+
+    AprLinks_FreeClosed(links);
+    for (AprGatewayLink_t *link = links->outbound; link != NULL;) {
+        AprGatewayLink_t *next = link->next;
+
+        if (link->stream != NULL) {
+            check_outbound_link(link, now_ms);
+        }
+        link = next;
+    }
+    check_stalled_links(links, now_ms);
+    if (now_ms - links->last_release_send_ms >= BUSY_PING_INTERVAL_MS) {
+        links->last_release_send_ms = now_ms;
+        resend_releases(links);
+    }
+}
