Split the callers' connections into two sources

Moves only: caller_conn.c has the connection of one caller, ingress.c the listener, the time limits and what is closed at a limit.

--- a/internal/exchange.h
+++ b/internal/exchange.h
@@ -91,14 +91,14 @@
 void AprExchange_OnDrained(AprExchange_t *exchange);
 void AprExchange_WriteError(AprStream_t *stream, int status);
 
-/* Implemented in ingress.c. */
+/* Implemented in ingress.c and caller_conn.c. */
 bool AprEntry_MayStart(const AprExchange_t *exchange);
 size_t AprEntry_HeldBytes(const AprCallerConn_t *caller);
 double AprIngress_FindLargest(AprIngress_t *ingress, int64_t now_ms,
                               AprCallerConn_t **found);
 void AprIngress_Drop(AprCallerConn_t *caller);
 
-/* Implemented in ingress.c. These may free the connection. */
+/* Implemented in caller_conn.c. These may free the connection. */
 void AprEntry_UpdateReading(AprCallerConn_t *caller);
 void AprEntry_OnExchangeDone(AprCallerConn_t *caller);
 void AprEntry_AbortConn(AprCallerConn_t *caller);
--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -407,7 +407,7 @@
                                           const char *service, int part,
                                           char *key, size_t size);
 
-/* Listener for the requests of callers (ingress.c). */
+/* Listener for the requests of callers (ingress.c, caller_conn.c). */
 AprIngress_t *AprIngress_New(AprGateway_t *gateway);
 void AprIngress_Free(AprIngress_t *ingress);
 int AprIngress_Listen(AprIngress_t *ingress, const char *address);
