--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -225,7 +225,8 @@
                                                    const char *id,
                                                    size_t id_size);
 
-/* Connections to the gateways of other hosts (links.c, link_calls.c). */
+/* Connections to the gateways of other hosts (links.c,
+   link_receive.c, link_health.c, link_calls.c). */
 AprLinks_t *AprLinks_New(AprGateway_t *gateway);
 void AprLinks_Free(AprLinks_t *links);
 int AprLinks_Listen(AprLinks_t *links, const char *address);
@@ -418,7 +419,7 @@
                                           const char *service, int part,
                                           char *key, size_t size);
 
-/* Listener for the requests of callers (ingress.c). */
+/* Listener for the requests of callers (ingress.c, caller_conn.c). */
 AprIngress_t *AprIngress_New(AprGateway_t *gateway);
 void AprIngress_Free(AprIngress_t *ingress);
 int AprIngress_Listen(AprIngress_t *ingress, const char *address);
