Reject control characters in HTTP targets and headers

http_parser, built without its strict mode, accepts tabs and form feeds in a request target, and any byte in the values of headers that it interprets, such as Transfer-Encoding. The gateway forwarded these: a tab can end the target for another parser, and a NUL cut off the forwarded header lines. Found by fuzzing.

--- a/src/transport/http_message.c
+++ b/src/transport/http_message.c
@@ -35,6 +35,23 @@
     return 0;
 }
 
+/* Returns whether a part of a head has a control character other than a tab
+   or, with `is_token`, a space or tab. http_parser accepts some of these,
+   which another parser may read as the end of a target, name or value. */
+static bool
+has_forbidden_byte(const char *data, size_t size, bool is_token)
+{
+    for (size_t i = 0; i < size; i++) {
+        unsigned char c = (unsigned char)data[i];
+
+        if (c == 0x7f || (c < ' ' && c != '\t') ||
+            (is_token && (c == ' ' || c == '\t'))) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static int
 on_message_begin(http_parser *raw)
 {
@@ -54,6 +71,10 @@
 {
     AprHttpParser_t *parser = raw->data;
 
+    if (has_forbidden_byte(data, size, true)) {
+        parser->error = APR_E_PARSE;
+        return 1;
+    }
     if (parser->head.target_size == 0) {
         parser->head.target_offset =
             (uint32_t)AprBuffer_Size(&parser->head.text);
@@ -82,9 +103,7 @@
         header->name_offset = (uint32_t)AprBuffer_Size(&head->text);
         parser->in_header_value = false;
     }
-    /* http_parser accepts spaces in header names, which another parser may
-       read as a different name. */
-    if (memchr(data, ' ', size) != NULL || memchr(data, '\t', size) != NULL) {
+    if (has_forbidden_byte(data, size, true)) {
         parser->error = APR_E_PARSE;
         return 1;
     }
@@ -103,6 +122,10 @@
     if (!parser->in_head || head->header_count == 0) {
         return 0;
     }
+    if (has_forbidden_byte(data, size, false)) {
+        parser->error = APR_E_PARSE;
+        return 1;
+    }
     header = &head->headers[head->header_count - 1];
     if (!parser->in_header_value) {
         header->value_offset = (uint32_t)AprBuffer_Size(&head->text);
