Reject HTTP messages of other major versions

http_parser accepts any version number, also HTTP/0.9 without headers, and the gateway forwarded such messages as HTTP/1.1. Found by fuzzing: an accepted message must be the same after it was encoded again. The test fails without the check.

--- a/src/transport/http_message.c
+++ b/src/transport/http_message.c
@@ -150,7 +150,9 @@
     AprHttpHead_t *head = &parser->head;
 
     parser->in_head = false;
-    if (has_conflicting_lengths(raw)) {
+    /* The framing of other major versions differs, and HTTP/0.9 has no
+       headers; http_parser accepts all numbers. */
+    if (raw->http_major != 1 || has_conflicting_lengths(raw)) {
         parser->error = APR_E_PARSE;
         return -1;
     }
--- a/tests/test_untrusted_input.c
+++ b/tests/test_untrusted_input.c
@@ -79,12 +79,31 @@
     assert_int_equal(parse_http(HTTP_RESPONSE, tab, sizeof(tab) - 1), APR_OK);
 }
 
+/* A message of another major version was forwarded as one of HTTP/1.1. */
+static void
+test_other_major_version_is_rejected(void **state)
+{
+    static const char *const requests[] = {
+        "GET /\r\n\r\n", "GET / HTTP/0.9\r\nHost: h\r\n\r\n",
+        "GET / HTTP/2.0\r\nHost: h\r\n\r\n"};
+    static const char older[] = "GET / HTTP/1.0\r\n\r\n";
+
+    (void)state;
+    for (size_t i = 0; i < sizeof(requests) / sizeof(requests[0]); i++) {
+        assert_int_equal(
+            parse_http(HTTP_REQUEST, requests[i], strlen(requests[i])),
+            APR_E_PARSE);
+    }
+    assert_int_equal(parse_http(HTTP_REQUEST, older, strlen(older)), APR_OK);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_white_space_in_target_is_rejected),
         cmocka_unit_test(test_control_character_in_value_is_rejected),
+        cmocka_unit_test(test_other_major_version_is_rejected),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
