Handle one request of a connection at a time

The HTTP server for heartbeats parsed all requests of a packet at once. While a heartbeat awaited its reply, the next request of the packet replaced its path and body, and the second reply was given to a call that awaited none; requests after the one that ends the connection were handled too. The parser now pauses after each request, and the rest of the input is kept until the reply. Reading is paused meanwhile, so that this is at most one received chunk. Found by fuzzing; the test fails before the change.

--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -15,12 +15,13 @@
     AprHttpServer_t *server;
     AprStream_t *stream; /* NULL: closed */
     AprHttpParser_t *parser;
+    AprBuffer_t input; /* received and not parsed yet */
     char method[24];
     char *path;
     AprBuffer_t body;
     bool keep_alive;
     bool awaiting_reply; /* the handler has not replied yet */
-    bool parsing;        /* on_data() uses the call: it must not be freed */
+    bool parsing; /* parse_input() uses the call: it must not be freed */
     AprHttpCall_t *next;
 };
 
@@ -40,6 +41,7 @@
         AprStream_Close(call->stream);
     }
     AprHttpParser_Free(call->parser);
+    AprBuffer_Free(&call->input);
     AprBuffer_Free(&call->body);
     free(call->path);
     free(call);
@@ -65,6 +67,36 @@
     }
 }
 
+/* Parses the input up to the end of the next request without a reply, because
+   the call has room for one request. Frees the call if it is not used any
+   more. */
+static void
+parse_input(AprHttpCall_t *call)
+{
+    int result = APR_OK;
+
+    call->parsing = true;
+    while (result == APR_OK && call->stream != NULL && !call->awaiting_reply &&
+           AprBuffer_Size(&call->input) > 0) {
+        size_t used;
+
+        AprHttpParser_SetPaused(call->parser, false);
+        result =
+            AprHttpParser_Execute(call->parser, AprBuffer_Data(&call->input),
+                                  AprBuffer_Size(&call->input), &used);
+        AprBuffer_Consume(&call->input, used);
+    }
+    call->parsing = false;
+    if (result != APR_OK && call->stream != NULL) {
+        AprStream_Close(call->stream);
+        call->stream = NULL;
+    }
+    if (call->stream != NULL) {
+        AprStream_SetReadPaused(call->stream, call->awaiting_reply);
+    }
+    free_if_unused(call);
+}
+
 /* Sends the response and resumes reading from the connection; `body` is
    copied. The call may be freed, so it must not be used afterwards. */
 void
@@ -87,14 +119,14 @@
         AprStream_Write(call->stream, AprBuffer_Data(&text),
                         AprBuffer_Size(&text));
         AprBuffer_Free(&text);
-        AprHttpParser_SetPaused(call->parser, false);
-        AprStream_SetReadPaused(call->stream, false);
         if (!call->keep_alive) {
             AprStream_CloseAfterFlush(call->stream);
             call->stream = NULL;
         }
     }
-    free_if_unused(call);
+    if (!call->parsing) {
+        parse_input(call);
+    }
 }
 
 static int
@@ -129,6 +161,7 @@
     AprHttpServer_t *server = call->server;
 
     call->awaiting_reply = true;
+    AprHttpParser_SetPaused(call->parser, true);
     AprBuffer_Append(&call->body, "", 1); /* terminating NUL */
     server->handler(server->context, call, call->method, call->path,
                     AprBuffer_Data(&call->body),
@@ -142,20 +175,12 @@
 on_data(void *context, const char *data, size_t size)
 {
     AprHttpCall_t *call = context;
-    size_t used;
-    int result;
 
-    call->parsing = true;
-    result = AprHttpParser_Execute(call->parser, data, size, &used);
-    call->parsing = false;
-    if (result != APR_OK && call->stream != NULL) {
+    if (AprBuffer_Append(&call->input, data, size) != APR_OK) {
         AprStream_Close(call->stream);
         call->stream = NULL;
     }
-    if (call->awaiting_reply && call->stream != NULL) {
-        AprStream_SetReadPaused(call->stream, true);
-    }
-    free_if_unused(call);
+    parse_input(call);
 }
 
 static void
--- a/tests/test_untrusted_input.c
+++ b/tests/test_untrusted_input.c
@@ -1,14 +1,19 @@
+#include <arpa/inet.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
 #include "apricot/error.h"
 #include "internal/http_message.h"
+#include "internal/http_server.h"
 
 /* Inputs that fuzzing (tests/fuzz_*.c) found to be handled wrongly. */
 
@@ -97,6 +102,78 @@
     assert_int_equal(parse_http(HTTP_REQUEST, older, strlen(older)), APR_OK);
 }
 
+#define SERVER_PORT 18081
+
+/* A server that does not reply by itself. */
+typedef struct SlowServer_t {
+    AprHttpCall_t *call;
+    int request_count;
+    char last_path[16];
+} SlowServer_t;
+
+static void
+on_request(void *context, AprHttpCall_t *call, const char *method,
+           const char *path, const char *body, size_t size)
+{
+    SlowServer_t *server = context;
+
+    (void)method;
+    (void)body;
+    (void)size;
+    server->call = call;
+    server->request_count++;
+    strncpy(server->last_path, path, sizeof(server->last_path) - 1);
+}
+
+/* Two requests in one packet were both passed to the handler, before the reply
+   to the first: the path and body of the first were freed, and the second
+   reply used a call that was no longer waiting for one. A request after one
+   that ends the connection was passed to the handler too. */
+static void
+test_request_waits_for_reply_to_the_last(void **state)
+{
+    static const char requests[] = "GET /1 HTTP/1.1\r\n\r\n"
+                                   "GET /2 HTTP/1.1\r\n"
+                                   "Connection: close\r\n\r\n"
+                                   "GET /3 HTTP/1.1\r\n\r\n";
+    struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_port = htons(SERVER_PORT)};
+    SlowServer_t server = {0};
+    AprStreamSet_t streams;
+    AprHttpServer_t *http;
+    char text[32];
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    (void)state;
+    /* An address of this process, which no other test uses. */
+    address.sin_addr.s_addr = htonl(0x7f000000u | (uint32_t)getpid() << 2 | 1);
+    snprintf(text, sizeof(text), "%s:%d", inet_ntoa(address.sin_addr),
+             SERVER_PORT);
+    AprStreamSet_Init(&streams, loop);
+    http = AprHttpServer_New(&streams, text, on_request, &server);
+    assert_non_null(http);
+    assert_int_equal(connect(fd, (struct sockaddr *)&address, sizeof(address)),
+                     0);
+    assert_int_equal(send(fd, requests, sizeof(requests) - 1, 0),
+                     sizeof(requests) - 1);
+    while (server.call == NULL) {
+        ev_run(loop, EVRUN_ONCE);
+    }
+    assert_int_equal(server.request_count, 1);
+    assert_string_equal(server.last_path, "/1");
+    AprHttpCall_Reply(server.call, 200, "", "", 0);
+    ev_run(loop, EVRUN_NOWAIT);
+    assert_int_equal(server.request_count, 2);
+    assert_string_equal(server.last_path, "/2");
+    AprHttpCall_Reply(server.call, 200, "", "", 0);
+    ev_run(loop, EVRUN_NOWAIT);
+    assert_int_equal(server.request_count, 2);
+    close(fd);
+    AprHttpServer_Free(http);
+    ev_loop_destroy(loop);
+}
+
 int
 main(void)
 {
@@ -104,6 +181,7 @@
         cmocka_unit_test(test_white_space_in_target_is_rejected),
         cmocka_unit_test(test_control_character_in_value_is_rejected),
         cmocka_unit_test(test_other_major_version_is_rejected),
+        cmocka_unit_test(test_request_waits_for_reply_to_the_last),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
