Check the sizes and numbers of frames between gateways

Fuzzing found that the decoder of link frames - allocated memory for as many elements as an array or map header claims, up to 96 GiB for 5 bytes: the structure is now checked first, as it is for messages; - added time spans to the current time without a bound, so that they overflow: a span is now at most 2^56 ms; - cut numbers to the size of their field, so that a type of 2^32 + 5 was taken for a cancellation: they are rejected; - accepted texts with a NUL, which ended host names and header lines there; - called memcpy() with NULL for an empty text. Looking at the numbers showed that a configuration whose version is 2^63 or more made each call close its link, since such a version was sent but not accepted. Five tests fail before the change.

--- a/internal/message_codec.h
+++ b/internal/message_codec.h
@@ -41,6 +41,8 @@
 /* Returns whether the bytes are exactly one msgpack value that has only the
    types used by messages and no length beyond the end of the input. */
 bool AprMessage_IsWellFormed(const char *data, size_t size);
+/* Does the same for a frame between gateways, which may also have text. */
+bool AprMessage_IsFrameWellFormed(const char *data, size_t size);
 /* Returns whether a message is a control message. Queues send control messages
    before requests, answers and outcomes. */
 bool AprMessage_IsControl(AprMessageType_t type);
--- a/src/protocol/link_frame.c
+++ b/src/protocol/link_frame.c
@@ -2,9 +2,15 @@
 
 #include <arpa/inet.h>
 #include <glib.h>
+#include <limits.h>
 #include <string.h>
 
 #include "apricot/error.h"
+#include "internal/message_codec.h"
+
+/* Time spans in ms are below this, so that sums of a few of them and of points
+   in time do not overflow. */
+#define MAX_SPAN_MS (INT64_C(1) << 56)
 
 static void
 pack_text(msgpack_packer *packer, const char *text)
@@ -278,6 +284,51 @@
     return 0;
 }
 
+/* Reads an integer within bounds; returns the lower one on failure. */
+static int64_t
+read_int_between(Reader_t *reader, int64_t min, int64_t max)
+{
+    int64_t value = read_int(reader);
+
+    if (value < min || value > max) {
+        reader->failed = true;
+        return min;
+    }
+    return value;
+}
+
+static int
+read_plain_int(Reader_t *reader)
+{
+    return (int)read_int_between(reader, INT_MIN, INT_MAX);
+}
+
+static uint32_t
+read_stream(Reader_t *reader)
+{
+    return (uint32_t)read_int_between(reader, 0, UINT32_MAX);
+}
+
+static int64_t
+read_span_ms(Reader_t *reader)
+{
+    return read_int_between(reader, -MAX_SPAN_MS, MAX_SPAN_MS);
+}
+
+/* Reads a number that may use all 64 bits, as the version of a configuration
+   does. */
+static uint64_t
+read_unsigned(Reader_t *reader)
+{
+    const msgpack_object *object = next_element(reader);
+
+    if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+        reader->failed = true;
+        return 0;
+    }
+    return object->via.u64;
+}
+
 static bool
 read_bool(Reader_t *reader)
 {
@@ -306,6 +357,18 @@
     }
 }
 
+/* Copies a text. One that contains a NUL is rejected, since it would end
+   there. */
+static void
+copy_text(Reader_t *reader, const msgpack_object_str *from, char *text)
+{
+    if (from->size > 0) {
+        reader->failed |= memchr(from->ptr, '\0', from->size) != NULL;
+        memcpy(text, from->ptr, from->size);
+    }
+    text[from->size] = '\0';
+}
+
 static void
 read_text(Reader_t *reader, char *text, size_t capacity)
 {
@@ -317,8 +380,7 @@
         reader->failed = true;
         return;
     }
-    memcpy(text, object->via.str.ptr, object->via.str.size);
-    text[object->via.str.size] = '\0';
+    copy_text(reader, &object->via.str, text);
 }
 
 /* Copies a text into the zone, so that it is valid as long as the decoded
@@ -338,27 +400,26 @@
         reader->failed = true;
         return NULL;
     }
-    memcpy(text, object->via.str.ptr, object->via.str.size);
-    text[object->via.str.size] = '\0';
+    copy_text(reader, &object->via.str, text);
     return text;
 }
 
 static void
 read_load(Reader_t *reader, AprHostLoad_t *load)
 {
-    load->wait_ms = read_int(reader);
-    load->running = (int)read_int(reader);
-    load->queued = (int)read_int(reader);
-    load->slots = (int)read_int(reader);
-    load->load_permille = (int)read_int(reader);
+    load->wait_ms = read_span_ms(reader);
+    load->running = read_plain_int(reader);
+    load->queued = read_plain_int(reader);
+    load->slots = read_plain_int(reader);
+    load->load_permille = read_plain_int(reader);
     load->accepts_calls = read_bool(reader);
     load->stopping = read_bool(reader);
     load->store_lost = read_bool(reader);
     load->known_revision = read_int(reader);
     if (reader->remaining >= WORK_FIELD_COUNT) {
         load->has_work = true;
-        load->work_ms = read_int(reader);
-        load->pace = (int)read_int(reader);
+        load->work_ms = read_span_ms(reader);
+        load->pace = read_plain_int(reader);
         if (load->work_ms < 0 || load->pace < 1) {
             reader->failed = true;
         }
@@ -379,14 +440,14 @@
     call->idempotent = read_bool(reader);
     call->has_deadline = read_bool(reader);
     call->nested = read_bool(reader);
-    call->rank = (int)read_int(reader);
-    call->key = (int)read_int(reader);
-    call->arrived_ms = now_ms - read_int(reader);
-    call->objective_ms = now_ms + read_int(reader);
-    call->deadline_ms = now_ms + read_int(reader);
+    call->rank = read_plain_int(reader);
+    call->key = read_plain_int(reader);
+    call->arrived_ms = now_ms - read_span_ms(reader);
+    call->objective_ms = now_ms + read_span_ms(reader);
+    call->deadline_ms = now_ms + read_span_ms(reader);
     call->has_length = read_bool(reader);
-    call->length = (uint64_t)read_int(reader);
-    call->config_version = (uint64_t)read_int(reader);
+    call->length = read_unsigned(reader);
+    call->config_version = read_unsigned(reader);
     if (call->rank < 0 || call->key < APR_NO_KEY ||
         call->key >= APR_KEY_COUNT) {
         reader->failed = true;
@@ -402,7 +463,7 @@
     item->lease_id = read_int(reader);
     item->removed = read_bool(reader);
     item->end_of_series = read_bool(reader);
-    item->source_age_ms = read_int(reader);
+    item->source_age_ms = read_span_ms(reader);
     item->complete_revision = read_int(reader);
 }
 
@@ -417,47 +478,47 @@
         read_text(reader, frame->expected_host, sizeof(frame->expected_host));
         break;
     case APR_LINK_CALL:
-        frame->stream = (uint32_t)read_int(reader);
-        frame->sequence = read_int(reader);
+        frame->stream = read_stream(reader);
+        frame->sequence = read_span_ms(reader);
         read_call(reader, zone, &frame->call, now_ms);
         read_bytes(reader, &frame->data, &frame->data_size);
         frame->last_part = read_bool(reader);
         break;
     case APR_LINK_RESPONSE:
-        frame->stream = (uint32_t)read_int(reader);
-        frame->response.status = (int)read_int(reader);
+        frame->stream = read_stream(reader);
+        frame->response.status = read_plain_int(reader);
         frame->response.headers = read_text_into_zone(reader, zone);
         frame->response.has_length = read_bool(reader);
-        frame->response.length = (uint64_t)read_int(reader);
+        frame->response.length = read_unsigned(reader);
         read_bytes(reader, &frame->data, &frame->data_size);
         frame->last_part = read_bool(reader);
         read_load(reader, &frame->load);
         break;
     case APR_LINK_DATA:
-        frame->stream = (uint32_t)read_int(reader);
+        frame->stream = read_stream(reader);
         read_bytes(reader, &frame->data, &frame->data_size);
         frame->last_part = read_bool(reader);
         break;
     case APR_LINK_CANCEL:
-        frame->stream = (uint32_t)read_int(reader);
+        frame->stream = read_stream(reader);
         break;
     case APR_LINK_FAIL: {
         int64_t error;
 
-        frame->stream = (uint32_t)read_int(reader);
+        frame->stream = read_stream(reader);
         error = read_int(reader);
         if (error < 0 || error >= APR_CALL_ERROR_COUNT) {
             reader->failed = true;
         }
         frame->failure.error = (AprCallError_t)error;
         frame->failure.not_run = read_bool(reader);
-        frame->failure.retry_after_ms = read_int(reader);
+        frame->failure.retry_after_ms = read_span_ms(reader);
         read_load(reader, &frame->load);
         break;
     }
     case APR_LINK_ACK:
-        frame->stream = (uint32_t)read_int(reader);
-        frame->acknowledged_bytes = (size_t)read_int(reader);
+        frame->stream = read_stream(reader);
+        frame->acknowledged_bytes = read_unsigned(reader);
         break;
     case APR_LINK_PING:
     case APR_LINK_PONG:
@@ -466,8 +527,8 @@
         break;
     case APR_LINK_HANDOVER_TOKEN:
         read_text(reader, frame->service, sizeof(frame->service));
-        frame->grant.first = (int)read_int(reader);
-        frame->grant.last = (int)read_int(reader);
+        frame->grant.first = read_plain_int(reader);
+        frame->grant.last = read_plain_int(reader);
         frame->grant.fence = read_int(reader);
         read_text(reader, frame->grant.token, sizeof(frame->grant.token));
         break;
@@ -483,14 +544,14 @@
         break;
     case APR_LINK_REACHABILITY_REPLY:
         read_text(reader, frame->host, sizeof(frame->host));
-        frame->result = read_int(reader);
+        frame->result = read_span_ms(reader);
         break;
     case APR_LINK_GOAWAY:
         frame->sequence = read_int(reader);
         break;
     case APR_LINK_RENEWAL_RESULT:
         frame->sequence = read_int(reader);
-        frame->result = read_int(reader);
+        frame->result = read_span_ms(reader);
         break;
     default:
         reader->failed = true;
@@ -511,7 +572,8 @@
     Reader_t reader;
 
     memset(frame, 0, sizeof(*frame));
-    if (msgpack_unpack(bytes, size, &offset, zone, &root) !=
+    if (!AprMessage_IsFrameWellFormed(bytes, size) ||
+        msgpack_unpack(bytes, size, &offset, zone, &root) !=
             MSGPACK_UNPACK_SUCCESS ||
         root.type != MSGPACK_OBJECT_ARRAY || root.via.array.size == 0) {
         return APR_E_PARSE;
@@ -519,7 +581,7 @@
     reader.next = root.via.array.ptr;
     reader.remaining = root.via.array.size;
     reader.failed = false;
-    frame->type = (AprLinkType_t)read_int(&reader);
+    frame->type = (AprLinkType_t)read_int_between(&reader, 0, APR_LINK_GOAWAY);
     read_frame_fields(&reader, zone, frame, now_ms);
     return reader.failed ? APR_E_PARSE : APR_OK;
 }
--- a/src/protocol/message_check.c
+++ b/src/protocol/message_check.c
@@ -6,6 +6,8 @@
 #define FIXINT_MAX 0x7f
 #define FIXARRAY_MIN 0x90
 #define FIXARRAY_MAX 0x9f
+#define FIXSTR_MIN 0xa0
+#define FIXSTR_MAX 0xbf
 #define TYPE_NIL 0xc0
 #define TYPE_FALSE 0xc2
 #define TYPE_TRUE 0xc3
@@ -16,6 +18,8 @@
 #define TYPE_UINT64 0xcf
 #define TYPE_INT8 0xd0
 #define TYPE_INT64 0xd3
+#define TYPE_STR8 0xd9
+#define TYPE_STR32 0xdb
 #define TYPE_ARRAY16 0xdc
 #define TYPE_ARRAY32 0xdd
 #define NEGATIVE_FIXINT_MIN 0xe0
@@ -24,6 +28,7 @@
     const uint8_t *data;
     size_t size;
     size_t offset;
+    bool allows_text;
     bool failed;
 } Scanner_t;
 
@@ -82,6 +87,15 @@
     if (type == TYPE_ARRAY16 || type == TYPE_ARRAY32) {
         return read_big_endian(scanner, type == TYPE_ARRAY16 ? 2 : 4);
     }
+    if (scanner->allows_text && type >= FIXSTR_MIN && type <= FIXSTR_MAX) {
+        skip_bytes(scanner, type - FIXSTR_MIN);
+        return 0;
+    }
+    if (scanner->allows_text && type >= TYPE_STR8 && type <= TYPE_STR32) {
+        skip_bytes(scanner,
+                   read_big_endian(scanner, (size_t)1 << (type - TYPE_STR8)));
+        return 0;
+    }
     scanner->failed = true;
     return 0;
 }
@@ -89,10 +103,10 @@
 /* Checks the structure of the input before msgpack-c decodes it. msgpack-c
    allocates memory for as many elements as an array header states, which is up
    to 96 GiB for a header of 5 bytes. */
-bool
-AprMessage_IsWellFormed(const char *data, size_t size)
+static bool
+is_well_formed(const char *data, size_t size, bool allows_text)
 {
-    Scanner_t scanner = {(const uint8_t *)data, size, 0, false};
+    Scanner_t scanner = {(const uint8_t *)data, size, 0, allows_text, false};
     size_t remaining_items = 1;
     size_t item_count = 1;
 
@@ -111,3 +125,18 @@
     }
     return scanner.offset == size;
 }
+
+/* Returns whether the bytes are one msgpack value of the types that messages
+   have. */
+bool
+AprMessage_IsWellFormed(const char *data, size_t size)
+{
+    return is_well_formed(data, size, false);
+}
+
+/* Does the same for frames between gateways, which also have text. */
+bool
+AprMessage_IsFrameWellFormed(const char *data, size_t size)
+{
+    return is_well_formed(data, size, true);
+}
--- a/tests/test_untrusted_input.c
+++ b/tests/test_untrusted_input.c
@@ -14,6 +14,7 @@
 #include "apricot/error.h"
 #include "internal/http_message.h"
 #include "internal/http_server.h"
+#include "internal/link_frame.h"
 
 /* Inputs that fuzzing (tests/fuzz_*.c) found to be handled wrongly. */
 
@@ -174,6 +175,113 @@
     ev_loop_destroy(loop);
 }
 
+static int
+decode_frame(const char *bytes, size_t size, AprLinkFrame_t *frame)
+{
+    msgpack_zone zone;
+    int result;
+
+    msgpack_zone_init(&zone, 4096);
+    result = AprLinkFrame_Decode(&zone, bytes, size, frame, 1000);
+    msgpack_zone_destroy(&zone);
+    return result;
+}
+
+/* Memory was allocated for as many elements as an array claims to have, up to
+   96 GiB for 5 bytes. */
+static void
+test_frame_with_huge_array_is_rejected(void **state)
+{
+    static const char array[] = "\xdd\x00\xff\xff\xff\x05\x01";
+    AprLinkFrame_t frame;
+    msgpack_zone zone;
+
+    (void)state;
+    msgpack_zone_init(&zone, 4096);
+    assert_int_equal(
+        AprLinkFrame_Decode(&zone, array, sizeof(array) - 1, &frame, 1000),
+        APR_E_PARSE);
+    assert_int_equal(zone.chunk_list.free, 4096);
+    msgpack_zone_destroy(&zone);
+}
+
+/* Numbers were cut to the size of their field: a type of 2^32 + 5 was taken
+   for a cancellation, a negative stream for a high one. */
+static void
+test_frame_with_too_large_number_is_rejected(void **state)
+{
+    static const char type[] = "\x92\xcf\x00\x00\x00\x01\x00\x00\x00\x05\x07";
+    static const char stream[] = "\x92\x05\xff";
+    static const char valid[] = "\x92\x05\xce\xff\xff\xff\xff";
+    AprLinkFrame_t frame;
+
+    (void)state;
+    assert_int_equal(decode_frame(type, sizeof(type) - 1, &frame),
+                     APR_E_PARSE);
+    assert_int_equal(decode_frame(stream, sizeof(stream) - 1, &frame),
+                     APR_E_PARSE);
+    assert_int_equal(decode_frame(valid, sizeof(valid) - 1, &frame), APR_OK);
+    assert_int_equal(frame.stream, UINT32_MAX);
+}
+
+/* A text with a NUL was accepted and ended there, which changed host names and
+   cut off header lines. */
+static void
+test_frame_with_nul_in_text_is_rejected(void **state)
+{
+    static const char query[] = "\x92\x0f\xa3h\0x";
+    AprLinkFrame_t frame;
+
+    (void)state;
+    assert_int_equal(decode_frame(query, sizeof(query) - 1, &frame),
+                     APR_E_PARSE);
+}
+
+/* Decodes a call with this time span until its deadline and this version of
+   the configuration. */
+static int
+decode_call(int64_t left_ms, uint64_t version, AprLinkFrame_t *frame)
+{
+    AprLinkFrame_t call = {.type = APR_LINK_CALL};
+    msgpack_sbuffer buffer;
+    int result;
+
+    call.call.target = "/";
+    call.call.headers = "";
+    call.call.deadline_ms = left_ms;
+    call.call.config_version = version;
+    msgpack_sbuffer_init(&buffer);
+    AprLinkFrame_Encode(&buffer, &call, 0);
+    result = decode_frame(buffer.data, buffer.size, frame);
+    msgpack_sbuffer_destroy(&buffer);
+    return result;
+}
+
+/* A long time span overflowed when the current time was added, so that the
+   deadline was in the past. */
+static void
+test_call_with_too_long_time_is_rejected(void **state)
+{
+    AprLinkFrame_t frame;
+
+    (void)state;
+    assert_int_equal(decode_call(INT64_MAX, 1, &frame), APR_E_PARSE);
+    assert_int_equal(decode_call(5000, 1, &frame), APR_OK);
+    assert_int_equal(frame.call.deadline_ms, 6000);
+}
+
+/* The version of a configuration has 64 bits. Calls with a version of 2^63 or
+   more were rejected, which closed the link. */
+static void
+test_call_with_highest_version_is_accepted(void **state)
+{
+    AprLinkFrame_t frame;
+
+    (void)state;
+    assert_int_equal(decode_call(5000, UINT64_MAX, &frame), APR_OK);
+    assert_true(frame.call.config_version == UINT64_MAX);
+}
+
 int
 main(void)
 {
@@ -182,6 +290,11 @@
         cmocka_unit_test(test_control_character_in_value_is_rejected),
         cmocka_unit_test(test_other_major_version_is_rejected),
         cmocka_unit_test(test_request_waits_for_reply_to_the_last),
+        cmocka_unit_test(test_frame_with_huge_array_is_rejected),
+        cmocka_unit_test(test_frame_with_too_large_number_is_rejected),
+        cmocka_unit_test(test_frame_with_nul_in_text_is_rejected),
+        cmocka_unit_test(test_call_with_too_long_time_is_rejected),
+        cmocka_unit_test(test_call_with_highest_version_is_accepted),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
