Bound the numbers of stored key maps

A fencing token near 2^63 was accepted; the next change of the map overflowed, and each grant, which multiplies it, far earlier. Keys and host numbers were cut to 32 bits, so that a malformed range was taken for another one. Found by fuzzing; the test fails before the change.

--- a/src/state/key_map.c
+++ b/src/state/key_map.c
@@ -6,9 +6,14 @@
 #include <string.h>
 
 #include "apricot/error.h"
+#include "apricot/grant_table.h"
 
 #define LAST_KEY (APR_KEY_COUNT - 1)
 
+/* Highest fencing token of a stored range. Grants multiply it by
+   APR_GENERATIONS_PER_FENCE; half of the range is left for later changes. */
+#define MAX_STORED_FENCE (INT64_MAX / 2 / APR_GENERATIONS_PER_FENCE)
+
 /* Whether two values identify the same incarnation of a backend server. */
 bool
 AprBackendIncarnation_Equal(const AprBackendIncarnation_t *left,
@@ -245,7 +250,7 @@
 }
 
 static int
-copy_host_name(const json_t *names, int index, char *host)
+copy_host_name(const json_t *names, json_int_t index, char *host)
 {
     const char *text = json_string_value(json_array_get(names, (size_t)index));
 
@@ -263,20 +268,23 @@
 parse_range(const json_t *names, json_t *row, int first, int limit,
             AprKeyRange_t *range)
 {
+    json_int_t last;
     json_int_t fence;
-    int releasing = -1;
-    int owner;
+    json_int_t releasing;
+    json_int_t owner;
 
     memset(range, 0, sizeof(*range));
-    if (json_unpack(row, "[i,i,I,i]", &range->last, &owner, &fence,
-                    &releasing) != 0 ||
-        range->last < first || range->last > limit || fence < 0 ||
+    if (json_unpack(row, "[I,I,I,I]", &last, &owner, &fence, &releasing) !=
+            0 ||
+        last < first || last > limit || fence < 0 ||
+        fence > MAX_STORED_FENCE ||
         copy_host_name(names, owner, range->host) != APR_OK ||
         (releasing >= 0 &&
          copy_host_name(names, releasing, range->releasing_host) != APR_OK)) {
         return APR_E_PARSE;
     }
     range->first = first;
+    range->last = (int)last;
     range->fence = fence;
     return APR_OK;
 }
--- a/tests/test_untrusted_input.c
+++ b/tests/test_untrusted_input.c
@@ -12,6 +12,7 @@
 #include <cmocka.h>
 
 #include "apricot/error.h"
+#include "apricot/key_map.h"
 #include "internal/http_message.h"
 #include "internal/http_server.h"
 #include "internal/link_frame.h"
@@ -282,6 +283,39 @@
     assert_true(frame.call.config_version == UINT64_MAX);
 }
 
+/* Applies part 0 of a key map. */
+static int
+parse_part(AprKeyMap_t *map, const char *text)
+{
+    return AprKeyMap_ParsePart(map, 0, text, strlen(text));
+}
+
+/* A fencing token near 2^63 was accepted, and the next change of the map and
+   each grant overflowed. Keys and host numbers were cut to 32 bits, so that a
+   range up to key 2^32 + 4095 was taken for one up to key 4095. */
+static void
+test_key_map_with_too_large_number_is_rejected(void **state)
+{
+    AprKeyMap_t map;
+
+    (void)state;
+    assert_int_equal(AprKeyMap_Init(&map), APR_OK);
+    assert_int_equal(parse_part(&map, "{\"hosts\":[\"h\"],\"ranges\":"
+                                      "[[4095,0,9223372036854775807,-1]]}"),
+                     APR_E_PARSE);
+    assert_int_equal(parse_part(&map, "{\"hosts\":[\"h\"],\"ranges\":"
+                                      "[[4294971391,0,1,-1]]}"),
+                     APR_E_PARSE);
+    assert_int_equal(parse_part(&map, "{\"hosts\":[\"h\"],\"ranges\":"
+                                      "[[4095,4294967296,1,-1]]}"),
+                     APR_E_PARSE);
+    assert_int_equal(map.last_fence, 0);
+    assert_int_equal(parse_part(&map, "{\"hosts\":[\"h\"],\"ranges\":"
+                                      "[[4095,0,1,-1]]}"),
+                     APR_OK);
+    AprKeyMap_Free(&map);
+}
+
 int
 main(void)
 {
@@ -295,6 +329,7 @@
         cmocka_unit_test(test_frame_with_nul_in_text_is_rejected),
         cmocka_unit_test(test_call_with_too_long_time_is_rejected),
         cmocka_unit_test(test_call_with_highest_version_is_accepted),
+        cmocka_unit_test(test_key_map_with_too_large_number_is_rejected),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
