Bound the generation and the id of a stored record

A generation of 2^63 - 1 was accepted, and the next one overflowed; from 2^20 on the fencing tokens of a range would run into those of the next. An id that is too long was cut off, so that its backend server counted as another incarnation. Such a record is now rejected as malformed. Found by fuzzing; the test fails before the change.

--- a/src/state/generation_record.c
+++ b/src/state/generation_record.c
@@ -28,7 +28,9 @@
 
 /* Updates the record from the stored item; a removed item, or one that is not
    newer than the known revision, has no effect. A newer one ends the claim of
-   this process. Returns APR_E_PARSE when the item is malformed. */
+   this process. Returns APR_E_PARSE when the item is malformed, its id is too
+   long, or no fencing token can tell its generation from others; the record is
+   then unchanged. */
 int
 AprGenerationRecord_Update(AprGenerationRecord_t *record,
                            const AprKvItem_t *item)
@@ -45,7 +47,8 @@
     root = json_loadb(item->value, item->value_size, 0, NULL);
     if (json_unpack(root, "{s:s,s:I,s:I}", "id", &id, "born", &started_ms,
                     "generation", &generation) == 0 &&
-        generation > 0) {
+        strlen(id) < sizeof(record->incarnation.id) && generation > 0 &&
+        generation < APR_GENERATIONS_PER_FENCE) {
         g_strlcpy(record->incarnation.id, id, sizeof(record->incarnation.id));
         record->incarnation.started_ms = started_ms;
         record->generation = generation;
--- a/tests/test_untrusted_input.c
+++ b/tests/test_untrusted_input.c
@@ -13,6 +13,7 @@
 
 #include "apricot/error.h"
 #include "apricot/key_map.h"
+#include "internal/generation_record.h"
 #include "internal/http_message.h"
 #include "internal/http_server.h"
 #include "internal/link_frame.h"
@@ -316,6 +317,41 @@
     AprKeyMap_Free(&map);
 }
 
+static int
+update_record(AprGenerationRecord_t *record, const char *text)
+{
+    AprKvItem_t item = {.value = text,
+                        .value_size = strlen(text),
+                        .revision = record->revision + 1};
+
+    return AprGenerationRecord_Update(record, &item);
+}
+
+/* A generation of 2^63 - 1 was accepted, and the next one overflowed; from
+   2^20 on, fencing tokens of different ranges of keys are equal. An id that is
+   too long was cut off, so that its backend server counted as another one. */
+static void
+test_generation_out_of_range_is_rejected(void **state)
+{
+    AprGenerationRecord_t record = {0};
+    char id[APR_BACKEND_ID_SIZE + 1] = {0};
+    char text[160];
+
+    (void)state;
+    memset(id, 'a', APR_BACKEND_ID_SIZE);
+    snprintf(text, sizeof(text), "{\"id\":\"%s\",\"born\":1,\"generation\":2}",
+             id);
+    assert_int_equal(update_record(&record, text), APR_E_PARSE);
+    snprintf(text, sizeof(text), "{\"id\":\"b\",\"born\":1,\"generation\":%d}",
+             APR_GENERATIONS_PER_FENCE);
+    assert_int_equal(update_record(&record, text), APR_E_PARSE);
+    assert_int_equal(record.revision, 0);
+    snprintf(text, sizeof(text),
+             "{\"id\":\"%s\",\"born\":1,\"generation\":%d}", id + 1,
+             APR_GENERATIONS_PER_FENCE - 1);
+    assert_int_equal(update_record(&record, text), APR_OK);
+}
+
 int
 main(void)
 {
@@ -330,6 +366,7 @@
         cmocka_unit_test(test_call_with_too_long_time_is_rejected),
         cmocka_unit_test(test_call_with_highest_version_is_accepted),
         cmocka_unit_test(test_key_map_with_too_large_number_is_rejected),
+        cmocka_unit_test(test_generation_out_of_range_is_rejected),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
