Leave the settings unchanged when a file is refused

A refused file left the caller's settings half read. No caller uses them afterwards, but a reload must not depend on that. Found by fuzzing; the test fails before the change.

--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -105,23 +105,26 @@
 }
 
 /* Reads and validates a settings file. Returns APR_OK, or APR_E_INVALID with
-   the file, line, field and correction in one line of error->detail. */
+   the file, line, field and correction in one line of error->detail; the
+   settings are then unchanged. */
 int
 AprGatewaySettings_Load(const char *path, AprGatewaySettings_t *settings,
                         AprError_t *error)
 {
     AprSettingsFile_t load = {path, error, false};
     AprFieldLines_t lines;
-    int result;
+    AprGatewaySettings_t loaded = {0};
+    int result =
+        AprSettingsFile_Read(&load, fields, FIELD_COUNT, &loaded, &lines);
 
-    memset(settings, 0, sizeof(*settings));
-    result =
-        AprSettingsFile_Read(&load, fields, FIELD_COUNT, settings, &lines);
-    if (result == APR_OK && parse_balancing_mode(settings) != APR_OK) {
+    if (result == APR_OK && parse_balancing_mode(&loaded) != APR_OK) {
         return AprError_Set(error, APR_E_INVALID, APR_STEP_SETTINGS, path,
                             "%s: balancing.mode: choose on, off or auto",
                             path);
     }
+    if (result == APR_OK) {
+        *settings = loaded;
+    }
     return result;
 }
 
--- a/tests/test_untrusted_input.c
+++ b/tests/test_untrusted_input.c
@@ -12,6 +12,7 @@
 #include <cmocka.h>
 
 #include "apricot/error.h"
+#include "apricot/gateway_settings.h"
 #include "apricot/key_map.h"
 #include "internal/generation_record.h"
 #include "internal/http_message.h"
@@ -352,6 +353,21 @@
     assert_int_equal(update_record(&record, text), APR_OK);
 }
 
+/* Refused settings were left half read in the caller's object. */
+static void
+test_refused_settings_change_nothing(void **state)
+{
+    AprGatewaySettings_t settings = {.host = "before"};
+    AprError_t error;
+
+    (void)state;
+    assert_int_equal(
+        AprGatewaySettings_Load("/nonexistent", &settings, &error),
+        APR_E_INVALID);
+    assert_string_equal(settings.host, "before");
+    assert_true(settings.memory_mb == 0);
+}
+
 int
 main(void)
 {
@@ -367,6 +383,7 @@
         cmocka_unit_test(test_call_with_highest_version_is_accepted),
         cmocka_unit_test(test_key_map_with_too_large_number_is_rejected),
         cmocka_unit_test(test_generation_out_of_range_is_rejected),
+        cmocka_unit_test(test_refused_settings_change_nothing),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
