Refuse malformed keys of settings instead of aborting

A key that begins with an unexpected character, as in "[=]", fails an assertion of the TOML library, which ended the process, also that of a running gateway that reloads its settings. The assertions now throw an exception, and the file is refused. Assertions in functions that must not throw still end the process. Found by fuzzing; the test fails before the change.

--- a/src/state/toml_tree.cc
+++ b/src/state/toml_tree.cc
@@ -4,8 +4,25 @@
 #include <fstream>
 #include <glib.h>
 #include <sstream>
+#include <stdexcept>
 #include <string>
 
+/* Assertions of the TOML library fail for some malformed files, for instance
+   for "[=]". They must not end the process, which may be one that reloads its
+   settings. */
+struct TomlAssertion : std::logic_error {
+    using std::logic_error::logic_error;
+};
+
+[[noreturn]] static void
+fail_toml_assertion(const char *condition)
+{
+    throw TomlAssertion(condition);
+}
+
+#define TOML_ASSERT(condition) \
+    ((condition) ? (void)0 : fail_toml_assertion(#condition))
+
 #include <toml++/toml.h>
 
 /* TOML parser wrapper. It is the only C++ file of the library, because no C
@@ -62,7 +79,8 @@
 
 /* Parses a TOML file into a new tree, which the caller frees with
    AprTree_Free. Returns APR_E_IO when the file cannot be read or is empty, and
-   APR_E_PARSE with the line of the error when its syntax is invalid. */
+   APR_E_PARSE with the line of the error, 0 if it is not known, when its
+   syntax is invalid. */
 extern "C" int
 AprTree_ReadToml(const char *path, AprTree_t **tree, int *line,
                  AprError_t *error)
@@ -85,6 +103,10 @@
         return AprError_Set(error, APR_E_PARSE, APR_STEP_CONFIG, path,
                             "TOML syntax: %s",
                             std::string(fault.description()).c_str());
+    } catch (const TomlAssertion &fault) {
+        return AprError_Set(error, APR_E_PARSE, APR_STEP_CONFIG, path,
+                            "TOML syntax: a key or value is malformed (%s)",
+                            fault.what());
     } catch (const std::exception &fault) {
         return AprError_Set(error, APR_E_IO, APR_STEP_CONFIG, path,
                             "cannot be read: %s", fault.what());
--- a/tests/test_untrusted_input.c
+++ b/tests/test_untrusted_input.c
@@ -368,6 +368,35 @@
     assert_true(settings.memory_mb == 0);
 }
 
+/* Writes a settings file and loads it. */
+static int
+load_settings(const char *text, AprError_t *error)
+{
+    char path[] = "/tmp/apricot-settings-XXXXXX";
+    int fd = mkstemp(path);
+    AprGatewaySettings_t settings;
+    int result;
+
+    assert_true(fd >= 0);
+    assert_int_equal(write(fd, text, strlen(text)), strlen(text));
+    close(fd);
+    result = AprGatewaySettings_Load(path, &settings, error);
+    unlink(path);
+    return result;
+}
+
+/* A malformed key failed an assertion of the TOML library, which ended the
+   process, also when a running gateway reloaded its settings. */
+static void
+test_malformed_key_is_refused(void **state)
+{
+    AprError_t error;
+
+    (void)state;
+    assert_int_equal(load_settings("[=]\n", &error), APR_E_INVALID);
+    assert_non_null(strstr(error.detail, "TOML syntax"));
+}
+
 int
 main(void)
 {
@@ -384,6 +413,7 @@
         cmocka_unit_test(test_key_map_with_too_large_number_is_rejected),
         cmocka_unit_test(test_generation_out_of_range_is_rejected),
         cmocka_unit_test(test_refused_settings_change_nothing),
+        cmocka_unit_test(test_malformed_key_is_refused),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
