--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,9 @@
 LIB_OBJ = $(LIB_C:%.c=$(BUILD)/%.o) $(LIB_CC:%.cc=$(BUILD)/%.o)
 STANDIN_SHARED = $(sort $(wildcard standins/lib/*.c))
 STANDIN_OBJ = $(STANDIN_SHARED:%.c=$(BUILD)/%.o)
-PLATFORM_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard platform/*.c)))
+PLATFORM_LIB = $(BUILD)/libplatform.a
+PLATFORM_C = $(filter-out platform/main.c,$(sort $(wildcard platform/*.c)))
+PLATFORM_OBJ = $(PLATFORM_C:%.c=$(BUILD)/%.o)
 PROGRAMS = $(patsubst programs/%.c,$(BUILD)/%,$(sort $(wildcard programs/*.c))) \
     $(BUILD)/apricot-gateway
 STANDINS = $(patsubst standins/%.c,$(BUILD)/%,$(sort $(wildcard standins/*.c)))
@@ -52,10 +54,14 @@
 	@rm -f $@
 	@ar rcs $@ $^
 
-$(BUILD)/%: $(BUILD)/programs/%.o $(LIB)
+$(PLATFORM_LIB): $(PLATFORM_OBJ)
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(BUILD)/%: $(BUILD)/programs/%.o $(PLATFORM_LIB) $(LIB)
 	@$(CC) $^ $(LDLIBS) -o $@
 
-$(BUILD)/apricot-gateway: $(PLATFORM_OBJ) $(LIB)
+$(BUILD)/apricot-gateway: $(BUILD)/platform/main.o $(PLATFORM_LIB) $(LIB)
 	@$(CC) $^ $(LDLIBS) -o $@
 
 $(BUILD)/%: $(BUILD)/standins/%.o $(STANDIN_OBJ) $(LIB)
@@ -65,7 +71,8 @@
 	@mkdir -p $(@D)
 	@$(CC) $^ $(LDLIBS) -o $@
 
-$(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(STANDIN_OBJ) $(LIB)
+$(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(STANDIN_OBJ) $(PLATFORM_LIB) \
+    $(LIB)
 	@$(CC) $^ $(LDLIBS) -lcmocka -o $@
 
 $(BUILD)/tests/prop_%: $(BUILD)/tests/prop_%.o $(STANDIN_OBJ) $(LIB)
--- a/tests/test_untrusted_input.c
+++ b/tests/test_untrusted_input.c
@@ -18,6 +18,7 @@
 #include "internal/http_message.h"
 #include "internal/http_server.h"
 #include "internal/link_frame.h"
+#include "platform/codec.h"
 
 /* Inputs that fuzzing (tests/fuzz_*.c) found to be handled wrongly. */
 
@@ -397,6 +398,21 @@
     assert_non_null(strstr(error.detail, "TOML syntax"));
 }
 
+/* The number of slots was cut to 32 bits, so that 2^32 + 1 counted as 1. */
+static void
+test_heartbeat_with_too_many_slots_is_rejected(void **state)
+{
+    static const char text[] =
+        "{\"address\":\"127.0.0.1:1\",\"info\":{\"service\":\"s\",\"slots\":"
+        "4294967297},\"status\":{\"state\":\"ready\",\"sequence\":1}}";
+    AprHeartbeat_t heartbeat;
+
+    (void)state;
+    assert_int_equal(
+        Platform_ParseHeartbeat("b", text, sizeof(text) - 1, &heartbeat),
+        APR_E_PARSE);
+}
+
 int
 main(void)
 {
@@ -414,6 +430,7 @@
         cmocka_unit_test(test_generation_out_of_range_is_rejected),
         cmocka_unit_test(test_refused_settings_change_nothing),
         cmocka_unit_test(test_malformed_key_is_refused),
+        cmocka_unit_test(test_heartbeat_with_too_many_slots_is_rejected),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
