Reject folded header lines

http_parser interprets the parts of a folded Connection header otherwise than the joined value that is forwarded, so that this gateway and the next parser disagree on whether the connection is kept. RFC 9112, section 5.2, permits to reject folding. A part of a value that follows one which did not end with the input is a folded line. Found by fuzzing (http-response, case 188384); the test fails before the change, and checks all splits.

--- a/src/transport/http_message.c
+++ b/src/transport/http_message.c
@@ -16,9 +16,11 @@
     size_t max_head_bytes;
     bool in_message;
     bool in_head;
-    bool in_header_value; /* the next header name starts a new header */
-    bool body_omitted;    /* see AprHttpParser_SetBodyOmitted() */
-    int error;            /* APR_E_*, set by a callback that stops parsing */
+    bool in_header_value;  /* the next header name starts a new header */
+    const char *input_end; /* of AprHttpParser_Execute() */
+    bool value_goes_on;    /* the last part of a value ended with the input */
+    bool body_omitted;     /* see AprHttpParser_SetBodyOmitted() */
+    int error;             /* APR_E_*, set by a callback that stops parsing */
 };
 
 static int
@@ -127,6 +129,13 @@
         return 1;
     }
     header = &head->headers[head->header_count - 1];
+    /* http_parser joins folded lines, but interprets them otherwise than the
+       joined value; RFC 9112, section 5.2, permits to reject them. */
+    if (parser->in_header_value && !parser->value_goes_on) {
+        parser->error = APR_E_PARSE;
+        return 1;
+    }
+    parser->value_goes_on = data + size == parser->input_end;
     if (!parser->in_header_value) {
         header->value_offset = (uint32_t)AprBuffer_Size(&head->text);
         parser->in_header_value = true;
@@ -259,6 +268,7 @@
 AprHttpParser_Execute(AprHttpParser_t *parser, const char *data, size_t size,
                       size_t *used)
 {
+    parser->input_end = data + size;
     *used = http_parser_execute(&parser->parser, &callbacks, data, size);
     if (parser->error != APR_OK) {
         return parser->error;
--- a/tests/test_untrusted_input.c
+++ b/tests/test_untrusted_input.c
@@ -107,6 +107,46 @@
     assert_int_equal(parse_http(HTTP_REQUEST, older, strlen(older)), APR_OK);
 }
 
+/* Parses a request in two parts. */
+static int
+parse_split_request(const char *data, size_t size, size_t first_size)
+{
+    static const AprHttpHandler_t handler = {ignore_head, ignore_body,
+                                             ignore_completion};
+    AprHttpParser_t *parser = AprHttpParser_New(HTTP_REQUEST, &handler, NULL);
+    size_t used;
+    int result = AprHttpParser_Execute(parser, data, first_size, &used);
+
+    if (result == APR_OK) {
+        result = AprHttpParser_Execute(parser, data + first_size,
+                                       size - first_size, &used);
+    }
+    AprHttpParser_Free(parser);
+    return result;
+}
+
+/* The joined value of a folded Connection header was forwarded, but had
+   another meaning than the folded one. A value that is split between two
+   packets is not folded, wherever it is split. */
+static void
+test_folded_header_is_rejected(void **state)
+{
+    static const char folded[] =
+        "GET / HTTP/1.1\r\nConnection: a, close\r\n b\r\n\r\n";
+    static const char plain[] =
+        "GET / HTTP/1.1\r\nConnection: a, close b\r\nX-A:\r\n\r\n";
+
+    (void)state;
+    for (size_t i = 1; i < sizeof(folded) - 1; i++) {
+        assert_int_equal(parse_split_request(folded, sizeof(folded) - 1, i),
+                         APR_E_PARSE);
+    }
+    for (size_t i = 1; i < sizeof(plain) - 1; i++) {
+        assert_int_equal(parse_split_request(plain, sizeof(plain) - 1, i),
+                         APR_OK);
+    }
+}
+
 #define SERVER_PORT 18081
 
 /* A server that does not reply by itself. */
@@ -420,6 +460,7 @@
         cmocka_unit_test(test_white_space_in_target_is_rejected),
         cmocka_unit_test(test_control_character_in_value_is_rejected),
         cmocka_unit_test(test_other_major_version_is_rejected),
+        cmocka_unit_test(test_folded_header_is_rejected),
         cmocka_unit_test(test_request_waits_for_reply_to_the_last),
         cmocka_unit_test(test_frame_with_huge_array_is_rejected),
         cmocka_unit_test(test_frame_with_too_large_number_is_rejected),
