Fuzz the parsers of external input

A program that is built with the address and undefined-behaviour sanitizers in build/fuzz-asan generates and mutates HTTP messages, requests to the server for heartbeats, frames between gateways, configurations, heartbeats, settings, key maps and generation records. A case depends only on the seed, the edge and its number. The edges of the platform's JSON are in platform/tests, where its names are allowed.

--- a/Makefile
+++ b/Makefile
@@ -30,11 +30,21 @@
 TESTS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(sort $(wildcard tests/test_*.c)))
 PROPS = $(patsubst tests/%.cc,$(BUILD)/tests/%,$(sort $(wildcard tests/prop_*.cc)))
 
+# The fuzz program and what it links are built with sanitizers, in a folder of
+# their own.
+FUZZ_BUILD = $(BUILD)/fuzz-asan
+FUZZ_OPT = -O1 -g -fno-omit-frame-pointer -fsanitize=address,undefined \
+    -fno-sanitize-recover=all
+FUZZ_OBJ = $(patsubst %.c,$(BUILD)/%.o, \
+    $(sort $(wildcard tests/fuzz_*.c platform/tests/fuzz_*.c)))
+FUZZ_MAKE = $(MAKE) -j8 BUILD=$(FUZZ_BUILD) OPT="$(FUZZ_OPT)" \
+    $(FUZZ_BUILD)/fuzz
+
 C_FILES = $(shell git ls-files -co --exclude-standard '*.c' '*.h')
 CC_FILES = $(shell git ls-files -co --exclude-standard '*.cc')
 
 .PHONY: all packages programs tests unit format format-check lint check demo \
-    bench proof scripted soak soak-short clean
+    bench proof scripted soak soak-short fuzz fuzz-short clean
 .SECONDARY:
 
 all: $(PROGRAMS) $(STANDINS)
@@ -78,6 +88,9 @@
 $(BUILD)/tests/prop_%: $(BUILD)/tests/prop_%.o $(STANDIN_OBJ) $(LIB)
 	@$(CXX) $^ -lrapidcheck $(LDLIBS) -o $@
 
+$(BUILD)/fuzz: $(FUZZ_OBJ) $(PLATFORM_LIB) $(LIB)
+	@$(CC) $(OPT) $^ $(LDLIBS) -o $@
+
 tests: all $(TESTS) $(PROPS)
 
 # Prints one line per test program and the totals.
@@ -103,6 +116,7 @@
 	$(MAKE) format-check
 	$(MAKE) lint
 	$(MAKE) unit
+	$(MAKE) fuzz-short
 	$(MAKE) scripted
 	$(MAKE) soak-short
 
@@ -126,6 +140,19 @@
 soak-short: $(BUILD)/apricot-gateway
 	/usr/bin/python3 platform/soak/soak.py --seeds 4 665029
 
+# Variables of `make fuzz`: SECONDS (of all edges together; default: the short
+# run), SEED (default: a fresh one), EDGE (only this one) and CASE (only this
+# one, to repeat a failure).
+fuzz:
+	$(FUZZ_MAKE)
+	EDGE=$(EDGE) CASE=$(CASE) SECONDS=$(SECONDS) \
+	    SEED=$(or $(SEED),$(shell date +%s)) $(FUZZ_BUILD)/fuzz
+
+# A fixed number of cases of a fixed seed, which `make check` runs.
+fuzz-short:
+	$(FUZZ_MAKE)
+	env -u EDGE -u CASE -u SECONDS -u SEED $(FUZZ_BUILD)/fuzz
+
 proof: packages
 	$(MAKE) -j8 tests
 	scripts/proof
@@ -133,4 +160,5 @@
 clean:
 	rm -rf $(BUILD)
 
--include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
+-include $(shell find $(BUILD) -path $(FUZZ_BUILD) -prune -o -name '*.d' -print \
+    2>/dev/null)
