--- a/src/transport/http_message.c
+++ b/src/transport/http_message.c
@@ -16,9 +16,11 @@
     size_t max_head_bytes;
     bool in_message;
     bool in_head;
-    bool in_header_value; /* the next header name starts a new header */
-    bool body_omitted;    /* see AprHttpParser_SetBodyOmitted() */
-    int error;            /* APR_E_*, set by a callback that stops parsing */
+    bool in_header_value;  /* the next header name starts a new header */
+    const char *input_end; /* of AprHttpParser_Execute() */
+    bool value_goes_on;    /* the last part of a value ended with the input */
+    bool body_omitted;     /* see AprHttpParser_SetBodyOmitted() */
+    int error;             /* APR_E_*, set by a callback that stops parsing */
 };
 
 static int
@@ -35,6 +37,23 @@
     return 0;
 }
 
+/* Returns whether a part of a head has a control character other than a tab
+   or, with `is_token`, a space or tab. http_parser accepts some of these,
+   which another parser may read as the end of a target, name or value. */
+static bool
+has_forbidden_byte(const char *data, size_t size, bool is_token)
+{
+    for (size_t i = 0; i < size; i++) {
+        unsigned char c = (unsigned char)data[i];
+
+        if (c == 0x7f || (c < ' ' && c != '\t') ||
+            (is_token && (c == ' ' || c == '\t'))) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static int
 on_message_begin(http_parser *raw)
 {
@@ -54,6 +73,10 @@
 {
     AprHttpParser_t *parser = raw->data;
 
+    if (has_forbidden_byte(data, size, true)) {
+        parser->error = APR_E_PARSE;
+        return 1;
+    }
     if (parser->head.target_size == 0) {
         parser->head.target_offset =
             (uint32_t)AprBuffer_Size(&parser->head.text);
@@ -82,9 +105,7 @@
         header->name_offset = (uint32_t)AprBuffer_Size(&head->text);
         parser->in_header_value = false;
     }
-    /* http_parser accepts spaces in header names, which another parser may
-       read as a different name. */
-    if (memchr(data, ' ', size) != NULL || memchr(data, '\t', size) != NULL) {
+    if (has_forbidden_byte(data, size, true)) {
         parser->error = APR_E_PARSE;
         return 1;
     }
@@ -103,7 +124,18 @@
     if (!parser->in_head || head->header_count == 0) {
         return 0;
     }
+    if (has_forbidden_byte(data, size, false)) {
+        parser->error = APR_E_PARSE;
+        return 1;
+    }
     header = &head->headers[head->header_count - 1];
+    /* http_parser joins folded lines, but interprets them otherwise than the
+       joined value; RFC 9112, section 5.2, permits to reject them. */
+    if (parser->in_header_value && !parser->value_goes_on) {
+        parser->error = APR_E_PARSE;
+        return 1;
+    }
+    parser->value_goes_on = data + size == parser->input_end;
     if (!parser->in_header_value) {
         header->value_offset = (uint32_t)AprBuffer_Size(&head->text);
         parser->in_header_value = true;
@@ -127,7 +159,9 @@
     AprHttpHead_t *head = &parser->head;
 
     parser->in_head = false;
-    if (has_conflicting_lengths(raw)) {
+    /* The framing of other major versions differs, and HTTP/0.9 has no
+       headers; http_parser accepts all numbers. */
+    if (raw->http_major != 1 || has_conflicting_lengths(raw)) {
         parser->error = APR_E_PARSE;
         return -1;
     }
@@ -234,6 +268,7 @@
 AprHttpParser_Execute(AprHttpParser_t *parser, const char *data, size_t size,
                       size_t *used)
 {
+    parser->input_end = data + size;
     *used = http_parser_execute(&parser->parser, &callbacks, data, size);
     if (parser->error != APR_OK) {
         return parser->error;
