Keep the entry of a restarted process when a heartbeat comes early

Cause: a heartbeat before the first read of the store has no stored entry to compare with and marks the entry as changed, so that the unchanged entry is written again after the read.

The fuzzer of frames knows the elements of paced bodies and named owners.

--- a/src/gateway/registration.c
+++ b/src/gateway/registration.c
@@ -490,10 +490,15 @@
     registration->lease_item_missing = find_lease_item(cache, key) == NULL;
     registration->lease_id = item->lease;
     registration->step = APR_LEASE_REGISTERED;
+    /* A heartbeat before this had no stored entry to compare with. */
+    registration->entry_changed = false;
     AprLog_Write(APR_LOG_INFO, "registration_resumed",
                  "lease=%lld revision=%lld backend=%s leaving=%d",
                  (long long)item->lease, (long long)item->revision,
                  self->incarnation.id, self->leaving);
+    if (has_heartbeat(cache)) {
+        AprStoreCache_PublishOwnEntry(cache);
+    }
 }
 
 static void
--- a/tests/fuzz_frames.c
+++ b/tests/fuzz_frames.c
@@ -15,14 +15,14 @@
    for a number, k for a key, s for a text, x for bytes and b for a boolean. */
 static const char *const formats[] = {
     [APR_LINK_HELLO] = "3ss",
-    [APR_LINK_CALL] = "iisssssssbbbikiiibiixb",
+    [APR_LINK_CALL] = "iisssssssbbbikiiibiixbb",
     [APR_LINK_RESPONSE] = "iisbixb" LOAD,
     [APR_LINK_DATA] = "ixb",
     [APR_LINK_CANCEL] = "i",
-    [APR_LINK_FAIL] = "i7bi" LOAD,
+    [APR_LINK_FAIL] = "i7bi" LOAD "i9iis",
     [APR_LINK_ACK] = "ii",
-    [APR_LINK_PING] = "i" LOAD "i9",
-    [APR_LINK_PONG] = "i" LOAD,
+    [APR_LINK_PING] = "i" LOAD "i9i",
+    [APR_LINK_PONG] = "i" LOAD "i9ii",
     [APR_LINK_HANDOVER_TOKEN] = "s0kis",
     [APR_LINK_SUBSCRIBE] = "i",
     [APR_LINK_ITEM] = "xxiibbii",
@@ -31,6 +31,7 @@
     [APR_LINK_REACHABILITY_QUERY] = "s",
     [APR_LINK_REACHABILITY_REPLY] = "si",
     [APR_LINK_GOAWAY] = "i",
+    [APR_LINK_CREDIT] = "ii",
 };
 
 /* Packs an element of any type, possibly an array or map without what it is
--- a/tests/test_gateway_restart.c
+++ b/tests/test_gateway_restart.c
@@ -342,6 +342,33 @@
     cluster_stop(&cluster);
 }
 
+/* Guards against a restart that writes the unchanged entry again because a
+   heartbeat came before the store was read, as happens when the store is
+   slow. */
+static void
+test_early_heartbeat_does_not_write_the_entry(void **state)
+{
+    const char *entry = "apricot/hosts/h1";
+    ClusterHost_t *host = &cluster.hosts[1];
+    int64_t entry_revision;
+    int commits;
+
+    (void)state;
+    start_with_all_keys_held();
+    cluster_run_for(&cluster, 1.0);
+    commits = cluster.store.commit_count;
+    entry_revision = store_find_item(&cluster.store, entry)->revision;
+    host_kill_gateway(host);
+    cluster_run_for(&cluster, 0.5);
+    host_start_gateway(host);
+    host_on_heartbeat_timer(cluster.loop, &host->heartbeat_timer, 0);
+    cluster_run_for(&cluster, 1.0);
+    assert_int_equal(store_find_item(&cluster.store, entry)->revision,
+                     entry_revision);
+    assert_int_equal(cluster.store.commit_count, commits + 1);
+    cluster_stop(&cluster);
+}
+
 /* Guards against a restarted process that never uses its own backend server
    again, because a request came before the first heartbeat. */
 static void
@@ -611,6 +638,7 @@
         cmocka_unit_test(test_deregistration_binds_the_next_process),
         cmocka_unit_test(test_restart_does_not_bring_back_an_incarnation),
         cmocka_unit_test(test_restart_writes_only_its_claim),
+        cmocka_unit_test(test_early_heartbeat_does_not_write_the_entry),
         cmocka_unit_test(test_restart_does_not_exclude_the_own_backend),
         cmocka_unit_test(test_old_load_report_does_not_exclude_a_host),
         cmocka_unit_test(test_power_loss_does_not_delay_moved_keys),
