--- a/include/apricot/body_pacing.h
+++ b/include/apricot/body_pacing.h
@@ -33,7 +33,7 @@
 void AprBodyPacing_Init(AprBodyPacing_t *pacing, double link_mbps);
 void AprBodyPacing_Free(AprBodyPacing_t *pacing);
 bool AprBodyPacing_IsActive(const AprBodyPacing_t *pacing);
-int64_t AprBodyPacing_WaitMs(const AprBodyPacing_t *pacing);
+int64_t AprBodyPacing_WaitMs(const AprBodyPacing_t *pacing, int64_t now_ms);
 bool AprBodyPacing_Offer(AprBodyPacing_t *pacing, uint64_t id, bool has_length,
                          uint64_t bytes, int64_t time_left_ms, int64_t now_ms);
 void AprBodyPacing_Receive(AprBodyPacing_t *pacing, uint64_t id, size_t size,
--- a/internal/gateway_link.h
+++ b/internal/gateway_link.h
@@ -30,17 +30,19 @@
     int64_t opened_ms; /* start of the connect */
     int64_t last_received_ms;
     int64_t last_ping_ms;
-    int64_t failed_ms;      /* last failure; 0: none */
-    int64_t established_ms; /* outbound: receipt of HELLO */
-    int64_t stalled_ms;     /* see stall_link(); 0: not stalled */
-    gint next_stream;       /* outbound: id of the last call sent */
-    uint32_t last_stream;   /* inbound: id of the last call read */
-    bool peer_paces_bodies; /* outbound: AprHostLoad_t.paces_bodies */
-    bool going_away;        /* GOAWAY was sent (inbound) or received */
+    int64_t unanswered_since_ms; /* first ping after last_received_ms */
+    int64_t failed_ms;           /* last failure; 0: none */
+    int64_t established_ms;      /* outbound: receipt of HELLO */
+    int64_t stalled_ms;          /* see stall_link(); 0: not stalled */
+    gint next_stream;            /* outbound: id of the last call sent */
+    uint32_t last_stream;        /* inbound: id of the last call read */
+    bool peer_paces_bodies;      /* outbound: AprHostLoad_t.paces_bodies */
+    bool going_away;             /* GOAWAY was sent (inbound) or received */
     bool has_clock_offset;
     /* Smallest receive time minus send time of a call: the offset of the two
        hosts' clocks plus the least transmission delay. */
     int64_t min_clock_offset_ms;
+    int64_t clock_offset_raised_ms; /* last change of it */
     int64_t subscribed_ms; /* last SUBSCRIBE of the other side; 0: none */
     int64_t subscriber_revision; /* the other side has all items up to this */
     /* Change sequence up to which items were sent; see
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -554,7 +554,10 @@
         return;
     }
     if (exchange->call_ref.call != NULL) {
-        record_outcome(exchange, false);
+        /* Without the whole body the host waits for the caller. */
+        if (exchange->body_complete) {
+            record_outcome(exchange, false);
+        }
         exchange->call_ref.ops->cancel(exchange->call_ref.call);
         exchange->call_ref.call = NULL;
         exchange->may_have_run = true;
@@ -974,7 +977,8 @@
     if (!exchange->response_complete) {
         exchange->status = 0;
         /* A caller that leaves early says nothing about the host. */
-        if (exchange->call_ref.call != NULL && !exchange->response_started &&
+        if (exchange->call_ref.call != NULL && exchange->body_complete &&
+            !exchange->response_started &&
             exchange_now_ms(exchange) >= exchange->head.objective_ms) {
             record_outcome(exchange, false);
         }
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -150,7 +150,8 @@
                                                  AprGateway_NowMs(gateway));
     load->paces_bodies =
         load->has_work && AprBodyPacing_IsActive(&gateway->body_pacing);
-    load->body_wait_ms = AprBodyPacing_WaitMs(&gateway->body_pacing);
+    load->body_wait_ms =
+        AprBodyPacing_WaitMs(&gateway->body_pacing, AprGateway_NowMs(gateway));
 }
 
 int64_t
--- a/src/gateway/link_calls.c
+++ b/src/gateway/link_calls.c
@@ -26,8 +26,9 @@
     AprCallRef_t ref;
     bool paced; /* in AprGateway_t.body_pacing until the body has arrived */
     bool held;  /* not yet submitted to the backend server */
-    AprCallHead_t head; /* while held */
-    AprBuffer_t body;   /* while held */
+    AprCallHead_t head;  /* while held */
+    AprBuffer_t body;    /* while held */
+    size_t acknowledged; /* bytes of the body, while it was held */
 } InboundCall_t;
 
 /* A paced call is submitted when its body is complete, so that it occupies no
@@ -35,6 +36,10 @@
    APR_CALL_WINDOW_BYTES. */
 #define HELD_BODY_BYTES (APR_CALL_WINDOW_BYTES * 3 / 4)
 
+/* The clocks of two hosts may drift apart by a millisecond in this time (200
+   ppm), which must not look like a delay of the network. */
+#define CLOCK_DRIFT_MS 5000
+
 static uint64_t
 pacing_id(const InboundCall_t *call)
 {
@@ -189,8 +194,12 @@
 inbound_body_consumed(void *context, size_t size)
 {
     InboundCall_t *call = context;
+    size_t early = size < call->acknowledged ? size : call->acknowledged;
 
-    send_acknowledgement(call->link, (uint32_t)call->stream, size);
+    call->acknowledged -= early;
+    if (size > early) {
+        send_acknowledgement(call->link, (uint32_t)call->stream, size - early);
+    }
 }
 
 static const AprCallHandlers_t inbound_handlers = {
@@ -212,16 +221,21 @@
 {
     int64_t clock_offset_ms =
         AprGateway_NowMs(link->gateway) - frame->sequence;
+    int64_t now_ms = AprGateway_NowMs(link->gateway);
     int64_t delay_ms;
 
     if (!link->has_clock_offset ||
         clock_offset_ms < link->min_clock_offset_ms) {
         link->has_clock_offset = true;
         link->min_clock_offset_ms = clock_offset_ms;
+        link->clock_offset_raised_ms = now_ms;
+    }
+    else if (now_ms - link->clock_offset_raised_ms >= CLOCK_DRIFT_MS) {
+        link->min_clock_offset_ms++;
+        link->clock_offset_raised_ms = now_ms;
     }
     delay_ms = clock_offset_ms - link->min_clock_offset_ms;
-    AprNetworkDelay_Add(&link->gateway->network_delay, delay_ms,
-                        AprGateway_NowMs(link->gateway));
+    AprNetworkDelay_Add(&link->gateway->network_delay, delay_ms, now_ms);
     frame->call.arrived_ms -= delay_ms;
     frame->call.objective_ms -= delay_ms;
     frame->call.deadline_ms -= delay_ms;
@@ -254,6 +268,24 @@
     }
 }
 
+/* Takes a part of the body of a held call. It is acknowledged at once, as the
+   sender may stop long before the call is submitted when its memory is
+   scarce. Returns false when out of memory. */
+static bool
+append_held_data(InboundCall_t *call, const AprLinkFrame_t *frame)
+{
+    if (AprBuffer_Append(&call->body, frame->data, frame->data_size) !=
+        APR_OK) {
+        return false;
+    }
+    if (!frame->last_part) {
+        call->acknowledged += frame->data_size;
+        send_acknowledgement(call->link, (uint32_t)call->stream,
+                             frame->data_size);
+    }
+    return true;
+}
+
 /* Holds a call until its body has been received. Returns false if the link of
    this host does not carry the body in time. */
 static bool
@@ -273,12 +305,28 @@
     AprGateway_IncrementCounter(gateway, "paced_bodies_total",
                                 call->paced ? "result=\"accepted\""
                                             : "result=\"refused\"");
-    call->held =
-        call->paced && AprCallHead_Copy(&call->head, head) == APR_OK &&
-        AprBuffer_Append(&call->body, frame->data, frame->data_size) == APR_OK;
+    call->held = call->paced &&
+                 AprCallHead_Copy(&call->head, head) == APR_OK &&
+                 append_held_data(call, frame);
     return call->held;
 }
 
+/* Returns the owner of the key of a refused call, as far as this host knows
+   it: the key map of the entry is older. NULL: not known. */
+static const char *
+find_new_owner(const AprGateway_t *gateway, const AprCallHead_t *head,
+               const AprCallFailure_t *failure)
+{
+    const char *owner =
+        failure->error == APR_CALL_NOT_OWNER && head->key != APR_NO_KEY
+            ? AprOwnership_FindOwner(gateway->ownership, head->service,
+                                     head->key)
+            : NULL;
+
+    return owner == NULL || strcmp(owner, gateway->settings.host) == 0 ? NULL
+                                                                       : owner;
+}
+
 /* Submits a held call to the local backend server. */
 static void
 submit_held_call(InboundCall_t *call, bool end)
@@ -295,7 +343,9 @@
     if (!AprBackend_Submit(link->gateway->backend, &head,
                            AprBuffer_Data(&body), AprBuffer_Size(&body), end,
                            &inbound_handlers, call, &call->ref, &failure)) {
-        inbound_call_failed(call, &failure);
+        send_refusal(link, (uint32_t)call->stream, &failure,
+                     find_new_owner(link->gateway, &head, &failure));
+        free_inbound_call(call);
     }
     AprCallHead_Clear(&head);
     AprBuffer_Free(&body);
@@ -316,21 +366,28 @@
         call->paced = false;
     }
     if (held) {
-        AprBuffer_Append(&call->body, frame->data, frame->data_size);
-        if (frame->last_part ||
-            AprBuffer_Size(&call->body) >= HELD_BODY_BYTES) {
+        AprCallFailure_t failure = {APR_CALL_FULL, true, 0};
+
+        if (!append_held_data(call, frame)) {
+            inbound_call_failed(call, &failure);
+        }
+        else if (frame->last_part ||
+                 AprBuffer_Size(&call->body) >= HELD_BODY_BYTES) {
             submit_held_call(call, frame->last_part);
         }
     }
     return !held;
 }
 
-/* Refuses the held calls of an inbound link: this host is stopping. */
+/* Refuses the held calls of an inbound link whose deadline has passed, or all
+   of them when this host is stopping. */
 void
 AprLinkCalls_RefuseHeld(AprGatewayLink_t *link)
 {
-    AprCallFailure_t failure = {APR_CALL_LEAVING, true,
-                                APR_RESTART_RETRY_AFTER_MS};
+    bool stopping = link->gateway->stop_step >= APR_STOP_REFUSE_PEERS;
+    int64_t now_ms = AprGateway_NowMs(link->gateway);
+    AprCallFailure_t failure = {stopping ? APR_CALL_LEAVING : APR_CALL_FULL,
+                                true, APR_RESTART_RETRY_AFTER_MS};
     GHashTableIter calls;
     gpointer value;
 
@@ -338,29 +395,13 @@
     while (g_hash_table_iter_next(&calls, NULL, &value)) {
         InboundCall_t *call = value;
 
-        if (call->held) {
+        if (call->held && (stopping || call->head.deadline_ms < now_ms)) {
             send_failure(link, (uint32_t)call->stream, &failure);
             g_hash_table_iter_remove(&calls);
         }
     }
 }
 
-/* Returns the owner of the key of a refused call, as far as this host knows
-   it: the key map of the entry is older. NULL: not known. */
-static const char *
-find_new_owner(const AprGateway_t *gateway, const AprCallHead_t *head,
-               const AprCallFailure_t *failure)
-{
-    const char *owner =
-        failure->error == APR_CALL_NOT_OWNER && head->key != APR_NO_KEY
-            ? AprOwnership_FindOwner(gateway->ownership, head->service,
-                                     head->key)
-            : NULL;
-
-    return owner == NULL || strcmp(owner, gateway->settings.host) == 0 ? NULL
-                                                                       : owner;
-}
-
 /* Submits a received call to the local backend server. */
 static void
 handle_call(AprGatewayLink_t *link, AprLinkFrame_t *frame)
@@ -398,6 +439,8 @@
                 AprLinkCalls_GrantBodies(link->gateway);
                 return;
             }
+            failure.retry_after_ms = AprBodyPacing_WaitMs(
+                &link->gateway->body_pacing, AprGateway_NowMs(link->gateway));
         }
         else if (AprBackend_Submit(link->gateway->backend, &frame->call,
                                    frame->data, frame->data_size,
@@ -568,7 +611,7 @@
     if (link->inbound) {
         InboundCall_t *call = find_inbound_call(link, frame->stream);
 
-        if (call != NULL) {
+        if (call != NULL && call->ref.call != NULL) {
             call->ref.ops->acknowledge_response(call->ref.call,
                                                 frame->acknowledged_bytes);
         }
--- a/src/gateway/link_health.c
+++ b/src/gateway/link_health.c
@@ -24,6 +24,28 @@
    on a new connection. */
 #define STALLED_RESUME_MS 500
 
+static void
+record_ping(AprGatewayLink_t *link, int64_t now_ms)
+{
+    if (link->last_ping_ms <= link->last_received_ms) {
+        link->unanswered_since_ms = now_ms;
+    }
+    link->last_ping_ms = now_ms;
+}
+
+/* Returns the milliseconds for which pings on the outbound link to a host have
+   been without any answer; 0 when there is none. */
+int64_t
+AprLinks_UnansweredPingMs(const AprLinks_t *links, const char *host)
+{
+    const AprGatewayLink_t *link = AprLinks_FindOutbound(links, host);
+
+    return link == NULL || link->stream == NULL ||
+                   link->last_ping_ms <= link->last_received_ms
+               ? 0
+               : AprLinks_NowMs(links) - link->unanswered_since_ms;
+}
+
 /* Pings a host to find out whether it can be reached, at most once per
    BUSY_PING_INTERVAL_MS. */
 void
@@ -33,7 +55,7 @@
     int64_t now_ms = AprLinks_NowMs(links);
 
     if (link != NULL && now_ms - link->last_ping_ms >= BUSY_PING_INTERVAL_MS) {
-        link->last_ping_ms = now_ms;
+        record_ping(link, now_ms);
         AprGatewayLink_SendLoad(link, APR_LINK_PING, now_ms);
     }
 }
@@ -121,7 +143,7 @@
     if (silence_ms > (busy ? BUSY_PING_INTERVAL_MS : IDLE_PING_INTERVAL_MS) &&
         now_ms - link->last_ping_ms >
             (busy ? BUSY_PING_INTERVAL_MS : IDLE_PING_INTERVAL_MS)) {
-        link->last_ping_ms = now_ms;
+        record_ping(link, now_ms);
         AprGatewayLink_SendLoad(link, APR_LINK_PING, now_ms);
     }
 }
@@ -199,19 +221,20 @@
                   AprNetworkDelay_Get(&gateway->network_delay, now_ms));
         set_gauge(links, "body_wait_ms",
                   "time that the link needs for the bodies taken",
-                  AprBodyPacing_WaitMs(&gateway->body_pacing));
+                  AprBodyPacing_WaitMs(&gateway->body_pacing, now_ms));
     }
 }
 
-/* Grants request bodies, or refuses their calls when this host is stopping. */
+/* Grants request bodies, and refuses the calls that cannot have theirs. */
 static void
 serve_paced_bodies(AprLinks_t *links)
 {
-    if (links->gateway->stop_step >= APR_STOP_REFUSE_PEERS) {
-        for (AprGatewayLink_t *link = links->inbound; link != NULL;
-             link = link->next) {
-            AprLinkCalls_RefuseHeld(link);
-        }
+    if (links->gateway->body_pacing.count == 0) {
+        return;
+    }
+    for (AprGatewayLink_t *link = links->inbound; link != NULL;
+         link = link->next) {
+        AprLinkCalls_RefuseHeld(link);
     }
     AprLinkCalls_GrantBodies(links->gateway);
 }
--- a/src/gateway/links.c
+++ b/src/gateway/links.c
@@ -195,6 +195,8 @@
     link->established = false;
     link->wrong_host = false;
     link->going_away = false;
+    /* A gateway of an earlier version may answer on the new connection. */
+    link->peer_paces_bodies = false;
     link->opened_ms = now_ms;
     link->last_received_ms = now_ms;
     link->last_ping_ms = now_ms;
@@ -244,19 +246,6 @@
     return link == NULL ? 0 : (int)g_hash_table_size(link->calls);
 }
 
-/* Returns the milliseconds for which a ping on the outbound link to a host has
-   been without any answer; 0 when there is none. */
-int64_t
-AprLinks_UnansweredPingMs(const AprLinks_t *links, const char *host)
-{
-    const AprGatewayLink_t *link = AprLinks_FindOutbound(links, host);
-
-    return link == NULL || link->stream == NULL ||
-                   link->last_ping_ms <= link->last_received_ms
-               ? 0
-               : AprLinks_NowMs(links) - link->last_ping_ms;
-}
-
 /* Sends a release notice, unless there is no link. */
 void
 AprLinks_SendRelease(AprLinks_t *links, const AprReleaseNotice_t *release)
--- a/src/gateway/resource_limits.c
+++ b/src/gateway/resource_limits.c
@@ -10,6 +10,10 @@
 /* Least time between two log lines about limits. */
 #define LOG_INTERVAL_MS 1000
 
+/* Time without progress after which a caller is closed for others, as at the
+   limit of descriptors. */
+#define STALLED_CALLER_MS 2000
+
 /* When closing a connection frees less, no further one is closed before the
    next bytes are read. */
 #define MIN_FREED_BYTES 4096
@@ -53,6 +57,10 @@
 {
     if (gateway->streams->make_room_context == gateway) {
         gateway->streams->make_room = NULL;
+        for (size_t i = 0; i < G_N_ELEMENTS(limited_kinds); i++) {
+            AprStreamSet_SetKindPaused(gateway->streams, limited_kinds[i].kind,
+                                       false);
+        }
     }
 }
 
@@ -174,6 +182,24 @@
     }
 }
 
+/* While the backend server is not read because callers do not take its
+   responses, closes the connection that holds the most, if it has made no
+   progress for STALLED_CALLER_MS. */
+static void
+drop_stalled_caller(AprGateway_t *gateway)
+{
+    int64_t now_ms = AprGateway_NowMs(gateway);
+    AprCallerConn_t *caller;
+
+    if (gateway->memory_budget.kind_paused[APR_MEMORY_BACKEND] &&
+        AprIngress_FindLargest(gateway->ingress, now_ms, &caller) > 0 &&
+        caller != NULL &&
+        AprMemoryHolder_StalledMs(&caller->holder, now_ms) >=
+            STALLED_CALLER_MS) {
+        drop_caller(gateway, caller);
+    }
+}
+
 static void
 set_gauge(AprGateway_t *gateway, const char *name, const char *labels,
           int64_t value)
@@ -277,6 +303,7 @@
     gateway->memory_budget.unread =
         AprStreamSet_Measure(gateway->streams, now_ms);
     make_room(gateway);
+    drop_stalled_caller(gateway);
     if (now_ms - gateway->last_limit_log_ms >= LOG_INTERVAL_MS) {
         gateway->last_limit_log_ms = now_ms;
         update_metrics(gateway);
--- a/src/protocol/link_frame.c
+++ b/src/protocol/link_frame.c
@@ -620,7 +620,7 @@
     reader.next = root.via.array.ptr;
     reader.remaining = root.via.array.size;
     reader.failed = false;
-    frame->type = (AprLinkType_t)read_int_between(&reader, 0, APR_LINK_GOAWAY);
+    frame->type = (AprLinkType_t)read_int_between(&reader, 0, APR_LINK_CREDIT);
     read_frame_fields(&reader, zone, frame, now_ms);
     return reader.failed ? APR_E_PARSE : APR_OK;
 }
--- a/src/state/body_pacing.c
+++ b/src/state/body_pacing.c
@@ -1,5 +1,6 @@
 #include "apricot/body_pacing.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -43,19 +44,32 @@
     return pacing->bytes_per_ms > 0;
 }
 
-/* Returns the time in milliseconds that the link needs for all bodies that
-   were offered. */
+/* Returns whether the sender of a body was granted bytes and sends none. */
+static bool
+is_stalled(const AprPacedBody_t *body, int64_t now_ms)
+{
+    return body->outstanding > 0 && now_ms - body->progress_ms >= STALLED_MS;
+}
+
+/* Returns the time in milliseconds until a new body gets its turn: each one
+   before it counts with one turn at most, so that a very large or a stalled
+   one does not keep all others out. */
 int64_t
-AprBodyPacing_WaitMs(const AprBodyPacing_t *pacing)
+AprBodyPacing_WaitMs(const AprBodyPacing_t *pacing, int64_t now_ms)
 {
     double bytes = 0;
 
     for (int i = 0; i < pacing->count; i++) {
-        bytes += (double)pacing->bodies[i].wanted +
-                 (double)pacing->bodies[i].outstanding;
+        const AprPacedBody_t *body = &pacing->bodies[i];
+        double left = (double)body->wanted + (double)body->outstanding;
+
+        if (!is_stalled(body, now_ms)) {
+            bytes += left < TURN_BYTES ? left : TURN_BYTES;
+        }
     }
-    return pacing->bytes_per_ms > 0 ? (int64_t)(bytes / pacing->bytes_per_ms)
-                                    : 0;
+    return pacing->bytes_per_ms > 0
+               ? (int64_t)fmin(bytes / pacing->bytes_per_ms, INT32_MAX)
+               : 0;
 }
 
 static int
@@ -70,8 +84,8 @@
 }
 
 /* Adds a body of which `bytes` remain to be received; without a known length
-   it counts as one grant until its end. Returns false if those before it take
-   more than `time_left_ms`, or when out of memory: the call is refused without
+   it counts as one grant until its end. Returns false if its turn comes later
+   than in `time_left_ms`, or when out of memory: the call is refused without
    its body. The body itself does not count, so that one of any size is
    received while the link is idle. */
 bool
@@ -80,7 +94,8 @@
 {
     AprPacedBody_t *body;
 
-    if (AprBodyPacing_WaitMs(pacing) > time_left_ms && pacing->count > 0) {
+    if (AprBodyPacing_WaitMs(pacing, now_ms) > time_left_ms &&
+        pacing->count > 0) {
         return false;
     }
     if (pacing->count == pacing->capacity) {
@@ -148,7 +163,7 @@
     for (int i = 0; i < pacing->count; i++) {
         const AprPacedBody_t *body = &pacing->bodies[i];
 
-        if (now_ms - body->progress_ms < STALLED_MS) {
+        if (!is_stalled(body, now_ms)) {
             sum += body->outstanding;
         }
     }
@@ -183,10 +198,7 @@
         size_t size =
             body->wanted < GRANT_BYTES ? (size_t)body->wanted : GRANT_BYTES;
 
-        if (size == 0 ||
-            /* A stalled sender gets no more. */
-            (body->outstanding > 0 &&
-             now_ms - body->progress_ms >= STALLED_MS)) {
+        if (size == 0 || is_stalled(body, now_ms)) {
             continue;
         }
         *id = body->id;
--- a/src/transport/stream.c
+++ b/src/transport/stream.c
@@ -171,6 +171,9 @@
 {
     shutdown(stream->fd, SHUT_WR);
     stream->handler = NULL;
+    /* What the peer still sends is read also if the owner had paused: unread
+       bytes would reset the connection, and the response with it. */
+    stream->read_paused = false;
     ev_io_start(stream->set->loop, &stream->reader);
     ev_timer_set(&stream->linger_timer, CLOSE_LINGER_S, 0.0);
     ev_timer_start(stream->set->loop, &stream->linger_timer);
