Revert "Name the new owner in refusals of requests for moved keys"

The entry went to the named owner at once, which had not heard of its keys yet and refused as well, so that the attempts were used up before the news came.

--- a/internal/call.h
+++ b/internal/call.h
@@ -77,9 +77,6 @@
     void (*on_failure)(void *context, const AprCallFailure_t *failure);
     /* The receiver consumed `size` bytes of the request body. */
     void (*on_body_consumed)(void *context, size_t size);
-    /* The host that is about to refuse the call with APR_CALL_NOT_OWNER named
-       the owner by its own key map. NULL: ignored. */
-    void (*on_owner_named)(void *context, const char *owner);
 } AprCallHandlers_t;
 
 /* Operations on a call in progress, at the local backend server or on a
--- a/internal/exchange.h
+++ b/internal/exchange.h
@@ -74,8 +74,6 @@
     ev_timer retry_timer; /* delays the next attempt */
     /* Since when the owner of the key is expected to change; 0: not. */
     int64_t owner_change_since_ms;
-    /* Owner that the last refusal named, for the next attempt; "": none. */
-    char named_owner[APR_NAME_SIZE];
     AprExchange_t *next;
 };
 
--- a/internal/link_frame.h
+++ b/internal/link_frame.h
@@ -97,8 +97,7 @@
     size_t data_size;
     bool last_part; /* `data` ends the body */
     bool paced;     /* APR_LINK_CALL: the rest of the body waits for grants */
-    AprCallFailure_t failure;  /* APR_LINK_FAIL */
-    char owner[APR_NAME_SIZE]; /* APR_LINK_FAIL: of the key; "": unknown */
+    AprCallFailure_t failure; /* APR_LINK_FAIL */
     /* APR_LINK_ACK: body bytes that the receiver consumed. APR_LINK_CREDIT:
        body bytes that may be sent in addition. */
     size_t acknowledged_bytes;
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -275,22 +275,6 @@
     }
 }
 
-/* Notes the owner that a refusal names, for the next attempt. A host that was
-   tried before is not asked again at once: two hosts that name each other
-   would use up the attempts. */
-static void
-on_owner_named(void *context, const char *owner)
-{
-    AprExchange_t *exchange = context;
-
-    for (int i = 0; i < exchange->attempt_count; i++) {
-        if (strcmp(exchange->tried_hosts[i], owner) == 0) {
-            return;
-        }
-    }
-    g_strlcpy(exchange->named_owner, owner, sizeof(exchange->named_owner));
-}
-
 /* Handles a failed attempt: retries it, on another host if the service is not
    keyed, or responds with the failure. */
 static void
@@ -317,7 +301,7 @@
                  "request=%s peer=%s error=%s tries=%d", exchange->head.id,
                  exchange->tried_hosts[exchange->attempt_count - 1],
                  AprCallError_Name(failure->error), exchange->attempt_count);
-    if (exchange->keyed && exchange->named_owner[0] == '\0') {
+    if (exchange->keyed) {
         exchange->owner_change_since_ms = exchange_now_ms(exchange);
         start_retry_timer(exchange);
         return;
@@ -414,8 +398,8 @@
 }
 
 static const AprCallHandlers_t call_handlers = {
-    on_response_head, on_response_data,    on_response_end,
-    on_call_failed,   on_request_consumed, on_owner_named};
+    on_response_head, on_response_data, on_response_end, on_call_failed,
+    on_request_consumed};
 
 /* Returns whether other hosts grant the bytes of the request body. */
 static bool
@@ -437,11 +421,8 @@
     const AprHost_t *member;
 
     if (exchange->keyed) {
-        owner = exchange->named_owner[0] != '\0'
-                    ? exchange->named_owner
-                    : AprOwnership_FindOwner(gateway->ownership,
-                                             exchange->head.service,
-                                             exchange->head.key);
+        owner = AprOwnership_FindOwner(
+            gateway->ownership, exchange->head.service, exchange->head.key);
         if (owner == NULL || owner[0] == '\0') {
             return false;
         }
@@ -452,7 +433,6 @@
             return false;
         }
         g_strlcpy(host, owner, APR_NAME_SIZE);
-        exchange->named_owner[0] = '\0';
         return true;
     }
     member = AprMembers_ChooseHost(
--- a/src/gateway/link_calls.c
+++ b/src/gateway/link_calls.c
@@ -145,10 +145,9 @@
     free_inbound_call(call);
 }
 
-/* `owner`: owner of the key, see AprCallHandlers_t.on_owner_named; or NULL. */
 static void
-send_refusal(AprGatewayLink_t *link, uint32_t stream,
-             const AprCallFailure_t *failure, const char *owner)
+send_failure(AprGatewayLink_t *link, uint32_t stream,
+             const AprCallFailure_t *failure)
 {
     AprLinkFrame_t frame = {0};
 
@@ -156,19 +155,9 @@
     frame.stream = stream;
     frame.failure = *failure;
     AprGateway_GetLoad(link->gateway, &frame.load);
-    if (owner != NULL) {
-        g_strlcpy(frame.owner, owner, sizeof(frame.owner));
-    }
     AprGatewayLink_Send(link, &frame);
 }
 
-static void
-send_failure(AprGatewayLink_t *link, uint32_t stream,
-             const AprCallFailure_t *failure)
-{
-    send_refusal(link, stream, failure, NULL);
-}
-
 static void
 inbound_call_failed(void *context, const AprCallFailure_t *failure)
 {
@@ -204,7 +193,7 @@
 
 static const AprCallHandlers_t inbound_handlers = {
     inbound_response_head, inbound_response_data, inbound_response_end,
-    inbound_call_failed,   inbound_body_consumed, NULL};
+    inbound_call_failed, inbound_body_consumed};
 
 static InboundCall_t *
 find_inbound_call(AprGatewayLink_t *link, uint32_t stream)
@@ -311,22 +300,6 @@
     return call->held;
 }
 
-/* Returns the owner of the key of a refused call, as far as this host knows
-   it: the key map of the entry is older. NULL: not known. */
-static const char *
-find_new_owner(const AprGateway_t *gateway, const AprCallHead_t *head,
-               const AprCallFailure_t *failure)
-{
-    const char *owner =
-        failure->error == APR_CALL_NOT_OWNER && head->key != APR_NO_KEY
-            ? AprOwnership_FindOwner(gateway->ownership, head->service,
-                                     head->key)
-            : NULL;
-
-    return owner == NULL || strcmp(owner, gateway->settings.host) == 0 ? NULL
-                                                                       : owner;
-}
-
 /* Submits a held call to the local backend server. */
 static void
 submit_held_call(InboundCall_t *call, bool end)
@@ -343,9 +316,7 @@
     if (!AprBackend_Submit(link->gateway->backend, &head,
                            AprBuffer_Data(&body), AprBuffer_Size(&body), end,
                            &inbound_handlers, call, &call->ref, &failure)) {
-        send_refusal(link, (uint32_t)call->stream, &failure,
-                     find_new_owner(link->gateway, &head, &failure));
-        free_inbound_call(call);
+        inbound_call_failed(call, &failure);
     }
     AprCallHead_Clear(&head);
     AprBuffer_Free(&body);
@@ -450,8 +421,7 @@
         }
         free_inbound_call(call);
     }
-    send_refusal(link, frame->stream, &failure,
-                 find_new_owner(link->gateway, &frame->call, &failure));
+    send_failure(link, frame->stream, &failure);
 }
 
 /* Cancels all calls of an inbound link. */
@@ -658,9 +628,6 @@
 
     AprLinkCalls_UpdatePeerLoad(link, &frame->load);
     if (call != NULL) {
-        if (frame->owner[0] != '\0' && call->handlers.on_owner_named != NULL) {
-            call->handlers.on_owner_named(call->context, frame->owner);
-        }
         fail_outbound_call(call, &frame->failure);
     }
 }
--- a/src/protocol/link_frame.c
+++ b/src/protocol/link_frame.c
@@ -112,15 +112,6 @@
     msgpack_pack_uint64(packer, call->config_version);
 }
 
-/* Returns whether a failure ends with the owner of the key. It follows a whole
-   load only, so that a receiver tells it from the elements of the load. */
-static bool
-names_owner(const AprLinkFrame_t *frame)
-{
-    return frame->owner[0] != '\0' && frame->load.has_work &&
-           frame->load.paces_bodies;
-}
-
 static void
 pack_frame(msgpack_packer *packer, const AprLinkFrame_t *frame, int64_t now_ms)
 {
@@ -169,17 +160,13 @@
         msgpack_pack_uint32(packer, frame->stream);
         break;
     case APR_LINK_FAIL:
-        msgpack_pack_array(packer, 5 + load_field_count(&frame->load) +
-                                       names_owner(frame));
+        msgpack_pack_array(packer, 5 + load_field_count(&frame->load));
         msgpack_pack_int(packer, frame->type);
         msgpack_pack_uint32(packer, frame->stream);
         msgpack_pack_int(packer, (int)frame->failure.error);
         pack_bool(packer, frame->failure.not_run);
         msgpack_pack_int64(packer, frame->failure.retry_after_ms);
         pack_load(packer, &frame->load);
-        if (names_owner(frame)) {
-            pack_text(packer, frame->owner);
-        }
         break;
     case APR_LINK_ACK:
     case APR_LINK_CREDIT:
@@ -549,9 +536,6 @@
         frame->failure.not_run = read_bool(reader);
         frame->failure.retry_after_ms = read_span_ms(reader);
         read_load(reader, &frame->load);
-        if (reader->remaining > 0) {
-            read_text(reader, frame->owner, sizeof(frame->owner));
-        }
         break;
     }
     case APR_LINK_ACK:
