--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,4 +6,4 @@
 cache=$(mktemp -d)
 trap 'rm -rf "$cache"' EXIT
 PYTHONPYCACHEPREFIX=$cache /usr/bin/python3 -m py_compile \
-    standins-2/*.py 6/run.py 8/run.py 9/run.py
+    standins-2/*.py 6/run.py 7/run.py 8/run.py 9/run.py
