Grant no keys by a key map older than the registration

Cause: a registration under a new lease gave the authority to grant keys at once, and the grants followed the local key map, which could be older.

The host now keeps the revision of its registration and grants nothing until its key map is known up to it; a heartbeat that comes earlier lets it read the key map from the store. That read is sent after the registration was acknowledged, so it shows every change before it, and while the entry exists nobody else changes the owner of these keys. The same holds for a registration whose answer was lost and for one that a restarted process takes over.

--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -370,6 +370,7 @@
                                      const AprKvResult_t *result);
 void AprOwnership_Tick(AprOwnership_t *ownership);
 void AprOwnership_ExtendAuthority(AprOwnership_t *ownership, int64_t until_ms);
+void AprOwnership_OnRegistered(AprOwnership_t *ownership, int64_t revision);
 const AprKeyMap_t *AprOwnership_GetOwnKeyMap(AprOwnership_t *ownership,
                                              int64_t *authority_ms);
 void AprOwnership_AddDemand(AprOwnership_t *ownership, int key,
@@ -389,6 +390,7 @@
 bool AprStoreCache_IsLoaded(const AprStoreCache_t *cache);
 bool AprStoreCache_IsCurrent(const AprStoreCache_t *cache);
 int64_t AprStoreCache_Revision(const AprStoreCache_t *cache);
+int64_t AprStoreCache_PrefixRevision(const AprStoreCache_t *cache);
 void AprStoreCache_PublishOwnEntry(AprStoreCache_t *cache);
 void AprStoreCache_RemoveLeaseItem(AprStoreCache_t *cache);
 void AprStoreCache_ApplyItem(AprStoreCache_t *cache,
--- a/internal/ownership_state.h
+++ b/internal/ownership_state.h
@@ -26,10 +26,20 @@
     GHashTable *key_counts;
 } AprServiceKeyMap_t;
 
+/* Read of the own service's key map after a registration. */
+typedef struct AprKeyMapRefresh_t {
+    int64_t registered_revision; /* of the last registration; 0: none */
+    int64_t read_revision;       /* the last read shows all changes up to it */
+    int64_t wanted_revision;     /* same of the pending read */
+    bool read_pending;
+    char last_page_key[APR_STORE_KEY_SIZE]; /* the next page starts after it */
+} AprKeyMapRefresh_t;
+
 struct AprOwnership_t {
     AprGateway_t *gateway;
     AprServiceKeyMap_t maps[APR_MAX_MAPS];
     int map_count;
+    AprKeyMapRefresh_t map_refresh;
     AprGrantTable_t grant_table;
     AprKeyDemand_t demand;
     int64_t last_demand_decay_ms;
@@ -120,6 +130,11 @@
                                      const AprHeartbeat_t *heartbeat);
 void AprOwnership_RecordGrantedKeys(AprOwnership_t *ownership);
 
+/* Age of the local key map (key_map_refresh.c). */
+int64_t AprKeyMapRefresh_KnownRevision(const AprOwnership_t *ownership);
+bool AprKeyMapRefresh_MayGrant(AprOwnership_t *ownership);
+bool AprKeyMapRefresh_Start(AprOwnership_t *ownership);
+
 bool AprKeyMoves_CanSendChange(AprOwnership_t *ownership);
 bool AprKeyMoves_OnHeartbeat(AprOwnership_t *ownership);
 void AprKeyMoves_PlanOnTick(AprOwnership_t *ownership);
--- a/internal/store_cache_state.h
+++ b/internal/store_cache_state.h
@@ -97,6 +97,7 @@
     bool lease_item_missing; /* it was removed, or not found at the start */
     int64_t lease_item_revision; /* of the last own write; 0: none */
     char *pending_entry;         /* being written */
+    bool pending_is_new;         /* it is the first one under its lease */
     bool writing_generation;     /* the pending write stores a generation */
 } AprRegistration_t;
 
--- a/src/gateway/ownership.c
+++ b/src/gateway/ownership.c
@@ -436,7 +436,7 @@
     AprServiceKeyMap_t *entry = AprOwnership_FindOwnMap(ownership);
     int64_t now_ms = AprOwnership_NowMs(ownership);
     AprKeyMap_t grantable;
-    int count;
+    int count = -1;
 
     if (entry == NULL || !AprOwnership_IsKeyed(ownership)) {
         reply(context, true, NULL, -1, 0);
@@ -446,21 +446,26 @@
         reply(context, true, NULL, -1, 0);
         return;
     }
-    count = AprGrantTable_RenewGrants(
-        &ownership->grant_table, &grantable,
-        AprGenerationRecord_FindClaimed(&ownership->generation_record,
-                                        &ownership->incarnation),
-        now_ms, ownership->held_grants, APR_MAX_GRANTS);
+    if (AprKeyMapRefresh_MayGrant(ownership)) {
+        count = AprGrantTable_RenewGrants(
+            &ownership->grant_table, &grantable,
+            AprGenerationRecord_FindClaimed(&ownership->generation_record,
+                                            &ownership->incarnation),
+            now_ms, ownership->held_grants, APR_MAX_GRANTS);
+    }
     AprKeyMap_Free(&grantable);
     ownership->grants_withheld = count < 0;
     if (count < 0) {
         AprLog_Write(
             APR_LOG_WARN, "grants_withheld",
-            "id=%s recorded=%s claimed=%d authority_age_ms=%lld",
+            "id=%s recorded=%s claimed=%d authority_age_ms=%lld "
+            "map_revision=%lld registered_revision=%lld",
             ownership->incarnation.id,
             ownership->generation_record.incarnation.id,
             ownership->generation_record.claimed,
-            (long long)(now_ms - ownership->grant_table.authority_until_ms));
+            (long long)(now_ms - ownership->grant_table.authority_until_ms),
+            (long long)AprKeyMapRefresh_KnownRevision(ownership),
+            (long long)ownership->map_refresh.registered_revision);
         reply(context, true, NULL, -1, 0);
         return;
     }
@@ -768,7 +773,10 @@
                  "id=%s generation=%lld result=%s", ownership->incarnation.id,
                  (long long)ownership->generation_record.generation,
                  AprError_Name(result->code));
-    AprOwnership_SendPendingReply(ownership);
+    if (ownership->pending_reply == NULL ||
+        !AprKeyMapRefresh_Start(ownership)) {
+        AprOwnership_SendPendingReply(ownership);
+    }
 }
 
 static void
@@ -883,7 +891,8 @@
     AprOwnership_SendPendingReply(ownership);
     changed =
         AprOwnership_IsKeyed(ownership) &&
-        (store_generation(ownership) || AprKeyMoves_OnHeartbeat(ownership));
+        (store_generation(ownership) || AprKeyMapRefresh_Start(ownership) ||
+         AprKeyMoves_OnHeartbeat(ownership));
     if (changed) {
         ownership->pending_reply = reply;
         ownership->pending_reply_context = context;
--- a/src/gateway/registration.c
+++ b/src/gateway/registration.c
@@ -240,6 +240,7 @@
     registration->entry_known_revision = 0;
     item = update_stored_entry(cache);
     if (item != NULL && item->lease == registration->lease_id) {
+        AprOwnership_OnRegistered(cache->gateway->ownership, item->revision);
         enter_registered(cache, 0);
         AprStoreCache_PublishOwnEntry(cache);
     }
@@ -291,6 +292,9 @@
     char *entry = registration->pending_entry;
 
     registration->pending_entry = NULL;
+    if (result->code == APR_OK && registration->pending_is_new) {
+        AprOwnership_OnRegistered(cache->gateway->ownership, result->revision);
+    }
     if (registration->writing_generation) {
         registration->writing_generation = false;
         AprOwnership_OnGenerationStored(cache->gateway->ownership, result);
@@ -365,9 +369,9 @@
     transaction.writes[0].value = registration->pending_entry;
     transaction.writes[0].value_size = strlen(registration->pending_entry);
     transaction.writes[0].lease = registration->lease_id;
+    registration->pending_is_new = registration->step == APR_LEASE_GRANTED;
     registration->writing_lease_item =
-        registration->step == APR_LEASE_GRANTED ||
-        registration->lease_item_missing;
+        registration->pending_is_new || registration->lease_item_missing;
     if (registration->writing_lease_item) {
         snprintf(lease_id, sizeof(lease_id), "%lld",
                  (long long)registration->lease_id);
@@ -486,6 +490,7 @@
     if (self->leaving) {
         AprOwnership_RestoreLeaving(gateway->ownership, &self->incarnation);
     }
+    AprOwnership_OnRegistered(gateway->ownership, item->revision);
     registration->resumed = true;
     registration->lease_item_missing = find_lease_item(cache, key) == NULL;
     registration->lease_id = item->lease;
--- a/src/gateway/store_cache.c
+++ b/src/gateway/store_cache.c
@@ -338,6 +338,14 @@
     return cursor > cache->peer_revision ? cursor : cache->peer_revision;
 }
 
+/* Returns the store revision up to which all items with the prefix of the
+   settings are known here. */
+int64_t
+AprStoreCache_PrefixRevision(const AprStoreCache_t *cache)
+{
+    return MAX(cache->prefix_watch.cursor, cache->peer_revision);
+}
+
 /* Returns whether all items have been read at least once. */
 bool
 AprStoreCache_IsLoaded(const AprStoreCache_t *cache)
