Give no authority back in an outage once keys may have moved

A host whose keys had been given away while it was cut off granted them again when it came back during an outage of the store: two backend servers held the same keys (rule OWNER).

The authority is extended without the store only until the last grant that it allowed has expired, which is when another host may take the keys over at the earliest.

--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -370,6 +370,8 @@
                                      const AprKvResult_t *result);
 void AprOwnership_Tick(AprOwnership_t *ownership);
 void AprOwnership_ExtendAuthority(AprOwnership_t *ownership, int64_t until_ms);
+void AprOwnership_ExtendAuthorityInOutage(AprOwnership_t *ownership,
+                                          int64_t until_ms);
 void AprOwnership_OnRegistered(AprOwnership_t *ownership, int64_t revision);
 const AprKeyMap_t *AprOwnership_GetOwnKeyMap(AprOwnership_t *ownership,
                                              int64_t *authority_ms);
--- a/src/gateway/ownership.c
+++ b/src/gateway/ownership.c
@@ -381,6 +381,19 @@
     }
 }
 
+/* Extends the authority like AprOwnership_ExtendAuthority(), but without an
+   answer of the store. Has no effect once another host can have taken over
+   keys of this one: only the store tells whether one has. */
+void
+AprOwnership_ExtendAuthorityInOutage(AprOwnership_t *ownership,
+                                     int64_t until_ms)
+{
+    if (AprGrantTable_AreKeysSafe(&ownership->grant_table,
+                                  AprOwnership_NowMs(ownership))) {
+        AprOwnership_ExtendAuthority(ownership, until_ms);
+    }
+}
+
 /* Returns the key map of the local backend server's service, or NULL when it
    is not known. Sets *authority_ms to the time for which keys may still be
    granted; negative when the authority has ended. */
--- a/src/gateway/registration.c
+++ b/src/gateway/registration.c
@@ -665,7 +665,7 @@
     }
     since_ms = AprMembers_StoreOutageSinceMs(gateway->members);
     if (since_ms != 0) {
-        AprOwnership_ExtendAuthority(gateway->ownership,
-                                     since_ms + APR_OUTAGE_AUTHORITY_MS);
+        AprOwnership_ExtendAuthorityInOutage(
+            gateway->ownership, since_ms + APR_OUTAGE_AUTHORITY_MS);
     }
 }
--- a/tests/test_gateway_return.c
+++ b/tests/test_gateway_return.c
@@ -148,6 +148,27 @@
     assert_return_is_harmless(host);
 }
 
+/* Guards against the same when the store stops answering before the host can
+   register again: the reports of the other hosts must not give it the
+   authority that it had before. */
+static void
+test_outage_returns_no_lost_keys(void **state)
+{
+    ClusterHost_t *host = &cluster.hosts[1];
+
+    (void)state;
+    start_with_all_keys_held();
+    cut_off_until_removed(host);
+    cluster.store.down = true;
+    host->store_silent = false;
+    set_links(host, false);
+    cluster_run_for(&cluster, 4.0);
+    assert_int_equal(cluster.overlaps, 0);
+    assert_false(holds_any_key(host));
+    cluster.store.down = false;
+    assert_return_is_harmless(host);
+}
+
 /* Ends the lease of a host's entry, as a host that misses it does. */
 static void
 end_lease(const ClusterHost_t *host)
@@ -192,6 +213,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_returning_host_grants_no_lost_keys),
         cmocka_unit_test(test_unanswered_registration_grants_no_lost_keys),
+        cmocka_unit_test(test_outage_returns_no_lost_keys),
         cmocka_unit_test(test_returning_host_keeps_its_keys),
     };
 
