Run no handler of another call while one is cancelled

Cause: the cancellation of the first call freed its slot and started the queued calls in place. The second one failed at once and was answered on the connection that was being closed. Evidence, from the stack of the crash in the test: AprStream_Write(stream=0x0) below AprBackend_StartQueuedCalls() below AprExchange_Abandon() below AprCallerConn_Close().

A freed slot now schedules the start of queued calls for the same iteration of the event loop, so that neither cancel nor the end of a call runs a handler of another one. Time-outs, rejections, the cancellation of a link's calls and the end of the process relied on that, too. AprLinkCalls_CancelAll() need not start its iteration over any more.

--- a/internal/backend_state.h
+++ b/internal/backend_state.h
@@ -37,8 +37,8 @@
     AprBackendConn_t *conns;
     double demand_ms; /* decaying sum of the expected service times */
     int64_t demand_updated_ms;
-    bool starting_calls; /* AprBackend_StartQueuedCalls() is on the stack */
     ev_timer allowance_timer; /* fires when the limit allows the next start */
+    ev_timer free_slot_timer; /* fed when a slot is free */
 };
 
 /* backend.c */
@@ -63,8 +63,8 @@
 void AprBackend_RefuseQueuedCalls(AprBackend_t *backend);
 void AprBackend_RefuseEvacuatedCalls(AprBackend_t *backend);
 void AprBackend_StartQueuedCalls(AprBackend_t *backend);
-void AprBackend_OnAllowanceTimer(struct ev_loop *loop, ev_timer *timer,
-                                 int events);
+void AprBackend_OnStartTimer(struct ev_loop *loop, ev_timer *timer,
+                             int events);
 
 /* backend_load.c */
 void AprBackend_UpdateCostModel(AprBackend_t *backend);
--- a/internal/call.h
+++ b/internal/call.h
@@ -86,7 +86,8 @@
     void (*write_body)(void *call, const char *data, size_t size, bool end);
     /* Reports that `size` bytes of the response body were consumed. */
     void (*acknowledge_response)(void *call, size_t size);
-    /* Ends the call; no callback follows. */
+    /* Ends the call; no callback follows. Calls no handler of another call
+       either, as its caller may be about to close a connection. */
     void (*cancel)(void *call);
 } AprCallOps_t;
 
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -62,9 +62,12 @@
         AprBackendCold_Init(&backend->cold, gateway, &backend->admission);
         AprCostModel_Init(&backend->costs, AprGateway_NowMs(gateway));
         backend->notice.request_limit = APR_NO_REQUEST_LIMIT;
-        ev_timer_init(&backend->allowance_timer, AprBackend_OnAllowanceTimer,
-                      0.0, 0.0);
+        ev_timer_init(&backend->allowance_timer, AprBackend_OnStartTimer, 0.0,
+                      0.0);
         backend->allowance_timer.data = backend;
+        ev_timer_init(&backend->free_slot_timer, AprBackend_OnStartTimer, 0.0,
+                      0.0);
+        backend->free_slot_timer.data = backend;
         backend->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal,
                                                NULL, destroy_call);
         backend->health_probe = AprHealthProbe_New(gateway, &backend->cold);
@@ -388,6 +391,7 @@
         return;
     }
     ev_timer_stop(backend->gateway->loop, &backend->allowance_timer);
+    ev_timer_stop(backend->gateway->loop, &backend->free_slot_timer);
     while (backend->conns != NULL) {
         AprBackendConn_t *conn = backend->conns;
 
--- a/src/gateway/backend_dispatch.c
+++ b/src/gateway/backend_dispatch.c
@@ -13,9 +13,21 @@
     g_hash_table_remove(call->backend->calls, &call->id);
 }
 
-/* Frees a call and its slot and starts queued calls. `measured` tells whether
-   its duration updates the expected service time; that of a slow key never
-   does, because it would make the backend server look slow. */
+/* Starts queued calls from the event loop. Their failures are reported there,
+   and not to callers that are just ending another call. */
+static void
+schedule_queued_calls(AprBackend_t *backend)
+{
+    if (backend->admission.queue_count > 0) {
+        ev_feed_event(backend->gateway->loop, &backend->free_slot_timer,
+                      EV_TIMER);
+    }
+}
+
+/* Frees a call and its slot, for which queued calls start from the event loop.
+   `measured` tells whether its duration updates the expected service time;
+   that of a slow key never does, because it would make the backend server look
+   slow. */
 void
 AprBackend_FinishCall(AprBackendCall_t *call, bool measured)
 {
@@ -32,7 +44,7 @@
         AprBackendCold_AddServiceTime(&backend->cold, call->started_ms);
     }
     AprBackend_FreeCall(call);
-    AprBackend_StartQueuedCalls(backend);
+    schedule_queued_calls(backend);
 }
 
 /* Frees a call and reports its failure, unless its caller is gone. */
@@ -318,9 +330,10 @@
     return AprBackend_CheckKeyStartable(backend, call->head.key, failure);
 }
 
-/* Called when the limit of the backend server allows the next start. */
+/* Called when a slot is free, or the limit of the backend server allows the
+   next start. */
 void
-AprBackend_OnAllowanceTimer(struct ev_loop *loop, ev_timer *timer, int events)
+AprBackend_OnStartTimer(struct ev_loop *loop, ev_timer *timer, int events)
 {
     (void)loop;
     (void)events;
@@ -343,18 +356,14 @@
     }
 }
 
-/* Starts queued calls while slots are free. Does nothing when called again
-   from within, as finished calls do. */
+/* Starts queued calls while slots are free. To be called from the event loop
+   only, as it reports failed calls to their handlers. */
 void
 AprBackend_StartQueuedCalls(AprBackend_t *backend)
 {
     int64_t now_ms = AprGateway_NowMs(backend->gateway);
     AprAdmissionRequest_t request;
 
-    if (backend->starting_calls) {
-        return;
-    }
-    backend->starting_calls = true;
     while (AprBackendCold_MayStart(&backend->cold) &&
            AprAdmission_StartNext(&backend->admission, now_ms, &request)) {
         AprBackendCall_t *call = AprBackend_FindCall(backend, request.id);
@@ -378,7 +387,6 @@
         refuse_unmeetable_calls(backend, now_ms);
     }
     schedule_next_start(backend, now_ms);
-    backend->starting_calls = false;
 }
 
 /* Returns the highest AprMemoryHolder_Score() of a queued request, and its id
--- a/src/gateway/link_calls.c
+++ b/src/gateway/link_calls.c
@@ -435,13 +435,10 @@
     while (g_hash_table_iter_next(&calls, NULL, &value)) {
         AprCallRef_t ref = ((InboundCall_t *)value)->ref;
 
-        /* The freed slot may start or end other calls on this link, which
-           invalidates the iterator. */
         g_hash_table_iter_remove(&calls);
         if (ref.call != NULL) {
             ref.ops->cancel(ref.call);
         }
-        g_hash_table_iter_init(&calls, link->calls);
     }
 }
 
--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -17,6 +17,7 @@
 
 #include "apricot/error.h"
 #include "apricot/gateway_settings.h"
+#include "internal/backend_state.h"
 #include "internal/gateway.h"
 #include "internal/http_server.h"
 
@@ -1047,6 +1048,9 @@
     AprStoreCache_Stop(host->gateway->store_cache);
     AprIngress_Free(host->gateway->ingress);
     AprLinks_Free(host->gateway->links);
+    /* Calls that ended are not followed by queued ones. */
+    ev_timer_stop(host->cluster->loop,
+                  &host->gateway->backend->free_slot_timer);
     host->gateway = NULL;
     host->gateway_generation++;
 }
@@ -1206,7 +1210,7 @@
 
 /* Runs the event loop until all keys are held or the timeout is reached;
    returns the seconds that this took. */
-static double
+static inline double
 cluster_wait_until_held(Cluster_t *cluster, double timeout_s)
 {
     double waited_s = 0;
@@ -1219,7 +1223,7 @@
 }
 
 /* Kills all gateways and backend servers. */
-static void
+static inline void
 cluster_stop(Cluster_t *cluster)
 {
     for (int i = 0; i < CLUSTER_HOSTS; i++) {
