Reject responses with a status that HTTP does not have

A caller whose backend server answered with status 000 waited until its deadline and got 504 after it, while the slot stayed occupied; with a further response on the connection it got that one with status 200. A status from 600 on reached the caller as it was.

Cause: http_parser accepts any number as the status, and everything below 200 was taken for an interim response.

The parser now refuses statuses outside 100 to 599, and 101, which is never asked for: the connection is closed, an idempotent request may be retried, and otherwise the caller gets 502 at once.

--- a/src/transport/http_message.c
+++ b/src/transport/http_message.c
@@ -8,6 +8,11 @@
 
 #define DEFAULT_MAX_HEAD_BYTES 65536
 
+/* The statuses of HTTP: three digits, of which the first names one of five
+   classes. */
+#define MIN_STATUS 100
+#define MAX_STATUS 599
+
 struct AprHttpParser_t {
     http_parser parser;
     const AprHttpHandler_t *handler;
@@ -152,6 +157,16 @@
            (raw->flags & F_CONTENTLENGTH) != 0;
 }
 
+/* Returns whether a message has a status that a response may have. The gateway
+   never asks for another protocol, so that 101 is no response either. */
+static bool
+has_valid_status(const http_parser *raw)
+{
+    return raw->type == HTTP_REQUEST ||
+           (raw->status_code >= MIN_STATUS && raw->status_code <= MAX_STATUS &&
+            raw->status_code != HTTP_STATUS_SWITCHING_PROTOCOLS);
+}
+
 static int
 on_headers_complete(http_parser *raw)
 {
@@ -160,8 +175,9 @@
 
     parser->in_head = false;
     /* The framing of other major versions differs, and HTTP/0.9 has no
-       headers; http_parser accepts all numbers. */
-    if (raw->http_major != 1 || has_conflicting_lengths(raw)) {
+       headers; http_parser accepts all numbers, also as the status. */
+    if (raw->http_major != 1 || has_conflicting_lengths(raw) ||
+        !has_valid_status(raw)) {
         parser->error = APR_E_PARSE;
         return -1;
     }
