--- a/include/apricot/grant_table.h
+++ b/include/apricot/grant_table.h
@@ -81,7 +81,8 @@
 int64_t AprGrantTable_ExpectedReleaseMs(const AprGrantTable_t *table,
                                         const AprKeyRange_t *range,
                                         int64_t now_ms);
-bool AprGrantTable_AreKeysSafe(const AprGrantTable_t *table, int64_t now_ms);
+bool AprGrantTable_IsTakeoverPossible(const AprGrantTable_t *table,
+                                      int64_t now_ms);
 void AprGrantTable_HandleRestart(AprGrantTable_t *table, int64_t now_ms);
 int AprGrantTable_RenewGrants(AprGrantTable_t *table, const AprKeyMap_t *map,
                               int64_t generation, int64_t now_ms,
--- a/src/gateway/key_map_refresh.c
+++ b/src/gateway/key_map_refresh.c
@@ -63,6 +63,9 @@
     if (result->code == APR_OK) {
         refresh->read_revision = refresh->wanted_revision;
     }
+    AprGateway_IncrementCounter(ownership->gateway, "key_map_reads_total",
+                                result->code == APR_OK ? "result=\"ok\""
+                                                       : "result=\"failed\"");
     AprLog_Write(APR_LOG_INFO, "key_map_read", "result=%s revision=%lld",
                  AprError_Name(result->code),
                  (long long)refresh->wanted_revision);
--- a/src/gateway/ownership.c
+++ b/src/gateway/ownership.c
@@ -382,14 +382,14 @@
 }
 
 /* Extends the authority like AprOwnership_ExtendAuthority(), but without an
-   answer of the store. Has no effect once another host can have taken over
+   answer of the store. Has no effect once another host may have taken over
    keys of this one: only the store tells whether one has. */
 void
 AprOwnership_ExtendAuthorityInOutage(AprOwnership_t *ownership,
                                      int64_t until_ms)
 {
-    if (AprGrantTable_AreKeysSafe(&ownership->grant_table,
-                                  AprOwnership_NowMs(ownership))) {
+    if (!AprGrantTable_IsTakeoverPossible(&ownership->grant_table,
+                                          AprOwnership_NowMs(ownership))) {
         AprOwnership_ExtendAuthority(ownership, until_ms);
     }
 }
--- a/src/state/grant_table.c
+++ b/src/state/grant_table.c
@@ -45,13 +45,12 @@
            GRANT_EXPIRY_MARGIN_MS;
 }
 
-/* Returns whether no other host can have taken over the keys of this one at
-   `now_ms`: that takes until the last grant that the authority allowed has
-   expired. */
+/* Returns whether another host may have taken over keys of this one. It waits
+   until the last grant that the authority allowed has expired. */
 bool
-AprGrantTable_AreKeysSafe(const AprGrantTable_t *table, int64_t now_ms)
+AprGrantTable_IsTakeoverPossible(const AprGrantTable_t *table, int64_t now_ms)
 {
-    return now_ms <
+    return now_ms >=
            AprGrant_LatestExpiryMs(table->authority_until_ms, table->grant_ms);
 }
 
--- a/tests/test_gateway_return.c
+++ b/tests/test_gateway_return.c
@@ -27,6 +27,7 @@
                 START_TIMEOUT_S);
 }
 
+/* Cuts or restores the links that one host opens to another one. */
 static void
 set_link(ClusterHost_t *from, const ClusterHost_t *to, bool cut)
 {
--- a/tests/test_grants.c
+++ b/tests/test_grants.c
@@ -50,6 +50,31 @@
     AprKeyMap_Free(&map);
 }
 
+/* Guards against an authority that is given back without the store after
+   another host may have replaced this one, and against one that is refused
+   while none can have. */
+static void
+test_takeover_waits_for_the_last_grant(void **state)
+{
+    AprGrant_t grants[MAX_GRANTS];
+    AprGrantTable_t table;
+    AprKeyMap_t map;
+
+    (void)state;
+    AprKeyMap_Init(&map);
+    AprKeyMap_Assign(&map, 0, 999, "h1", NULL);
+    AprGrantTable_Init(&table, "h1", GRANT_MS, 0);
+    table.authority_until_ms = 500;
+    assert_int_equal(AprGrantTable_RenewGrants(&table, &map, GENERATION, 499,
+                                               grants, MAX_GRANTS),
+                     1);
+    assert_false(
+        AprGrantTable_IsTakeoverPossible(&table, table.latest_expiry_ms));
+    assert_true(AprGrantTable_IsTakeoverPossible(
+        &table, AprGrant_LatestExpiryMs(500, GRANT_MS)));
+    AprKeyMap_Free(&map);
+}
+
 /* Guards against a fencing token that a later incarnation of the backend
    server or a later owner does not exceed, and against a handover token that
    is used twice. */
@@ -758,6 +783,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_no_grant_without_authority),
+        cmocka_unit_test(test_takeover_waits_for_the_last_grant),
         cmocka_unit_test(test_restart_gets_a_higher_fence),
         cmocka_unit_test(test_generation_rises_with_each_incarnation),
         cmocka_unit_test(test_waits_for_expiry_of_previous_holder),
