--- a/include/apricot/grant_table.h
+++ b/include/apricot/grant_table.h
@@ -76,6 +76,7 @@
 void AprGrantTable_RecordHeldKeys(AprGrantTable_t *table,
                                   const AprGrant_t *held, int count,
                                   int64_t generation);
+void AprGrantTable_RestartWaits(AprGrantTable_t *table, int part);
 bool AprGrantTable_IsReleased(const AprGrantTable_t *table,
                               const AprKeyRange_t *range, int64_t now_ms);
 int64_t AprGrantTable_ExpectedReleaseMs(const AprGrantTable_t *table,
--- a/include/apricot/key_map.h
+++ b/include/apricot/key_map.h
@@ -58,6 +58,15 @@
 int AprKeyMap_UnassignChangedKeys(AprKeyMap_t *map,
                                   const AprKeyMap_t *proposal,
                                   const char *host);
+int AprKeyMap_JoinPart(AprKeyMap_t *map, const AprKeyMap_t *other, int part,
+                       const char *only_of);
+int AprKeyMap_JoinHeld(AprKeyMap_t *map, int first, int last, int64_t fence,
+                       const char *host);
+int64_t AprKeyMap_EraFence(int64_t era);
+void AprKeyMap_RaiseFence(AprKeyMap_t *map, int64_t era);
+int AprKeyMap_UnassignUnheldKeys(AprKeyMap_t *map, const char *host,
+                                 int64_t below_fence,
+                                 const AprKeyRange_t *held, int held_count);
 void AprKeyMap_MergeRanges(AprKeyMap_t *map);
 int AprKeyMap_CountKeysOf(const AprKeyMap_t *map, const char *host);
 bool AprBackendIncarnation_Equal(const AprBackendIncarnation_t *left,
--- a/include/apricot/kv.h
+++ b/include/apricot/kv.h
@@ -5,6 +5,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "apricot/store_revision.h"
+
 /* Asynchronous access to the platform's key-value store. Each operation calls
    `done` once, from the event loop, never before it returns.
 
@@ -15,7 +17,13 @@
    APR_E_INVALID when the store forbids the operation; APR_E_UNAVAILABLE when
    the store refused the operation for now, without any effect;
    APR_E_UNKNOWN_OUTCOME when no response came, so that a change may still take
-   effect; APR_E_PARSE for a malformed response. */
+   effect; APR_E_PARSE for a malformed response.
+
+   All revisions contain the store's era (store_revision.h). A result of an
+   earlier era than the newest known one is reported as APR_E_UNKNOWN_OUTCOME,
+   as is a change that was sent in an earlier era than it was carried out. A
+   watch from a revision of an earlier era gets APR_E_STALE, and a change with
+   such a condition APR_E_CONFLICT without items. */
 
 /* An item, or the change notification of an item. */
 typedef struct AprKvItem_t {
@@ -96,6 +104,8 @@
     /* Ends a lease, which deletes its items. */
     void (*end_lease)(void *self, int64_t lease, AprKvCallback_t done,
                       void *context);
+    /* Returns the newest known era of the store; 0: it has named none. */
+    int64_t (*era)(void *self);
 } AprKvStore_t;
 
 #endif
--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -344,6 +344,10 @@
 void AprOwnership_ApplyGenerationRecord(AprOwnership_t *ownership,
                                         const char *host,
                                         const AprKvItem_t *item);
+void AprOwnership_NoticeEra(AprOwnership_t *ownership, int64_t era);
+int64_t AprOwnership_Era(const AprOwnership_t *ownership);
+void AprOwnership_ApplySettledEra(AprOwnership_t *ownership,
+                                  const AprKvItem_t *item);
 void AprOwnership_ApplyFence(AprOwnership_t *ownership, const char *host,
                              const AprKvItem_t *item);
 const char *AprOwnership_FindOwner(AprOwnership_t *ownership,
--- a/internal/generation_record.h
+++ b/internal/generation_record.h
@@ -19,6 +19,9 @@
     int64_t generation;                  /* in the store; 0: none */
     int64_t revision; /* store revision of the record; 0: not stored */
     bool claimed;     /* this process wrote that revision */
+    /* The store has lost the claim of this process, which stays in force but
+       has to be written again. */
+    bool claim_lost;
     bool write_pending;
     /* Incarnation and generation to write; valid if `write_pending`. */
     AprBackendIncarnation_t proposed;
@@ -37,5 +40,9 @@
                                const AprBackendIncarnation_t *incarnation);
 void AprGenerationRecord_EndWrite(AprGenerationRecord_t *record,
                                   const AprKvResult_t *result);
+void AprGenerationRecord_OnStoreRestored(AprGenerationRecord_t *record);
+void AprGenerationRecord_AdoptHeld(AprGenerationRecord_t *record,
+                                   const AprBackendIncarnation_t *incarnation,
+                                   int64_t generation);
 
 #endif
--- a/internal/ownership_state.h
+++ b/internal/ownership_state.h
@@ -7,6 +7,7 @@
 #include "apricot/departures.h"
 #include "apricot/hot_range_plan.h"
 #include "apricot/key_warmup.h"
+#include "apricot/store_restore.h"
 #include "internal/gateway.h"
 #include "internal/generation_record.h"
 #include "internal/removal_queue.h"
@@ -22,6 +23,8 @@
     char service[APR_ROUTE_NAME_SIZE];
     AprKeyMap_t map;
     int64_t revisions[APR_KEY_PARTS]; /* of the stored parts; 0: not stored */
+    /* Bit i: the store has lost assignments of part i that are known here. */
+    uint32_t unsaved_parts;
     /* Host -> number of keys; NULL: to be counted again. */
     GHashTable *key_counts;
 } AprServiceKeyMap_t;
@@ -40,6 +43,9 @@
     AprServiceKeyMap_t maps[APR_MAX_MAPS];
     int map_count;
     AprKeyMapRefresh_t map_refresh;
+    AprStoreRestore_t restore;
+    bool settlement_pending; /* the store is asked to settle the era */
+    int64_t next_settlement_ms;
     AprGrantTable_t grant_table;
     AprKeyDemand_t demand;
     int64_t last_demand_decay_ms;
@@ -48,7 +54,11 @@
     AprBackendIncarnation_t incarnation;     /* by the last heartbeat */
     AprGenerationRecord_t generation_record; /* stored generation */
     int64_t last_heartbeat_sequence;
-    int64_t last_heartbeat_ms;        /* receipt; 0: none */
+    int64_t last_heartbeat_ms; /* receipt; 0: none */
+    /* Keys that the backend server reports as held, with the fencing tokens of
+       the key map; recorded while an era is not settled. */
+    AprKeyRange_t *reported_keys;
+    int reported_key_count;
     bool earlier_incarnation_checked; /* since the start of this process */
     bool backend_leaving;
     AprDepartures_t departures;
@@ -130,12 +140,26 @@
                                      const AprHeartbeat_t *heartbeat);
 void AprOwnership_RecordGrantedKeys(AprOwnership_t *ownership);
 
+/* Return of the store from an older copy (restored_store.c). */
+void AprOwnership_AdoptPart(AprOwnership_t *ownership,
+                            AprServiceKeyMap_t *entry,
+                            const AprKeyMap_t *stored, int part,
+                            int64_t revision);
+void AprOwnership_JoinHeldKeys(AprOwnership_t *ownership,
+                               const AprHeartbeat_t *heartbeat);
+bool AprOwnership_IsMapSaved(AprOwnership_t *ownership);
+bool AprOwnership_MayMoveOwnKeys(AprOwnership_t *ownership);
+void AprOwnership_RecoverOnTick(AprOwnership_t *ownership);
+
 /* Age of the local key map (key_map_refresh.c). */
 int64_t AprKeyMapRefresh_KnownRevision(const AprOwnership_t *ownership);
 bool AprKeyMapRefresh_MayGrant(AprOwnership_t *ownership);
 bool AprKeyMapRefresh_Start(AprOwnership_t *ownership);
 
 bool AprKeyMoves_CanSendChange(AprOwnership_t *ownership);
+bool AprKeyMoves_IsPlanner(AprOwnership_t *ownership);
+bool AprKeyMoves_SaveParts(AprOwnership_t *ownership,
+                           const AprKvCondition_t *condition);
 bool AprKeyMoves_OnHeartbeat(AprOwnership_t *ownership);
 void AprKeyMoves_PlanOnTick(AprOwnership_t *ownership);
 
--- a/internal/removal_queue.h
+++ b/internal/removal_queue.h
@@ -56,6 +56,7 @@
                                        const char *host, int64_t lease_id,
                                        int64_t now_ms);
 void AprRemovalQueue_Cancel(AprRemovalQueue_t *queue, const char *host);
+void AprRemovalQueue_CancelAll(AprRemovalQueue_t *queue);
 void AprRemovalQueue_Advance(AprRemovalQueue_t *queue,
                              struct AprGateway_t *gateway,
                              int64_t max_grant_ms,
--- a/internal/store_cache_state.h
+++ b/internal/store_cache_state.h
@@ -18,6 +18,8 @@
 #define APR_GENERATION_KEY_PREFIX "lives/"
 /* Lease of the last registration of a host, which outlives its entry. */
 #define APR_LEASE_KEY_PREFIX "leases/"
+/* Newest era whose key maps have been written back (docs/store-restore.md). */
+#define APR_SETTLED_ERA_KEY "era"
 
 #define APR_CACHE_KEY_SIZE 200
 
@@ -144,6 +146,7 @@
 
 int64_t AprStoreCache_NowMs(const AprStoreCache_t *cache);
 int64_t AprStoreCache_RandomBackoffMs(int failures);
+void AprStoreCache_CheckEra(AprStoreCache_t *cache);
 void AprStoreCache_RecordStoreResult(AprStoreCache_t *cache, int code);
 const AprItem_t *AprStoreCache_FindItem(AprStoreCache_t *cache,
                                         const char *key);
--- a/src/gateway/item_source.c
+++ b/src/gateway/item_source.c
@@ -179,6 +179,12 @@
     }
     AprStoreCache_RecordStoreResult(cache, APR_OK);
     watch->failures = 0;
+    if (watch->last_page_key[0] != '\0' &&
+        AprRevision_Era(result->revision) !=
+            AprRevision_Era(watch->reload_revision)) {
+        watch->loading = false; /* the earlier pages are of another era */
+        return;
+    }
     if (watch->last_page_key[0] == '\0' ||
         result->revision < watch->reload_revision) {
         watch->reload_revision = result->revision;
--- a/src/gateway/key_map_refresh.c
+++ b/src/gateway/key_map_refresh.c
@@ -30,14 +30,23 @@
                AprStoreCache_PrefixRevision(ownership->gateway->store_cache));
 }
 
+static bool
+is_map_current(const AprOwnership_t *ownership)
+{
+    return AprKeyMapRefresh_KnownRevision(ownership) >=
+           ownership->map_refresh.registered_revision;
+}
+
 /* Returns whether keys may be granted by the local key map, or it gives none
-   to this host. */
+   to this host. If other hosts may hold keys by assignments that the store has
+   lost, what the backend server holds must be stored first. */
 bool
 AprKeyMapRefresh_MayGrant(AprOwnership_t *ownership)
 {
-    return AprKeyMapRefresh_KnownRevision(ownership) >=
-               ownership->map_refresh.registered_revision ||
-           AprOwnership_CountOwnKeys(ownership) == 0;
+    return AprOwnership_CountOwnKeys(ownership) == 0 ||
+           (is_map_current(ownership) &&
+            (!AprStoreRestore_AreHoldersUnknown(&ownership->restore) ||
+             AprOwnership_IsMapSaved(ownership)));
 }
 
 static void read_next_page(AprOwnership_t *ownership);
@@ -95,7 +104,8 @@
 {
     AprKeyMapRefresh_t *refresh = &ownership->map_refresh;
 
-    if (AprKeyMapRefresh_MayGrant(ownership)) {
+    if (is_map_current(ownership) ||
+        AprOwnership_CountOwnKeys(ownership) == 0) {
         return false;
     }
     if (!refresh->read_pending) {
--- a/src/gateway/key_moves.c
+++ b/src/gateway/key_moves.c
@@ -81,12 +81,7 @@
             revision <= entry->revisions[part]) {
             continue;
         }
-        if (AprKeyMap_CopyPart(&entry->map, &proposal, part) != APR_OK) {
-            /* The watch will deliver this part. */
-            AprLog_Write(APR_LOG_ERROR, "keys_no_memory", "part=%d", part);
-            continue;
-        }
-        AprOwnership_OnPartChanged(ownership, entry, part, revision);
+        AprOwnership_AdoptPart(ownership, entry, &proposal, part, revision);
     }
     AprKeyMap_Free(&proposal);
 }
@@ -309,18 +304,16 @@
     }
 }
 
-/* Writes the changed parts of `map` to the store on condition that the stored
-   parts still have the known revisions and that `conditions` hold. There must
-   be no open proposal. Takes ownership of `map`; `reason` is not copied.
-   Returns whether a change was sent. */
+/* Writes parts of `map` to the store on condition that the stored parts still
+   have the known revisions and that `conditions` hold. There must be no open
+   proposal. Takes ownership of `map`; `reason` is not copied. Returns whether
+   a change was sent. */
 static bool
-send_map_change(AprOwnership_t *ownership, AprKeyMap_t *map,
-                const char *reason, const AprKvCondition_t *conditions,
-                int condition_count)
+propose_parts(AprOwnership_t *ownership, AprKeyMap_t *map, uint32_t parts,
+              const char *reason, const AprKvCondition_t *conditions,
+              int condition_count)
 {
     AprServiceKeyMap_t *entry = AprOwnership_FindOwnMap(ownership);
-    uint32_t parts = limit_changed_parts(
-        entry, map, max_changed_parts(ownership, condition_count));
 
     if (parts == 0) {
         AprKeyMap_Free(map);
@@ -343,6 +336,51 @@
     return true;
 }
 
+/* Writes the changed parts of `map` to the store; otherwise like
+   propose_parts(). */
+static bool
+send_map_change(AprOwnership_t *ownership, AprKeyMap_t *map,
+                const char *reason, const AprKvCondition_t *conditions,
+                int condition_count)
+{
+    AprServiceKeyMap_t *entry = AprOwnership_FindOwnMap(ownership);
+    uint32_t parts = limit_changed_parts(
+        entry, map, max_changed_parts(ownership, condition_count));
+
+    return propose_parts(ownership, map, parts, reason, conditions,
+                         condition_count);
+}
+
+/* Returns the lowest `count` bits of a bit set. */
+static uint32_t
+lowest_bits(uint32_t bits, int count)
+{
+    uint32_t rest = bits;
+
+    for (int i = 0; i < count; i++) {
+        rest &= rest - 1;
+    }
+    return bits & ~rest;
+}
+
+/* Writes the local parts of the own service's key map that the store has lost,
+   if `condition` holds. Returns whether a change was sent. */
+bool
+AprKeyMoves_SaveParts(AprOwnership_t *ownership,
+                      const AprKvCondition_t *condition)
+{
+    AprServiceKeyMap_t *entry = AprOwnership_FindOwnMap(ownership);
+    AprKeyMap_t map;
+
+    if (AprKeyMap_Copy(&map, &entry->map) != APR_OK) {
+        return false;
+    }
+    return propose_parts(
+        ownership, &map,
+        lowest_bits(entry->unsaved_parts, max_changed_parts(ownership, 1)),
+        "store_restored", condition, 1);
+}
+
 /* Lists the hosts that may receive keys, except the host named `except` (NULL:
    none). Returns their number. */
 static int
@@ -670,8 +708,8 @@
 
 /* Returns whether this host is the planner: the first candidate by name, which
    assigns unowned keys and removes lost hosts. */
-static bool
-is_planner(AprOwnership_t *ownership)
+bool
+AprKeyMoves_IsPlanner(AprOwnership_t *ownership)
 {
     AprMembers_t *members = ownership->gateway->members;
 
@@ -717,7 +755,7 @@
     int count;
 
     if ((entry != NULL && AprOwnership_CountKeysOf(entry, "") == 0) ||
-        !is_first_plan_due(ownership) || !is_planner(ownership)) {
+        !is_first_plan_due(ownership) || !AprKeyMoves_IsPlanner(ownership)) {
         return;
     }
     if (entry == NULL) {
@@ -830,7 +868,7 @@
     int64_t now_ms = AprOwnership_NowMs(ownership);
 
     if (now_ms < ownership->next_loss_check_ms || entry == NULL ||
-        !is_planner(ownership)) {
+        !AprKeyMoves_IsPlanner(ownership)) {
         return;
     }
     ownership->next_loss_check_ms = now_ms + LOSS_CHECK_INTERVAL_MS;
@@ -889,7 +927,8 @@
 AprKeyMoves_OnHeartbeat(AprOwnership_t *ownership)
 {
     if (!AprOwnership_IsKeyed(ownership) ||
-        !AprKeyMoves_CanSendChange(ownership)) {
+        !AprKeyMoves_CanSendChange(ownership) ||
+        !AprOwnership_MayMoveOwnKeys(ownership)) {
         return false;
     }
     if (ownership->backend_leaving) {
@@ -940,10 +979,16 @@
     if (!AprKeyMoves_CanSendChange(ownership)) {
         return;
     }
-    reassign_lost_backend_keys(ownership);
-    if (AprGateway_IsBalancingAdaptive(ownership->gateway) &&
-        !ownership->backend_leaving && AprKeyMoves_CanSendChange(ownership)) {
-        move_hot_keys(ownership, false);
+    if (AprOwnership_MayMoveOwnKeys(ownership)) {
+        reassign_lost_backend_keys(ownership);
+        if (AprGateway_IsBalancingAdaptive(ownership->gateway) &&
+            !ownership->backend_leaving &&
+            AprKeyMoves_CanSendChange(ownership)) {
+            move_hot_keys(ownership, false);
+        }
+    }
+    if (AprStoreRestore_IsOpen(&ownership->restore)) {
+        return; /* the owners of other keys may not be known */
     }
     if (AprKeyMoves_CanSendChange(ownership)) {
         assign_unowned_keys(ownership);
--- a/src/gateway/ownership.c
+++ b/src/gateway/ownership.c
@@ -117,6 +117,7 @@
     if (ownership->has_proposal) {
         AprKeyMap_Free(&ownership->proposal);
     }
+    free(ownership->reported_keys);
     free(ownership);
 }
 
@@ -181,6 +182,7 @@
         return NULL;
     }
     g_strlcpy(entry->service, service, sizeof(entry->service));
+    AprKeyMap_RaiseFence(&entry->map, ownership->restore.era);
     ownership->map_count++;
     return entry;
 }
@@ -234,8 +236,9 @@
                : -1;
 }
 
-/* Applies a stored part of a key map; `name` is "SERVICE/PART". Ignores
-   removals and revisions that are not newer than the known one. */
+/* Applies a stored part of a key map, or its absence after the return of the
+   store from an older copy; `name` is "SERVICE/PART". Ignores revisions that
+   are not newer than the known one. */
 void
 AprOwnership_ApplyKeyMapPart(AprOwnership_t *ownership, const char *name,
                              const AprKvItem_t *item)
@@ -243,27 +246,36 @@
     char service[APR_ROUTE_NAME_SIZE];
     int part = parse_part_name(name, service, sizeof(service));
     AprServiceKeyMap_t *entry = AprOwnership_FindMap(ownership, service);
+    AprKeyMap_t stored = {0};
 
-    if (item->removed || (part >= 0 && entry != NULL &&
-                          entry->revisions[part] >= item->revision)) {
+    if (part >= 0 && entry != NULL &&
+        entry->revisions[part] >= item->revision) {
+        return;
+    }
+    if (item->removed && (part < 0 || entry == NULL)) {
         return;
     }
     if (part >= 0 && entry == NULL) {
         entry = AprOwnership_AddMap(ownership, service);
     }
-    if (part < 0 || entry == NULL ||
-        AprKeyMap_ParsePart(&entry->map, part, item->value,
-                            item->value_size) != APR_OK) {
+    if (part < 0 || entry == NULL || AprKeyMap_Init(&stored) != APR_OK ||
+        (!item->removed && AprKeyMap_ParsePart(&stored, part, item->value,
+                                               item->value_size) != APR_OK)) {
         AprLog_Write(APR_LOG_ERROR, "key_map_part_invalid",
                      "name=%s revision=%lld", name, (long long)item->revision);
+        AprKeyMap_Free(&stored);
         return;
     }
+    AprOwnership_AdoptPart(ownership, entry, &stored, part, item->revision);
+    AprKeyMap_Free(&stored);
+    if (item->removed) {
+        entry->revisions[part] = 0;
+    }
     AprLog_Write(
         APR_LOG_INFO, "keys_changed",
         "service=%s part=%d revision=%lld own_keys=%d", service, part,
         (long long)item->revision,
         AprKeyMap_CountKeysOf(&entry->map, AprOwnership_OwnHost(ownership)));
-    AprOwnership_OnPartChanged(ownership, entry, part, item->revision);
 }
 
 /* Returns the host that owns a key of a service; "" if the key has no owner,
@@ -372,11 +384,13 @@
 }
 
 /* Extends the authority to grant keys until the given time. An earlier time
-   has no effect. */
+   has no effect, nor has any while the store lacks assignments that are known
+   here: once it is settled, other hosts rely on what it has. */
 void
 AprOwnership_ExtendAuthority(AprOwnership_t *ownership, int64_t until_ms)
 {
-    if (until_ms > ownership->grant_table.authority_until_ms) {
+    if (AprOwnership_IsMapSaved(ownership) &&
+        until_ms > ownership->grant_table.authority_until_ms) {
         ownership->grant_table.authority_until_ms = until_ms;
     }
 }
@@ -423,7 +437,9 @@
 }
 
 /* Copies the key map without the keys of this host that a proposed change
-   gives to other hosts: the change may have taken effect in the store. The
+   gives to other hosts: the change may have taken effect in the store. If
+   other hosts may hold keys by assignments that the store has lost, only those
+   are left that the backend server holds, or that were assigned since. The
    caller frees `map` after APR_OK. */
 static int
 copy_grantable_map(const AprOwnership_t *ownership,
@@ -431,6 +447,16 @@
 {
     int result = AprKeyMap_Copy(map, &entry->map);
 
+    if (result == APR_OK &&
+        AprStoreRestore_AreHoldersUnknown(&ownership->restore)) {
+        result = AprKeyMap_UnassignUnheldKeys(
+            map, AprOwnership_OwnHost(ownership),
+            AprKeyMap_EraFence(ownership->restore.era),
+            ownership->reported_keys, ownership->reported_key_count);
+        if (result != APR_OK) {
+            AprKeyMap_Free(map);
+        }
+    }
     if (result == APR_OK && ownership->has_proposal) {
         result = AprKeyMap_UnassignChangedKeys(
             map, &ownership->proposal, AprOwnership_OwnHost(ownership));
@@ -472,13 +498,14 @@
         AprLog_Write(
             APR_LOG_WARN, "grants_withheld",
             "id=%s recorded=%s claimed=%d authority_age_ms=%lld "
-            "map_revision=%lld registered_revision=%lld",
+            "map_revision=%lld registered_revision=%lld map_saved=%d",
             ownership->incarnation.id,
             ownership->generation_record.incarnation.id,
             ownership->generation_record.claimed,
             (long long)(now_ms - ownership->grant_table.authority_until_ms),
             (long long)AprKeyMapRefresh_KnownRevision(ownership),
-            (long long)ownership->map_refresh.registered_revision);
+            (long long)ownership->map_refresh.registered_revision,
+            AprOwnership_IsMapSaved(ownership));
         reply(context, true, NULL, -1, 0);
         return;
     }
@@ -727,6 +754,7 @@
     ownership->last_heartbeat_ms = AprOwnership_NowMs(ownership);
     ownership->backend_leaving |= heartbeat->leaving || left_before;
     AprOwnership_RecordReportedKeys(ownership, heartbeat);
+    AprOwnership_JoinHeldKeys(ownership, heartbeat);
     AprGrantTable_RecordHeldKeys(
         &ownership->grant_table, heartbeat->held, heartbeat->held_count,
         AprGenerationRecord_Find(&ownership->generation_record,
@@ -814,7 +842,9 @@
     *text = NULL;
     if (!AprOwnership_IsKeyed(ownership) || record->write_pending ||
         ownership->incarnation.id[0] == '\0' ||
-        AprGenerationRecord_FindClaimed(record, &ownership->incarnation) > 0) {
+        (AprGenerationRecord_FindClaimed(record, &ownership->incarnation) >
+             0 &&
+         !record->claim_lost)) {
         return false;
     }
     *text = AprGenerationRecord_BeginWrite(record, &ownership->incarnation);
@@ -835,8 +865,9 @@
 }
 
 /* Claims the generation record for the incarnation of the backend server,
-   which gives a new incarnation a new generation. Returns whether the answer
-   to the heartbeat must wait for the store's result. */
+   which gives a new incarnation a new generation. Writes a claim again that
+   the store has lost. Returns whether the answer to the heartbeat must wait
+   for the store's result. */
 static bool
 store_generation(AprOwnership_t *ownership)
 {
@@ -845,8 +876,10 @@
     AprKvTransaction_t transaction = {0};
     char key[APR_STORE_KEY_SIZE];
     char *text;
+    bool claimed =
+        AprGenerationRecord_FindClaimed(record, &ownership->incarnation) > 0;
 
-    if (AprGenerationRecord_FindClaimed(record, &ownership->incarnation) > 0 ||
+    if ((claimed && !record->claim_lost) ||
         !AprStoreCache_IsLoaded(gateway->store_cache) ||
         !AprStoreCache_IsStoreReachable(gateway->store_cache)) {
         return false;
@@ -854,7 +887,7 @@
     /* Until this host is registered, the write of its entry stores it. */
     if (record->write_pending ||
         !AprStoreCache_IsRegistered(gateway->store_cache)) {
-        return true;
+        return !claimed;
     }
     if (!AprOwnership_AddGenerationWrite(ownership, &transaction, key,
                                          sizeof(key), &text)) {
@@ -863,7 +896,7 @@
     gateway->kv->commit(gateway->kv->self, &transaction, on_generation_stored,
                         ownership);
     free(text);
-    return true;
+    return !claimed;
 }
 
 /* Handles a heartbeat of the backend server. `reply` is called once, either
@@ -1013,5 +1046,6 @@
         return;
     }
     release_for_earlier_incarnation(ownership);
+    AprOwnership_RecoverOnTick(ownership);
     AprKeyMoves_PlanOnTick(ownership);
 }
--- a/src/gateway/peer_renewals.c
+++ b/src/gateway/peer_renewals.c
@@ -82,7 +82,9 @@
 }
 
 /* Renews the lease of another host that cannot reach the store, and sends that
-   host the result. Does nothing while the store does not answer here. */
+   host the result. Does nothing while the store does not answer here, or has
+   come back from an older copy that has not been read: the sender's entry may
+   be lost. */
 void
 AprStoreCache_RenewPeerLease(AprStoreCache_t *cache, const char *host,
                              int64_t request)
@@ -91,7 +93,9 @@
     int64_t lease = find_requested_lease(cache, host, request);
     PeerRenewal_t *renewal;
 
-    if (lease == 0 || !AprStoreCache_IsStoreReachable(cache)) {
+    if (lease == 0 || !AprStoreCache_IsStoreReachable(cache) ||
+        AprRevision_Era(AprStoreCache_PrefixRevision(cache)) !=
+            kv->era(kv->self)) {
         return;
     }
     renewal = calloc(1, sizeof(*renewal));
--- a/src/gateway/registration.c
+++ b/src/gateway/registration.c
@@ -41,6 +41,7 @@
 {
     AprRegistration_t *registration = &cache->registration;
 
+    AprStoreCache_CheckEra(cache);
     if (sent_ms > registration->last_renewal_sent_ms) {
         registration->last_renewal_sent_ms = sent_ms;
     }
--- a/src/gateway/removal_queue.c
+++ b/src/gateway/removal_queue.c
@@ -91,6 +91,17 @@
     }
 }
 
+/* Cancels the removals of all hosts. */
+void
+AprRemovalQueue_CancelAll(AprRemovalQueue_t *queue)
+{
+    for (int i = 0; i < queue->used_limit; i++) {
+        if (queue->removals[i].host[0] != '\0') {
+            AprRemovalQueue_Cancel(queue, queue->removals[i].host);
+        }
+    }
+}
+
 static void
 enter_step(AprHostRemoval_t *removal, AprHostRemovalStep_t step)
 {
--- a/src/gateway/store_cache.c
+++ b/src/gateway/store_cache.c
@@ -52,6 +52,17 @@
     }
 }
 
+/* Tells the other parts of the era in which the store has last answered. */
+void
+AprStoreCache_CheckEra(AprStoreCache_t *cache)
+{
+    const AprKvStore_t *kv = cache->gateway->kv;
+
+    if (cache->loaded_ms != 0) {
+        AprOwnership_NoticeEra(cache->gateway->ownership, kv->era(kv->self));
+    }
+}
+
 static AprItem_t *
 find_item(AprStoreCache_t *cache, const char *key)
 {
@@ -179,6 +190,11 @@
              NULL) {
         AprOwnership_ApplyKeyMapPart(gateway->ownership, name, item);
     }
+    else if ((name = key_suffix(cache, item->key, APR_SETTLED_ERA_KEY)) !=
+                 NULL &&
+             name[0] == '\0') {
+        AprOwnership_ApplySettledEra(gateway->ownership, item);
+    }
     else if ((name = key_suffix(cache, item->key, APR_FENCE_KEY_PREFIX)) !=
              NULL) {
         AprOwnership_ApplyFence(gateway->ownership, name, item);
@@ -195,14 +211,19 @@
 }
 
 /* Applies a new state of an item, or its removal, unless the same or a later
-   revision is already known. Copies what it keeps of `update`. */
+   revision is already known, or the store has come back from an older copy
+   since. Copies what it keeps of `update`. */
 void
 AprStoreCache_ApplyItem(AprStoreCache_t *cache, const AprKvItem_t *update)
 {
+    AprOwnership_t *ownership = cache->gateway->ownership;
     AprItem_t *item = find_item(cache, update->key);
+    int64_t era = AprRevision_Era(update->revision);
     char *value;
 
-    if (item != NULL && item->revision >= update->revision) {
+    AprOwnership_NoticeEra(ownership, era);
+    if (era < AprOwnership_Era(ownership) ||
+        (item != NULL && item->revision >= update->revision)) {
         return;
     }
     value = malloc(update->value_size + 1);
@@ -426,6 +447,22 @@
     return cache->last_change_sequence;
 }
 
+/* Removes the items that are known from earlier eras only. To be called when
+   all items of an era have arrived, `revision` being the last one. */
+static void
+remove_items_of_earlier_eras(AprStoreCache_t *cache, int64_t revision)
+{
+    for (int i = 0; i < cache->item_count; i++) {
+        const AprItem_t *item = &cache->items[i];
+        AprKvItem_t removal = {item->key, "", 0, revision, 0, true};
+
+        if (!item->removed &&
+            AprRevision_Era(item->revision) < AprRevision_Era(revision)) {
+            AprStoreCache_ApplyItem(cache, &removal);
+        }
+    }
+}
+
 /* Applies an item, or the end of a list of items, that `host` sent. */
 void
 AprStoreCache_ApplyPeerItem(AprStoreCache_t *cache, const char *host,
@@ -436,6 +473,7 @@
 
     if (frame->end_of_series) {
         if (frame->complete_revision > cache->peer_revision) {
+            remove_items_of_earlier_eras(cache, frame->complete_revision);
             cache->peer_revision = frame->complete_revision;
         }
         if (frame->source_age_ms >= 0) {
@@ -496,6 +534,7 @@
     if (cache->stopping) {
         return;
     }
+    AprStoreCache_CheckEra(cache);
     AprItemSource_Update(cache);
     if (AprStoreCache_PrefixRevision(cache) > 0) {
         AprRegistration_Advance(cache);
--- a/src/state/generation_record.c
+++ b/src/state/generation_record.c
@@ -26,11 +26,20 @@
     return record->claimed ? AprGenerationRecord_Find(record, incarnation) : 0;
 }
 
+/* Returns whether a stored generation is one that the store has brought back
+   from an older copy, while a later record is known here. */
+static bool
+is_from_older_copy(const AprGenerationRecord_t *record, int64_t generation)
+{
+    return generation < record->generation ||
+           (record->claim_lost && generation == record->generation);
+}
+
 /* Updates the record from the stored item; a removed item, or one that is not
    newer than the known revision, has no effect. A newer one ends the claim of
-   this process. Returns APR_E_PARSE when the item is malformed, its id is too
-   long, or no fencing token can tell its generation from others; the record is
-   then unchanged. */
+   this process, unless the store has only lost that claim. Returns APR_E_PARSE
+   when the item is malformed, its id is too long, or no fencing token can tell
+   its generation from others; the record is then unchanged. */
 int
 AprGenerationRecord_Update(AprGenerationRecord_t *record,
                            const AprKvItem_t *item)
@@ -49,11 +58,15 @@
                     "generation", &generation) == 0 &&
         strlen(id) < sizeof(record->incarnation.id) && generation > 0 &&
         generation < APR_GENERATIONS_PER_FENCE) {
-        g_strlcpy(record->incarnation.id, id, sizeof(record->incarnation.id));
-        record->incarnation.started_ms = started_ms;
-        record->generation = generation;
+        if (!is_from_older_copy(record, generation)) {
+            g_strlcpy(record->incarnation.id, id,
+                      sizeof(record->incarnation.id));
+            record->incarnation.started_ms = started_ms;
+            record->generation = generation;
+            record->claimed = false;
+            record->claim_lost = false;
+        }
         record->revision = item->revision;
-        record->claimed = false;
         result = APR_OK;
     }
     json_decref(root);
@@ -99,5 +112,31 @@
         record->generation = record->proposed_generation;
         record->revision = result->revision;
         record->claimed = true;
+        record->claim_lost = false;
+    }
+}
+
+/* Handles the return of the store from an older copy, which may hold an
+   earlier record or none. */
+void
+AprGenerationRecord_OnStoreRestored(AprGenerationRecord_t *record)
+{
+    record->claim_lost = record->claimed || record->claim_lost;
+    record->revision = 0;
+}
+
+/* Records that an incarnation of the backend server holds keys under a
+   generation. If that is above the stored one, the store has lost the record
+   of this incarnation, and its present grants need the same generation. */
+void
+AprGenerationRecord_AdoptHeld(AprGenerationRecord_t *record,
+                              const AprBackendIncarnation_t *incarnation,
+                              int64_t generation)
+{
+    if (generation > record->generation) {
+        record->incarnation = *incarnation;
+        record->generation = generation;
+        record->claimed = false;
+        record->claim_lost = false;
     }
 }
--- a/src/state/grant_table.c
+++ b/src/state/grant_table.c
@@ -135,6 +135,22 @@
     }
 }
 
+/* Lets the waits for previous holders of a part of the key map begin anew with
+   the next AprGrantTable_ApplyKeyMap(). Needed when a previous holder may not
+   have known of the change until now. */
+void
+AprGrantTable_RestartWaits(AprGrantTable_t *table, int part)
+{
+    int kept = 0;
+
+    for (int i = 0; i < table->pending_count; i++) {
+        if (table->pending[i].part != part) {
+            table->pending[kept++] = table->pending[i];
+        }
+    }
+    table->pending_count = kept;
+}
+
 /* Records the keys that a heartbeat of the backend server's `generation`
    reports as held. A fencing token of the present assignment shows that an
    earlier process of this host granted the keys, after their previous holder
--- a/src/state/key_map.c
+++ b/src/state/key_map.c
@@ -14,6 +14,10 @@
    APR_GENERATIONS_PER_FENCE; half of the range is left for later changes. */
 #define MAX_STORED_FENCE (INT64_MAX / 2 / APR_GENERATIONS_PER_FENCE)
 
+/* Fencing tokens that the assignments of one era of the store may take before
+   they reach those of the next one. */
+#define FENCES_PER_ERA ((int64_t)1 << 22)
+
 /* Whether two values identify the same incarnation of a backend server. */
 bool
 AprBackendIncarnation_Equal(const AprBackendIncarnation_t *left,
@@ -216,6 +220,166 @@
     map->count = kept + 1;
 }
 
+/* Assigns keys as another map does: the same owner, fencing token and
+   releasing host. Returns APR_E_NOMEM when memory runs out. */
+static int
+copy_assignment(AprKeyMap_t *map, int first, int last,
+                const AprKeyRange_t *assignment)
+{
+    int64_t last_fence = MAX(map->last_fence, assignment->fence);
+    AprKeyRange_t copy = *assignment;
+    int result = AprKeyMap_Assign(map, first, last, NULL, NULL);
+
+    if (result == APR_OK) {
+        copy.first = first;
+        copy.last = last;
+        map->ranges[AprKeyMap_FindRange(map, first) - map->ranges] = copy;
+        map->last_fence = last_fence;
+    }
+    return result;
+}
+
+/* Returns whether an assignment of a key replaces another one when two maps
+   are joined: the one with the higher fencing token, and the same one of the
+   two in either order. */
+static bool
+supersedes(const AprKeyRange_t *left, const AprKeyRange_t *right)
+{
+    int difference;
+
+    if (left->fence != right->fence) {
+        return left->fence > right->fence;
+    }
+    difference = strcmp(left->host, right->host);
+    return difference != 0
+               ? difference > 0
+               : strcmp(left->releasing_host, right->releasing_host) > 0;
+}
+
+/* Joins a part of another map with that of `map`: each key gets the later one
+   of its two assignments. `only_of`: only keys that this host owns in `map`;
+   NULL: all. Returns APR_E_NOMEM when memory runs out. */
+int
+AprKeyMap_JoinPart(AprKeyMap_t *map, const AprKeyMap_t *other, int part,
+                   const char *only_of)
+{
+    int key = part * APR_KEYS_PER_PART;
+    int end = key + APR_KEYS_PER_PART - 1;
+
+    while (key <= end) {
+        const AprKeyRange_t *known = AprKeyMap_FindRange(map, key);
+        const AprKeyRange_t *range = AprKeyMap_FindRange(other, key);
+        int last = MIN(MIN(known->last, range->last), end);
+
+        if ((only_of == NULL || strcmp(known->host, only_of) == 0) &&
+            supersedes(range, known) &&
+            copy_assignment(map, key, last, range) != APR_OK) {
+            return APR_E_NOMEM;
+        }
+        key = last + 1;
+    }
+    AprKeyMap_MergeRanges(map);
+    return APR_OK;
+}
+
+/* Joins keys that a host's backend server holds under a fencing token of the
+   key map: where the token is above that of the map, the assignment is missing
+   there. Nobody has to release such keys. Returns APR_E_INVALID for an invalid
+   range of keys and APR_E_NOMEM when memory runs out. */
+int
+AprKeyMap_JoinHeld(AprKeyMap_t *map, int first, int last, int64_t fence,
+                   const char *host)
+{
+    AprKeyRange_t held = {.fence = fence};
+    int key = first;
+
+    if (first < 0 || last < first || last > LAST_KEY || fence < 0 ||
+        fence > MAX_STORED_FENCE) {
+        return APR_E_INVALID;
+    }
+    g_strlcpy(held.host, host, sizeof(held.host));
+    while (key <= last) {
+        const AprKeyRange_t *known = AprKeyMap_FindRange(map, key);
+        int end = MIN(known->last, last);
+
+        if (fence > known->fence &&
+            copy_assignment(map, key, end, &held) != APR_OK) {
+            return APR_E_NOMEM;
+        }
+        key = end + 1;
+    }
+    AprKeyMap_MergeRanges(map);
+    return APR_OK;
+}
+
+/* Returns the fencing token that all assignments of an era of the store
+   exceed, and none of the earlier eras. */
+int64_t
+AprKeyMap_EraFence(int64_t era)
+{
+    return MIN(era * FENCES_PER_ERA, MAX_STORED_FENCE / 2);
+}
+
+/* Lets later assignments take fencing tokens above all those of earlier eras
+   of the store, of which this map may not show all. */
+void
+AprKeyMap_RaiseFence(AprKeyMap_t *map, int64_t era)
+{
+    map->last_fence = MAX(map->last_fence, AprKeyMap_EraFence(era));
+}
+
+/* Returns the row of `held` that covers a key under a fencing token, or NULL.
+ */
+static const AprKeyRange_t *
+find_held(const AprKeyRange_t *held, int held_count, int key, int64_t fence)
+{
+    for (int i = 0; i < held_count; i++) {
+        if (held[i].fence == fence && held[i].first <= key &&
+            key <= held[i].last) {
+            return &held[i];
+        }
+    }
+    return NULL;
+}
+
+/* Removes the owner of those keys of a host that are assigned under a fencing
+   token of at most `below_fence` and that no row of `held` covers under the
+   same token. Returns APR_E_NOMEM when memory runs out. */
+int
+AprKeyMap_UnassignUnheldKeys(AprKeyMap_t *map, const char *host,
+                             int64_t below_fence, const AprKeyRange_t *held,
+                             int held_count)
+{
+    int key = 0;
+
+    while (key <= LAST_KEY) {
+        const AprKeyRange_t *range = AprKeyMap_FindRange(map, key);
+        int last = range->last;
+
+        if (strcmp(range->host, host) == 0 && range->fence <= below_fence) {
+            const AprKeyRange_t *row =
+                find_held(held, held_count, key, range->fence);
+            int end = key;
+
+            if (row != NULL) {
+                last = MIN(last, row->last);
+            }
+            else {
+                while (end < last && find_held(held, held_count, end + 1,
+                                               range->fence) == NULL) {
+                    end++;
+                }
+                last = end;
+                if (AprKeyMap_Assign(map, key, last, NULL, NULL) != APR_OK) {
+                    return APR_E_NOMEM;
+                }
+            }
+        }
+        key = last + 1;
+    }
+    return APR_OK;
+}
+
 /* Returns the number of keys that the backend server of a host owns. */
 int
 AprKeyMap_CountKeysOf(const AprKeyMap_t *map, const char *host)
--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -17,6 +17,7 @@
 
 #include "apricot/error.h"
 #include "apricot/gateway_settings.h"
+#include "apricot/store_revision.h"
 #include "internal/backend_state.h"
 #include "internal/gateway.h"
 #include "internal/http_server.h"
@@ -53,14 +54,24 @@
     double ttl_s;
 } StoreLease_t;
 
+/* What the store comes back with in store_return_from_copy(). */
+typedef struct StoreCopy_t {
+    StoreItem_t items[CLUSTER_MAX_ITEMS];
+    int item_count;
+    int64_t revision;
+    StoreLease_t leases[64];
+    int lease_count;
+} StoreCopy_t;
+
 /* A store with revisions, leases and watches; a watch polls the items. */
 typedef struct ClusterStore_t {
     struct ev_loop *loop;
     StoreItem_t items[CLUSTER_MAX_ITEMS];
     int item_count;
-    int64_t revision;
+    int64_t revision; /* its upper bits hold the era */
     StoreLease_t leases[64];
     int lease_count;
+    StoreCopy_t copy;
     bool down; /* requests fail and leases don't expire */
     /* The next change of a key with this prefix gets no answer and waits for
        store_apply_late_change(); NULL: none. */
@@ -100,6 +111,7 @@
     /* The store answers no request of this host, not even those that are in
        flight; they time out. */
     bool store_silent;
+    int64_t known_era;          /* newest one by the store's responses */
     bool store_refuses_changes; /* as a response with status 503 does */
     bool store_refuses_reads;   /* likewise; watches and leases go on */
     int slots;
@@ -146,8 +158,9 @@
 /* A request to the store, which gets its response when the timer fires. */
 typedef struct StoreRequest_t {
     ClusterStore_t *store;
-    const ClusterHost_t *host;
+    ClusterHost_t *host;
     int gateway_generation; /* of the gateway that sent the request */
+    int64_t era;            /* of the store when the request was sent */
     ev_timer timer;
     AprKvCallback_t done;
     void *context;
@@ -227,6 +240,81 @@
     return true;
 }
 
+/* Copies stored items; the caller frees the values. */
+static inline int
+store_copy_items(const StoreItem_t *from, int count, StoreItem_t *to)
+{
+    memset(to, 0, CLUSTER_MAX_ITEMS * sizeof(*to));
+    for (int i = 0; i < count; i++) {
+        to[i] = from[i];
+        to[i].value = from[i].value == NULL ? NULL : strdup(from[i].value);
+    }
+    return count;
+}
+
+/* Takes the copy for store_return_from_copy(). */
+static inline void
+store_take_copy(ClusterStore_t *store)
+{
+    StoreCopy_t *copy = &store->copy;
+
+    copy->item_count =
+        store_copy_items(store->items, store->item_count, copy->items);
+    copy->revision = store->revision;
+    memcpy(copy->leases, store->leases, sizeof(copy->leases));
+    copy->lease_count = store->lease_count;
+}
+
+/* Lets the store come back from its copy in the next era: changes since are
+   lost, leases begin anew, and revisions are given out again. */
+static inline void
+store_return_from_copy(ClusterStore_t *store)
+{
+    const StoreCopy_t *copy = &store->copy;
+    int64_t era = AprRevision_Era(store->revision) + 1;
+
+    store->item_count =
+        store_copy_items(copy->items, copy->item_count, store->items);
+    for (int i = 0; i < store->item_count; i++) {
+        StoreItem_t *item = &store->items[i];
+
+        item->revision =
+            AprRevision_Make(era, AprRevision_Number(item->revision));
+    }
+    store->revision =
+        AprRevision_Make(era, AprRevision_Number(copy->revision));
+    store->compacted_revision = store->revision;
+    for (int i = 0; i < store->lease_count; i++) {
+        StoreLease_t *lease = &store->leases[i];
+
+        lease->expires_s = 0;
+        if (i < copy->lease_count && copy->leases[i].expires_s != 0) {
+            lease->expires_s = ev_now(store->loop) + lease->ttl_s;
+        }
+    }
+    store->down = false;
+}
+
+/* Records the era of a response. Returns whether the request was sent in the
+   same one: the store answers no request across its return. */
+static bool
+store_note_era(StoreRequest_t *request)
+{
+    int64_t era = AprRevision_Era(request->store->revision);
+
+    if (request->era != era) {
+        return false;
+    }
+    request->host->known_era = era;
+    return true;
+}
+
+static int64_t
+store_era(void *self)
+{
+    return ((ClusterHost_t *)self)->known_era;
+}
+
 /* Completes a request, or lets a watch without changes poll again until its
    deadline. A request of a killed gateway is dropped. */
 static void
@@ -243,7 +331,7 @@
     if (store_keep_silent(loop, request)) {
         return;
     }
-    if (request->store->down || request->lost) {
+    if (request->store->down || request->lost || !store_note_era(request)) {
         request->result.code = APR_E_UNKNOWN_OUTCOME;
     }
     else if (request->is_watch &&
@@ -282,6 +370,7 @@
     request->store = store;
     request->host = host;
     request->gateway_generation = host->gateway_generation;
+    request->era = AprRevision_Era(store->revision);
     request->done = done;
     request->context = context;
     ev_timer_init(&request->timer, store_complete_request,
@@ -307,7 +396,7 @@
         return;
     }
     request->result.items = items;
-    if (request->store->down || request->lost) {
+    if (request->store->down || request->lost || !store_note_era(request)) {
         request->result.code = APR_E_UNKNOWN_OUTCOME;
     }
     else if (request->host->store_refuses_reads) {
@@ -337,9 +426,12 @@
     (void)loop;
     (void)events;
     request->result.items = items;
-    request->result.item_count =
-        store_collect_items(request->store, request->prefix, 0, false, items);
-    request->result.code = APR_E_CONFLICT;
+    request->result.code = APR_E_UNKNOWN_OUTCOME;
+    if (store_note_era(request)) {
+        request->result.item_count = store_collect_items(
+            request->store, request->prefix, 0, false, items);
+        request->result.code = APR_E_CONFLICT;
+    }
     if (request->gateway_generation == request->host->gateway_generation) {
         request->done(request->context, &request->result);
     }
@@ -1152,10 +1244,14 @@
     store_put_item(&cluster->store, "config", "1", 0);
     for (int i = 0; i < CLUSTER_HOSTS; i++) {
         ClusterHost_t *host = &cluster->hosts[i];
-        AprKvStore_t kv = {
-            host,           store_range,        store_watch,
-            store_commit,   store_create_lease, store_renew_lease,
-            store_end_lease};
+        AprKvStore_t kv = {host,
+                           store_range,
+                           store_watch,
+                           store_commit,
+                           store_create_lease,
+                           store_renew_lease,
+                           store_end_lease,
+                           store_era};
 
         host->cluster = cluster;
         host->index = i;
