--- a/include/apricot/store_restore.h
+++ b/include/apricot/store_restore.h
@@ -26,6 +26,7 @@
                             int64_t now_ms);
 bool AprStoreRestore_Settle(AprStoreRestore_t *restore, int64_t era);
 bool AprStoreRestore_IsOpen(const AprStoreRestore_t *restore);
+bool AprStoreRestore_KnowsOnlyCopy(const AprStoreRestore_t *restore);
 bool AprStoreRestore_AreHoldersUnknown(const AprStoreRestore_t *restore);
 bool AprStoreRestore_IsSaveDue(const AprStoreRestore_t *restore, bool own_keys,
                                int64_t now_ms);
--- a/internal/freshness.h
+++ b/internal/freshness.h
@@ -19,6 +19,7 @@
 /* How far a host's copy of the store can be relied on. */
 typedef enum AprCopyState_t {
     APR_COPY_UNCONFIRMED, /* it was never known to be complete */
+    APR_COPY_RESTORED,    /* the store itself may be older than other hosts */
     APR_COPY_OUTDATED,    /* not within the deadline */
     APR_COPY_FRESH
 } AprCopyState_t;
--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -346,6 +346,7 @@
                                         const AprKvItem_t *item);
 void AprOwnership_NoticeEra(AprOwnership_t *ownership, int64_t era);
 int64_t AprOwnership_Era(const AprOwnership_t *ownership);
+bool AprOwnership_KnowsOnlyCopy(const AprOwnership_t *ownership);
 void AprOwnership_ApplySettledEra(AprOwnership_t *ownership,
                                   const AprKvItem_t *item);
 void AprOwnership_ApplyFence(AprOwnership_t *ownership, const char *host,
--- a/src/gateway/item_source.c
+++ b/src/gateway/item_source.c
@@ -45,9 +45,13 @@
 AprItemSource_CopyState(const AprStoreCache_t *cache)
 {
     AprFreshness_t freshness = get_freshness(cache);
+    AprCopyState_t state =
+        AprFreshness_ClassifyCopy(&freshness, AprStoreCache_ItemsAgeMs(cache));
 
-    return AprFreshness_ClassifyCopy(&freshness,
-                                     AprStoreCache_ItemsAgeMs(cache));
+    return state == APR_COPY_FRESH &&
+                   AprOwnership_KnowsOnlyCopy(cache->gateway->ownership)
+               ? APR_COPY_RESTORED
+               : state;
 }
 
 /* Logs that this host knows no route for a request, and what it knows
--- a/src/gateway/ownership.c
+++ b/src/gateway/ownership.c
@@ -1042,10 +1042,10 @@
         ownership->last_demand_decay_ms = now_ms;
         AprKeyDemand_Decay(&ownership->demand, DEMAND_DECAY);
     }
+    AprOwnership_RecoverOnTick(ownership);
     if (!AprOwnership_IsKeyed(ownership)) {
         return;
     }
     release_for_earlier_incarnation(ownership);
-    AprOwnership_RecoverOnTick(ownership);
     AprKeyMoves_PlanOnTick(ownership);
 }
--- a/src/gateway/restored_store.c
+++ b/src/gateway/restored_store.c
@@ -23,6 +23,14 @@
     return ownership->restore.era;
 }
 
+/* Returns whether this process has started since the store came back from an
+   older copy, and the store may lack what others know. */
+bool
+AprOwnership_KnowsOnlyCopy(const AprOwnership_t *ownership)
+{
+    return AprStoreRestore_KnowsOnlyCopy(&ownership->restore);
+}
+
 /* Returns whether all items of the present era have been read. */
 static bool
 is_era_read(const AprOwnership_t *ownership)
--- a/src/state/freshness.c
+++ b/src/state/freshness.c
@@ -50,6 +50,8 @@
     switch (state) {
     case APR_COPY_UNCONFIRMED:
         return "unconfirmed";
+    case APR_COPY_RESTORED:
+        return "restored";
     case APR_COPY_OUTDATED:
         return "outdated";
     default:
--- a/src/state/store_restore.c
+++ b/src/state/store_restore.c
@@ -54,6 +54,14 @@
     return restore->era > restore->settled_era;
 }
 
+/* Returns whether this process knows the store only as it came back from an
+   older copy, and others may know more. */
+bool
+AprStoreRestore_KnowsOnlyCopy(const AprStoreRestore_t *restore)
+{
+    return AprStoreRestore_IsOpen(restore) && !restore->returned;
+}
+
 /* Returns whether the key map does not tell who may hold the keys of this
    host, so that only its backend server's own report does. */
 bool
