--- a/include/apricot/route_table.h
+++ b/include/apricot/route_table.h
@@ -9,10 +9,6 @@
 #define APR_HEALTH_PATH_SIZE 128
 #define APR_MAX_ROUTE_SERVICES 8
 
-/* Buffer size for host name, path and terminator; longer requests match no
-   route. */
-#define APR_ROUTE_KEY_SIZE 4096
-
 /* A service that receives a weighted share of a route's requests. */
 typedef struct AprWeightedService_t {
     int service; /* index into AprRouteTable_t.services */
@@ -69,6 +65,8 @@
        services with a limit for cold backend servers. */
     bool uneven_work;
     void *index; /* GHashTable from host name and prefix to AprRoute_t */
+    size_t longest_key; /* length of the longest key of the index */
+    char *key;          /* room for a key, used by AprRouteTable_Find() */
 } AprRouteTable_t;
 
 AprRouteTable_t *AprRouteTable_New(int route_count, int service_count);
--- a/src/state/route_table.c
+++ b/src/state/route_table.c
@@ -42,6 +42,7 @@
     if (table->index != NULL) {
         g_hash_table_destroy(table->index);
     }
+    g_free(table->key);
     free(table->routes);
     free(table->services);
     free(table);
@@ -68,23 +69,26 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     for (int i = 0; i < table->route_count; i++) {
         AprRoute_t *route = &table->routes[i];
+        char *key = AprRoute_FormatKey(route);
 
-        if (!g_hash_table_insert(table->index, AprRoute_FormatKey(route),
-                                 route)) {
+        table->longest_key = MAX(table->longest_key, strlen(key));
+        if (!g_hash_table_insert(table->index, key, route)) {
             return APR_E_INVALID;
         }
     }
+    table->key = g_malloc(table->longest_key + 1);
     return APR_OK;
 }
 
 /* Finds the route of a host name whose prefix is the longest match of the
-   path. A port in `host` and a query in `path` are ignored. Returns NULL when
-   there is none; the route is owned by the table. */
+   path. A port in `host` and a query in `path` are ignored, and neither has a
+   limit of length. Returns NULL when there is none; the route is owned by the
+   table. */
 AprRoute_t *
 AprRouteTable_Find(const AprRouteTable_t *table, const char *host,
                    size_t host_size, const char *path, size_t path_size)
 {
-    char key[APR_ROUTE_KEY_SIZE];
+    char *key = table->key;
     const char *colon = memchr(host, ':', host_size);
     const char *query = memchr(path, '?', path_size);
 
@@ -94,9 +98,11 @@
     if (query != NULL) {
         path_size = (size_t)(query - path);
     }
-    if (host_size + path_size + 1 > sizeof(key)) {
+    if (host_size > table->longest_key) {
         return NULL;
     }
+    /* No prefix reaches beyond that. */
+    path_size = MIN(path_size, table->longest_key - host_size);
     for (size_t i = 0; i < host_size; i++) {
         key[i] = g_ascii_tolower(host[i]);
     }
--- a/tests/test_http_edges.c
+++ b/tests/test_http_edges.c
@@ -126,6 +126,36 @@
     check_statuses(fd, "414 ");
 }
 
+/* Guards against 404 for a path that is within the limit of the configuration,
+   however long the path or the query is
+   (review/15). */
+static void
+test_long_path_finds_its_route(void **state)
+{
+    static const int path_bytes[] = {500, 4069, 4070, 4096, 5000, 7900};
+    char text[8192 + 256];
+
+    (void)state;
+    close(start());
+    cluster.hosts[0].unresponsive = false;
+    for (size_t i = 0; i < sizeof(path_bytes) / sizeof(path_bytes[0]); i++) {
+        for (int query = 0; query < 2; query++) {
+            int fd = cluster_connect_caller(&cluster.hosts[1], 0);
+            char *rest = g_strnfill((gsize)path_bytes[i], 'p');
+            int key = cluster.hosts[1].held[0].first;
+
+            snprintf(text, sizeof(text),
+                     "GET /k/%d%s%s HTTP/1.1\r\nHost: desk.example\r\n"
+                     "Attempt: l%d-%d\r\nTime-Left: 900\r\nKey: %d\r\n"
+                     "Connection: close\r\n\r\n",
+                     key, query ? "?" : "/", rest, (int)i, query, key);
+            send_text(fd, text);
+            check_statuses(fd, "200 ");
+            g_free(rest);
+        }
+    }
+}
+
 /* Guards against another status for a path that is over the parser's own limit
    before it reaches that of the configuration. */
 static void
@@ -218,6 +248,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_teardown(test_long_path, stop),
+        cmocka_unit_test_teardown(test_long_path_finds_its_route, stop),
         cmocka_unit_test_teardown(test_path_over_the_limit_of_the_parser,
                                   stop),
         cmocka_unit_test_teardown(test_large_headers, stop),
