Recognize attempt ids of any length in responses

What callers saw: a request with an attempt id of 80 bytes or more ended with 502 or 504 although its backend server had answered.

Cause: the id did not fit into its buffer, so that it counted as missing at the entry, and a response that repeated it as one to another request.

Change: a long id is kept as its beginning and a digest, on both sides of the comparison and for nested calls.

Evidence: test_long_attempt_ids gets no answer for an id of 80 bytes with the code of before, and passes now; late responses to an id that differs in its last byte are still told apart.

--- a/internal/call.h
+++ b/internal/call.h
@@ -18,7 +18,7 @@
 /* Head of a request for a backend server, with its routing data. Points in
    time are milliseconds of this process's monotonic clock. */
 typedef struct AprCallHead_t {
-    char id[APR_CALL_ID_SIZE]; /* attempt id set by the caller */
+    char id[APR_CALL_ID_SIZE]; /* from the caller's; see AprCallId_Set() */
     char method[24];
     char *target;  /* path and query; owned */
     char *headers; /* forwarded "Name: value\r\n" lines; owned */
@@ -101,4 +101,6 @@
 void AprCallHead_Clear(AprCallHead_t *head);
 const char *AprCallError_Name(AprCallError_t error);
 
+void AprCallId_Set(char *id, const char *text, size_t size);
+
 #endif
--- a/internal/gateway.h
+++ b/internal/gateway.h
@@ -223,8 +223,7 @@
 /* Returns the request with the given id if the backend server runs it now,
    else NULL. */
 const AprCallHead_t *AprBackend_FindRunningRequest(const AprBackend_t *backend,
-                                                   const char *id,
-                                                   size_t id_size);
+                                                   const char *id);
 
 /* Connections to the gateways of other hosts (links.c,
    link_receive.c, link_health.c, link_calls.c). */
--- a/src/gateway/backend.c
+++ b/src/gateway/backend.c
@@ -316,18 +316,16 @@
     return sum;
 }
 
-/* Returns the head of the running request with an attempt id, or NULL. `id`
-   need not be terminated. The head is valid while the request runs. */
+/* Returns the head of the running request with an id of AprCallId_Set(), or
+   NULL. The head is valid while the request runs. */
 const AprCallHead_t *
-AprBackend_FindRunningRequest(const AprBackend_t *backend, const char *id,
-                              size_t id_size)
+AprBackend_FindRunningRequest(const AprBackend_t *backend, const char *id)
 {
     for (const AprBackendConn_t *conn = backend->conns; conn != NULL;
          conn = conn->next) {
         const AprBackendCall_t *call = conn->call;
 
-        if (call != NULL && strncmp(call->head.id, id, id_size) == 0 &&
-            call->head.id[id_size] == '\0') {
+        if (call != NULL && strcmp(call->head.id, id) == 0) {
             return &call->head;
         }
     }
--- a/src/gateway/backend_conn.c
+++ b/src/gateway/backend_conn.c
@@ -98,18 +98,16 @@
 {
     const AprHeaderNames_t *names = conn->gateway->header_names;
     const char *expected = conn->call->head.id;
+    size_t size = 0;
+    const char *found = AprHttpHead_FindValue(head, names->attempt_id, &size);
     char id[APR_CALL_ID_SIZE];
 
-    switch (AprHttpHead_CopyValue(head, names->attempt_id, id, sizeof(id))) {
-    case APR_OK:
-        break;
-    case APR_E_NOT_FOUND:
+    if (found == NULL) {
         return names->attempt_id_echoed && expected[0] != '\0'
                    ? RESPONSE_UNKNOWN
                    : RESPONSE_OWN;
-    default:
-        return RESPONSE_FOREIGN;
     }
+    AprCallId_Set(id, found, size);
     if (strcmp(id, expected) == 0) {
         return RESPONSE_OWN;
     }
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -822,22 +822,24 @@
 }
 
 /* Recognizes a call that a request running at the local backend server makes,
-   by its attempt id. Such a call gets at least the priority of that request,
-   and its objective is extended to that of the request. */
+   by its attempt id, which extends that of the request. Such a call gets at
+   least the priority of that request, and its objective is extended to that of
+   the request. */
 static void
-detect_nested_call(AprExchange_t *exchange)
+detect_nested_call(AprExchange_t *exchange, const char *id, size_t id_size)
 {
     AprGateway_t *gateway = exchange->gateway;
     AprCallHead_t *head = &exchange->head;
-    const char *end =
-        strrchr(head->id, gateway->header_names->nested_separator);
+    char separator = gateway->header_names->nested_separator;
+    const char *end = id == NULL ? NULL : memrchr(id, separator, id_size);
+    char parent_id[APR_CALL_ID_SIZE];
     const AprCallHead_t *parent;
 
-    if (gateway->header_names->nested_separator == '\0' || end == NULL) {
+    if (separator == '\0' || end == NULL) {
         return;
     }
-    parent = AprBackend_FindRunningRequest(gateway->backend, head->id,
-                                           (size_t)(end - head->id));
+    AprCallId_Set(parent_id, id, (size_t)(end - id));
+    parent = AprBackend_FindRunningRequest(gateway->backend, parent_id);
     if (parent == NULL) {
         return;
     }
@@ -899,6 +901,9 @@
 {
     AprExchange_t *exchange = calloc(1, sizeof(*exchange));
     AprCallHead_t *head;
+    size_t id_size = 0;
+    const char *id = AprHttpHead_FindValue(
+        http, gateway->header_names->attempt_id, &id_size);
     char expect[32];
 
     if (exchange == NULL) {
@@ -922,15 +927,14 @@
     g_strlcpy(head->method, http->method, sizeof(head->method));
     g_strlcpy(head->caller, gateway->settings.backend_service,
               sizeof(head->caller));
-    AprHttpHead_CopyValue(http, gateway->header_names->attempt_id, head->id,
-                          sizeof(head->id));
+    AprCallId_Set(head->id, id, id_size);
     head->has_length = http->has_content_length;
     head->length = http->content_length;
     exchange->keep_alive = http->keep_alive;
     exchange->http_1_0 = http->http_1_0;
     exchange->omit_response_body = strcmp(http->method, "HEAD") == 0;
     find_route(exchange, http);
-    detect_nested_call(exchange);
+    detect_nested_call(exchange, id, id_size);
     apply_stop_plan(exchange);
     exchange->head_bytes = 2 * (strlen(head->headers) + strlen(head->target));
     gateway->head_bytes += exchange->head_bytes;
--- a/tests/hostile_server.h
+++ b/tests/hostile_server.h
@@ -43,7 +43,7 @@
     const char *repeats[HOSTILE_MAX_CONNECTIONS + 1]; /* being repeated */
     bool ignored[HOSTILE_MAX_CONNECTIONS + 1];
     char address[64];
-    char last_id[64];
+    char last_id[256];
     atomic_int requests;
     atomic_int open_connections;
     atomic_long bytes_sent;
@@ -111,7 +111,7 @@
 {
     char request[8192];
     char response[8192];
-    char id[64] = "";
+    char id[256] = "";
     int number = atomic_load(&server->requests);
     const HostileResponse_t *script =
         &server->responses[number < server->response_count
@@ -131,7 +131,7 @@
     request[size] = '\0';
     header = strstr(request, server->id_header);
     if (header != NULL) {
-        sscanf(header + strlen(server->id_header), "%63[^\r\n]", id);
+        sscanf(header + strlen(server->id_header), "%255[^\r\n]", id);
     }
     atomic_fetch_add(&server->requests, 1);
     hostile_expand(script->text, id, server->last_id, response,
--- a/tests/test_hostile_backend.c
+++ b/tests/test_hostile_backend.c
@@ -374,11 +374,54 @@
     stop_all();
 }
 
+/* Guards against a response that is dropped because its attempt id is long,
+   and against one to another request whose long id differs at the end only. */
+static void
+test_long_attempt_ids(void **state)
+{
+    static const int sizes[] = {79, 80, 200};
+    static const HostileResponse_t own = {
+        OK_HEAD "Content-Length: 4\r\n\r\nmine", NULL, HOSTILE_KEEP};
+    static const HostileResponse_t foreign[] = {
+        {OK_HEAD "Content-Length: 4\r\n\r\nmine", NULL, HOSTILE_KEEP},
+        {"HTTP/1.1 200 OK\r\nAttempt: {last}\r\n"
+         "Content-Length: 4\r\n\r\nlate",
+         NULL, HOSTILE_KEEP}};
+    Observed_t observed;
+
+    (void)state;
+    start_with_scripted_server();
+    for (size_t i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++) {
+        char *id = g_strnfill((gsize)sizes[i], 'i');
+
+        set_hostile_script(&server, &own, 1);
+        cluster_run_for(&cluster, 0.1);
+        send_observed(&observed, id);
+        cluster_run_for(&cluster, 0.3);
+        assert_non_null(strstr(observed.text, "\r\n\r\nmine"));
+        finish_observed(&observed);
+
+        set_hostile_script(&server, foreign, 2);
+        cluster_run_for(&cluster, 0.1);
+        send_observed(&observed, id);
+        cluster_run_for(&cluster, 0.3);
+        finish_observed(&observed);
+        id[sizes[i] - 1] = 'j';
+        send_observed(&observed, id);
+        cluster_run_for(&cluster, TIME_LEFT_MS / 1000.0 + GRACE_S);
+        assert_null(strstr(observed.text, "late"));
+        finish_observed(&observed);
+        g_free(id);
+    }
+    stop_all();
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_responses_of_a_server_in_trouble),
+        cmocka_unit_test(test_long_attempt_ids),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
