Settle an era also when the planner does not reach the store

Cause: only the first host by name settles an era. While the store turns that host away, the era stays open: lost hosts are not replaced, and started hosts grant only what their backend servers hold. Seen by reading.

Change: the other hosts settle it some 3 s later, each after a pause of its own. A removed part of a key map counts only when it is of a later era, as before the return of the store, and a negative era from a peer is ignored.

Evidence: test_others_settle_when_the_planner_does_not.

--- a/include/apricot/store_restore.h
+++ b/include/apricot/store_restore.h
@@ -31,7 +31,7 @@
 bool AprStoreRestore_IsSaveDue(const AprStoreRestore_t *restore, bool own_keys,
                                int64_t now_ms);
 bool AprStoreRestore_IsSettlementDue(const AprStoreRestore_t *restore,
-                                     bool first_start, int64_t max_grant_ms,
-                                     int64_t now_ms);
+                                     bool first_start, bool is_planner,
+                                     int64_t max_grant_ms, int64_t now_ms);
 
 #endif
--- a/src/gateway/ownership.c
+++ b/src/gateway/ownership.c
@@ -252,7 +252,9 @@
         entry->revisions[part] >= item->revision) {
         return;
     }
-    if (item->removed && (part < 0 || entry == NULL)) {
+    if (item->removed && (part < 0 || entry == NULL ||
+                          AprRevision_Era(item->revision) <=
+                              AprRevision_Era(entry->revisions[part]))) {
         return;
     }
     if (part >= 0 && entry == NULL) {
--- a/src/gateway/restored_store.c
+++ b/src/gateway/restored_store.c
@@ -122,7 +122,7 @@
     bool kept;
     bool returned;
 
-    if (restore->known && era <= earlier) {
+    if (era < 0 || (restore->known && era <= earlier)) {
         return;
     }
     kept = !AprGrantTable_IsTakeoverPossible(&ownership->grant_table, now_ms);
@@ -432,10 +432,10 @@
         now_ms >= ownership->next_settlement_ms &&
         AprStoreRestore_IsSettlementDue(
             &ownership->restore, is_first_start(ownership),
+            AprKeyMoves_IsPlanner(ownership),
             AprGrant_LatestExpiryMs(APR_GRANT_AUTHORITY_MS,
                                     ownership->grant_table.grant_ms),
-            now_ms) &&
-        AprKeyMoves_IsPlanner(ownership)) {
+            now_ms)) {
         settle_era(ownership, &condition);
     }
 }
--- a/src/state/store_restore.c
+++ b/src/state/store_restore.c
@@ -4,6 +4,10 @@
    last, for hosts that learn of the new one late. */
 #define SETTLEMENT_MARGIN_MS 2000
 
+/* Time after which other hosts settle an era that the planner has not settled,
+   as when the store answers it no calls. */
+#define PLANNER_OVERDUE_MS 3000
+
 /* Range of the pause after which a host writes back what does not concern its
    own keys. The owners of the keys do so at once, and the same change of
    others would only conflict. */
@@ -84,13 +88,18 @@
 /* Returns whether the present era may be settled: no host holds keys by what
    it knew in an earlier one without having written that back. `max_grant_ms`
    is the time after which a host without contact to the store holds no keys.
-   `first_start`: the store has never had a key map. */
+   `first_start`: the store has never had a key map. All hosts but the planner
+   leave it time to do so. */
 bool
 AprStoreRestore_IsSettlementDue(const AprStoreRestore_t *restore,
-                                bool first_start, int64_t max_grant_ms,
-                                int64_t now_ms)
+                                bool first_start, bool is_planner,
+                                int64_t max_grant_ms, int64_t now_ms)
 {
+    int64_t pause_ms = first_start ? 0 : max_grant_ms + SETTLEMENT_MARGIN_MS;
+
+    if (!is_planner) {
+        pause_ms += PLANNER_OVERDUE_MS + restore->save_pause_ms;
+    }
     return AprStoreRestore_IsOpen(restore) &&
-           (first_start || now_ms - restore->noticed_ms >=
-                               max_grant_ms + SETTLEMENT_MARGIN_MS);
+           now_ms - restore->noticed_ms >= pause_ms;
 }
--- a/tests/test_restore_rules.c
+++ b/tests/test_restore_rules.c
@@ -49,7 +49,7 @@
         assert_int_equal(AprStoreRestore_AreHoldersUnknown(&restore),
                          step->holders_unknown);
         assert_int_equal(AprStoreRestore_IsSettlementDue(
-                             &restore, false, MAX_GRANT_MS, step->at_ms),
+                             &restore, false, true, MAX_GRANT_MS, step->at_ms),
                          step->settlement_due);
     }
 }
@@ -100,7 +100,27 @@
     assert_false(AprStoreRestore_Notice(&restore, 0, false, 0, 100));
     assert_false(AprStoreRestore_IsOpen(&restore));
     assert_false(AprStoreRestore_AreHoldersUnknown(&restore));
-    assert_false(AprStoreRestore_IsSettlementDue(&restore, true, 0, 1000000));
+    assert_false(
+        AprStoreRestore_IsSettlementDue(&restore, true, true, 0, 1000000));
+}
+
+/* Guards against an era that stays open because the planner does not reach the
+   store, and against many hosts that settle it at the same time. */
+static void
+test_others_settle_when_the_planner_does_not(void **state)
+{
+    AprStoreRestore_t restore = {0};
+
+    (void)state;
+    AprStoreRestore_Notice(&restore, 1, true, 0, 0);
+    AprStoreRestore_Settle(&restore, 1);
+    AprStoreRestore_Notice(&restore, 2, true, 400, 1000);
+    assert_true(AprStoreRestore_IsSettlementDue(&restore, false, true,
+                                                MAX_GRANT_MS, 8000));
+    assert_false(AprStoreRestore_IsSettlementDue(&restore, false, false,
+                                                 MAX_GRANT_MS, 11699));
+    assert_true(AprStoreRestore_IsSettlementDue(&restore, false, false,
+                                                MAX_GRANT_MS, 11700));
 }
 
 /* Guards against many hosts that write the same parts at the same time. */
@@ -224,6 +244,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_who_knows_the_holders),
         cmocka_unit_test(test_no_era_is_always_settled),
+        cmocka_unit_test(test_others_settle_when_the_planner_does_not),
         cmocka_unit_test(test_owners_save_first),
         cmocka_unit_test(test_lost_claim_stays_in_force),
         cmocka_unit_test(test_held_generation_is_adopted),
