Move the test of the store's client to platform/tests

It names fields of the platform's interface, which the check of names allows under platform/ only. The Makefile builds and runs test programs from there, too.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,8 @@
     $(BUILD)/apricot-gateway
 STANDINS = $(patsubst standins/%.c,$(BUILD)/%,$(sort $(wildcard standins/*.c)))
 BENCHES = $(patsubst bench/%.c,$(BUILD)/bench/%,$(sort $(wildcard bench/*.c)))
-TESTS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(sort $(wildcard tests/test_*.c)))
+TESTS = $(patsubst %.c,$(BUILD)/%, \
+    $(sort $(wildcard tests/test_*.c platform/tests/test_*.c)))
 PROPS = $(patsubst tests/%.cc,$(BUILD)/tests/%,$(sort $(wildcard tests/prop_*.cc)))
 
 # The fuzz program and what it links are built with sanitizers, in a folder of
@@ -85,6 +86,10 @@
     $(LIB)
 	@$(CC) $^ $(LDLIBS) -lcmocka -o $@
 
+$(BUILD)/platform/tests/test_%: $(BUILD)/platform/tests/test_%.o \
+    $(PLATFORM_LIB) $(LIB)
+	@$(CC) $^ $(LDLIBS) -lcmocka -o $@
+
 $(BUILD)/tests/prop_%: $(BUILD)/tests/prop_%.o $(STANDIN_OBJ) $(LIB)
 	@$(CXX) $^ -lrapidcheck $(LDLIBS) -o $@
 
