--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -29,6 +29,7 @@
 #define CLUSTER_IN_FLIGHT_S 0.03
 #define CLUSTER_SERVICE_TIME_S 0.01
 #define CLUSTER_STORE_TIMEOUT_S 1.0
+#define CLUSTER_STORE_AWAY_S 1.0 /* before it comes back from its copy */
 #define CLUSTER_MAX_ITEMS 64
 #define CLUSTER_MAX_GRANTS 64
 
@@ -1300,6 +1301,16 @@
     cluster_start_hosts(cluster);
 }
 
+/* Starts a cluster with a store that names its first era. */
+static inline void
+cluster_start_in_first_era(Cluster_t *cluster)
+{
+    cluster_init(cluster);
+    cluster->store.revision = AprRevision_Make(1, 1);
+    store_put_item(&cluster->store, "config", "1", 0);
+    cluster_start_hosts(cluster);
+}
+
 /* Returns the number of items that a host sent to other hosts. */
 static inline int64_t
 host_items_sent(ClusterHost_t *host)
@@ -1337,6 +1348,15 @@
     }
 }
 
+/* Lets the store go away for a moment and come back from its copy. */
+static inline void
+cluster_return_from_copy(Cluster_t *cluster)
+{
+    cluster->store.down = true;
+    cluster_run_for(cluster, CLUSTER_STORE_AWAY_S);
+    store_return_from_copy(&cluster->store);
+}
+
 /* Runs the event loop for some seconds, and every 20 ms sends a request to the
    next host whose gateway runs and is not stopping. */
 static inline void
--- a/tests/test_restored_config.c
+++ b/tests/test_restored_config.c
@@ -14,22 +14,15 @@
    force. */
 #define CONFIG_DEADLINE_S 2.0
 
-/* Time for which the store is away. */
-#define AWAY_S 1.0
-
 /* Time after the return within which the era is settled. */
 #define SETTLE_TIMEOUT_S 9.0
 
 static Cluster_t cluster;
 
-/* Starts the cluster with a store that names its first era. */
 static void
 start_in_first_era(void)
 {
-    cluster_init(&cluster);
-    cluster.store.revision = AprRevision_Make(1, 1);
-    store_put_item(&cluster.store, "config", "1", 0);
-    cluster_start_hosts(&cluster);
+    cluster_start_in_first_era(&cluster);
     assert_true(cluster_wait_until_held(&cluster, START_TIMEOUT_S) <
                 START_TIMEOUT_S);
     cluster_run_for(&cluster, 1.0);
@@ -54,14 +47,6 @@
     }
 }
 
-static void
-return_from_copy(void)
-{
-    cluster.store.down = true;
-    cluster_run_for(&cluster, AWAY_S);
-    store_return_from_copy(&cluster.store);
-}
-
 static void
 assert_in_force_everywhere(unsigned version)
 {
@@ -82,7 +67,7 @@
     start_in_first_era();
     store_take_copy(&cluster.store);
     publish_in_a_row(2, 7);
-    return_from_copy();
+    cluster_return_from_copy(&cluster);
     publish(7);
     cluster_run_for(&cluster, 6.0);
     assert_in_force_everywhere(7);
@@ -92,8 +77,8 @@
     /* Twice in a row, and with a version that is published at once. */
     store_take_copy(&cluster.store);
     publish_in_a_row(9, 11);
-    return_from_copy();
-    return_from_copy();
+    cluster_return_from_copy(&cluster);
+    cluster_return_from_copy(&cluster);
     publish(11);
     publish(12);
     cluster_run_for(&cluster, CONFIG_DEADLINE_S);
@@ -111,7 +96,7 @@
     store_take_copy(&cluster.store);
     publish_in_a_row(2, 4);
     cluster_run_for(&cluster, 1.0);
-    return_from_copy();
+    cluster_return_from_copy(&cluster);
     for (int i = 0; i < 30; i++) {
         cluster_run_for(&cluster, 0.1);
         assert_in_force_everywhere(4);
@@ -134,7 +119,7 @@
     start_in_first_era();
     store_take_copy(&cluster.store);
     cluster.store.down = true;
-    cluster_run_for(&cluster, AWAY_S);
+    cluster_run_for(&cluster, CLUSTER_STORE_AWAY_S);
     host_kill_gateway(host);
     store_return_from_copy(&cluster.store);
     host_start_gateway(host);
--- a/tests/test_store_restore.c
+++ b/tests/test_store_restore.c
@@ -11,9 +11,6 @@
 
 #define START_TIMEOUT_S 6.0
 
-/* Time for which the store is away. */
-#define AWAY_S 1.0
-
 /* Longest time until an era is settled and the keys that waited for that are
    held. */
 #define SETTLE_TIMEOUT_S 9.0
@@ -24,28 +21,15 @@
 
 static Cluster_t cluster;
 
-/* Starts the cluster with a store that names its first era. */
 static void
 start_in_first_era(void)
 {
-    cluster_init(&cluster);
-    cluster.store.revision = AprRevision_Make(1, 1);
-    store_put_item(&cluster.store, "config", "1", 0);
-    cluster_start_hosts(&cluster);
+    cluster_start_in_first_era(&cluster);
     assert_true(cluster_wait_until_held(&cluster, START_TIMEOUT_S) <
                 START_TIMEOUT_S);
     cluster_run_for(&cluster, 0.5);
 }
 
-/* Lets the store go away and come back from its copy. */
-static void
-return_from_copy(void)
-{
-    cluster.store.down = true;
-    cluster_run_for(&cluster, AWAY_S);
-    store_return_from_copy(&cluster.store);
-}
-
 /* Moves all keys of a host to the others in a planned way, and replaces its
    backend server by one that holds no keys. */
 static void
@@ -119,7 +103,7 @@
     start_in_first_era();
     store_take_copy(&cluster.store);
     move_keys_away(&cluster.hosts[1]);
-    return_from_copy();
+    cluster_return_from_copy(&cluster);
     assert_keys_are_held(3.0);
     restart_gateway(&cluster.hosts[1]);
     assert_keys_are_held(3.0);
@@ -140,7 +124,7 @@
     store_take_copy(&cluster.store);
     move_keys_away(host);
     cluster.store.down = true;
-    cluster_run_for(&cluster, AWAY_S);
+    cluster_run_for(&cluster, CLUSTER_STORE_AWAY_S);
     host_kill_gateway(host);
     cluster.store.watch_poll_s = 0.5;
     store_return_from_copy(&cluster.store);
@@ -166,7 +150,7 @@
         fences[i] = find_fence(i * 97);
     }
     cluster.store.down = true;
-    cluster_run_for(&cluster, AWAY_S);
+    cluster_run_for(&cluster, CLUSTER_STORE_AWAY_S);
     store_return_from_copy(&cluster.store);
     for (int step = 0; step < 120; step++) {
         assert_keys_are_held(0.1);
@@ -189,7 +173,7 @@
     start_in_first_era();
     store_take_copy(&cluster.store);
     move_keys_away(&cluster.hosts[1]);
-    return_from_copy();
+    cluster_return_from_copy(&cluster);
     assert_keys_are_held(2.0);
     host_kill_gateway(host);
     host_kill_backend(host);
@@ -234,13 +218,13 @@
     start_in_first_era();
     store_take_copy(&cluster.store);
     move_keys_away(&cluster.hosts[1]);
-    return_from_copy();
+    cluster_return_from_copy(&cluster);
     assert_keys_are_held(3.0);
     move_keys_away(&cluster.hosts[3]);
     for (int i = 0; i * 97 < APR_KEY_COUNT; i++) {
         fences[i] = find_fence(i * 97);
     }
-    return_from_copy();
+    cluster_return_from_copy(&cluster);
     assert_keys_are_held(1.0);
     restart_gateway(&cluster.hosts[3]);
     assert_keys_are_held(SETTLE_TIMEOUT_S);
@@ -268,7 +252,7 @@
     assert_true(cluster.store.has_late_change);
     assert_true(store_apply_late_change(&cluster.store));
     cluster_run_for(&cluster, 0.3);
-    return_from_copy();
+    cluster_return_from_copy(&cluster);
     cluster_run_for(&cluster, 3.0);
     host->leaving = false;
     restart_gateway(host);
@@ -285,7 +269,7 @@
     start_in_first_era();
     store_take_copy(&cluster.store);
     move_keys_away(&cluster.hosts[1]);
-    return_from_copy();
+    cluster_return_from_copy(&cluster);
     assert_keys_are_held(1.0);
     move_keys_away(&cluster.hosts[2]);
     assert_keys_are_held(SETTLE_TIMEOUT_S);
@@ -315,7 +299,7 @@
     store_take_copy(&cluster.store);
     move_keys_away(&cluster.hosts[3]);
     host->store_silent = true;
-    return_from_copy();
+    cluster_return_from_copy(&cluster);
     cluster_run_for(&cluster, 4.0);
     assert_int_equal(cluster.overlaps, 0);
     host->store_silent = false;
@@ -337,7 +321,7 @@
     cluster_start_hosts(&cluster);
     assert_true(cluster_wait_until_held(&cluster, START_TIMEOUT_S) <
                 START_TIMEOUT_S);
-    return_from_copy();
+    cluster_return_from_copy(&cluster);
     assert_keys_are_held(SETTLE_TIMEOUT_S);
     restart_gateway(&cluster.hosts[1]);
     assert_keys_are_held(4.0);
