Ignore lower generations after a return of the store only

Cause: the record of a backend server's generation ignored every lower one as coming from an older copy, also when the store had not come back.

Change: a lower one is ignored only until the record has been read since the return. The fuzz check is unchanged.

--- a/src/state/generation_record.c
+++ b/src/state/generation_record.c
@@ -31,8 +31,11 @@
 static bool
 is_from_older_copy(const AprGenerationRecord_t *record, int64_t generation)
 {
-    return generation < record->generation ||
-           (record->claim_lost && generation == record->generation);
+    bool known_since_return = record->revision != 0;
+
+    return !known_since_return &&
+           (generation < record->generation ||
+            (record->claim_lost && generation == record->generation));
 }
 
 /* Updates the record from the stored item; a removed item, or one that is not
--- a/tests/test_restore_rules.c
+++ b/tests/test_restore_rules.c
@@ -187,6 +187,22 @@
                      7);
 }
 
+/* Guards against a record that is taken for one of an older copy though the
+   store has not come back. */
+static void
+test_lower_generation_of_the_same_era(void **state)
+{
+    AprGenerationRecord_t record = {.generation = 6,
+                                    .revision = AprRevision_Make(1, 4)};
+    AprKvItem_t item = make_record(
+        "{\"id\":\"a\",\"born\":10,\"generation\":5}", AprRevision_Make(1, 5));
+
+    (void)state;
+    assert_int_equal(AprGenerationRecord_Update(&record, &item), APR_OK);
+    assert_int_equal(record.generation, 5);
+    assert_string_equal(record.incarnation.id, "a");
+}
+
 /* Guards against grants under a lower generation than the backend server has
    already seen, by a process that knows only the copy. */
 static void
@@ -247,6 +263,7 @@
         cmocka_unit_test(test_others_settle_when_the_planner_does_not),
         cmocka_unit_test(test_owners_save_first),
         cmocka_unit_test(test_lost_claim_stays_in_force),
+        cmocka_unit_test(test_lower_generation_of_the_same_era),
         cmocka_unit_test(test_held_generation_is_adopted),
         cmocka_unit_test(test_wait_for_previous_holder_restarts),
     };
