Look for items of earlier eras only when the era rises

Cause: a host that follows others visited all of its items with each frame that advanced their revision, some ten times a second, though only the first frame of an era can leave items of an earlier one.

Change: the items are visited when the era of the frames rises.

--- a/src/gateway/store_cache.c
+++ b/src/gateway/store_cache.c
@@ -473,7 +473,10 @@
 
     if (frame->end_of_series) {
         if (frame->complete_revision > cache->peer_revision) {
-            remove_items_of_earlier_eras(cache, frame->complete_revision);
+            if (AprRevision_Era(frame->complete_revision) !=
+                AprRevision_Era(cache->peer_revision)) {
+                remove_items_of_earlier_eras(cache, frame->complete_revision);
+            }
             cache->peer_revision = frame->complete_revision;
         }
         if (frame->source_age_ms >= 0) {
